--- a/src/agent/control.h
+++ b/src/agent/control.h
@@ -22,17 +22,14 @@
 
 //! The endpoint went from alive to dead: for traffic.
 struct EndpointDied
-{
-};
+{ };
 
 //! The endpoint came up, or the agent did beside a living one: end all streams it holds.
 struct ResetEndpoint
-{
-};
+{ };
 
-using AgentControlEffect
-        = std::variant<SendDatagram, AppendClaims, ClaimVerdict, ViewChanged, EndpointDied,
-                       ResetEndpoint, LogEvent>;
+using AgentControlEffect = std::variant<SendDatagram, AppendClaims, ClaimVerdict, ViewChanged,
+                                        EndpointDied, ResetEndpoint, LogEvent>;
 
 struct AgentControlLimits
 {
--- a/src/agent/internal/control.cpp
+++ b/src/agent/internal/control.cpp
@@ -45,10 +45,9 @@
     if (next == state.heartbeat_.state_)
         return;
     state.heartbeat_.state_ = next;
-    emit(state, logEvent(LogLevel::Info,
-                         LogLine("endpoint-state")
-                                 .add("endpoint", state.heartbeat_.endpoint_)
-                                 .add("state", endpointStateName(next))));
+    emit(state, logEvent(LogLevel::Info, LogLine("endpoint-state")
+                                                 .add("endpoint", state.heartbeat_.endpoint_)
+                                                 .add("state", endpointStateName(next))));
     emit(state, ViewChanged {});
     sendHeartbeats(state, now);
 }
@@ -102,9 +101,9 @@
         return;
     }
     const bool changed = state.heartbeat_.report_.layers_ != poll.report_->layers_
-            || state.heartbeat_.report_.slots_ != poll.report_->slots_
-            || state.heartbeat_.report_.target_ != poll.report_->target_
-            || state.heartbeat_.report_.version_ != poll.report_->version_;
+                         || state.heartbeat_.report_.slots_ != poll.report_->slots_
+                         || state.heartbeat_.report_.target_ != poll.report_->target_
+                         || state.heartbeat_.report_.version_ != poll.report_->version_;
     state.heartbeat_.report_ = *poll.report_;
     state.endpointLeaving_ = poll.leaving_;
     state.needsClaims_ = poll.report_->kind_ == EndpointKind::Service;
@@ -168,8 +167,7 @@
     link->second.known_ = true;
 }
 
-void onLinkUsed(AgentControl &state, const Address &peer, const EndpointId &endpoint,
-                TimePoint now)
+void onLinkUsed(AgentControl &state, const Address &peer, const EndpointId &endpoint, TimePoint now)
 {
     AgentLink &link = state.links_[peer];
     link.endpoint_ = endpoint;
--- a/src/agent/internal/traffic.cpp
+++ b/src/agent/internal/traffic.cpp
@@ -11,14 +11,13 @@
 void sendStreamFailed(AgentTraffic &state, const StreamPlan &plan, RefusalCode code, RunState run,
                       bool died, const std::string &reason)
 {
-    emit(state, logEvent(LogLevel::Warning,
-                         LogLine("stream-refused")
-                                 .add("request", plan.request_)
-                                 .add("organisation", plan.organisation_)
-                                 .add("epoch", plan.epoch_)
-                                 .add("code", refusalCodeName(code))
-                                 .add("run", runStateName(run))
-                                 .add("reason", reason)));
+    emit(state, logEvent(LogLevel::Warning, LogLine("stream-refused")
+                                                    .add("request", plan.request_)
+                                                    .add("organisation", plan.organisation_)
+                                                    .add("epoch", plan.epoch_)
+                                                    .add("code", refusalCodeName(code))
+                                                    .add("run", runStateName(run))
+                                                    .add("reason", reason)));
     emit(state,
          SendMessage {plan.entry_, StreamFailedMessage {plan.request_, plan.epoch_, state.self_,
                                                         code, run, died, reason}});
@@ -83,17 +82,16 @@
 void endCall(AgentTraffic &state, const AgentCall &call, CallResultMessage result, TimePoint now)
 {
     const AttemptId attempt = call.message_.attempt_;
-    emit(state, logEvent(LogLevel::Info,
-                         LogLine("call-ended")
-                                 .add("request", call.message_.request_)
-                                 .add("organisation", call.message_.organisation_)
-                                 .add("attempt", attempt)
-                                 .add("ending",
-                                      result.outcome_ ? "outcome"
-                                                      : refusalCodeName(result.refusal_.code_))
-                                 .add("run", result.outcome_
-                                              ? "done"
-                                              : runStateName(result.refusal_.run_))));
+    emit(state,
+         logEvent(LogLevel::Info,
+                  LogLine("call-ended")
+                          .add("request", call.message_.request_)
+                          .add("organisation", call.message_.organisation_)
+                          .add("attempt", attempt)
+                          .add("ending",
+                               result.outcome_ ? "outcome" : refusalCodeName(result.refusal_.code_))
+                          .add("run",
+                               result.outcome_ ? "done" : runStateName(result.refusal_.run_))));
     emit(state, SendMessage {call.message_.entry_, std::move(result)});
     state.endedAttempts_[attempt] = now;
     std::erase(state.callBacklog_, attempt);
@@ -103,9 +101,12 @@
 CallResultMessage refusalResult(const AgentTraffic &state, const AgentCall &call, RefusalCode code,
                                 RunState run, std::string reason)
 {
-    return {call.message_.request_, call.message_.attempt_,
-            std::nullopt,           {code, run, std::move(reason), {}},
-            false,                  state.self_};
+    return {call.message_.request_,
+            call.message_.attempt_,
+            std::nullopt,
+            {code, run, std::move(reason), {}},
+            false,
+            state.self_};
 }
 
 void runCallChain(AgentTraffic &state, const AgentView &view, AgentCall &call, TimePoint now)
@@ -177,7 +178,7 @@
 bool validStep(const AgentTraffic &state, const StepMessage &step)
 {
     return step.hop_ < step.plan_.route_.size() && !step.inputs_.empty()
-            && step.plan_.route_[step.hop_].endpoint_ == state.self_;
+           && step.plan_.route_[step.hop_].endpoint_ == state.self_;
 }
 
 } // namespace detail
@@ -210,8 +211,9 @@
     }
     const bool last = stream.hop_ + 1 == stream.plan_.route_.size();
     stream.lastOutputs_ = std::move(result.outputs_);
-    stream.lastEnds_ = last
-            && (result.endOfAnswer_ || stream.next_.value_ >= stream.plan_.maxTokens_.value_);
+    stream.lastEnds_
+            = last
+              && (result.endOfAnswer_ || stream.next_.value_ >= stream.plan_.maxTokens_.value_);
     forwardStep(state, stream, stream.lastFirst_, stream.lastOutputs_, stream.lastEnds_);
 }
 
@@ -247,14 +249,18 @@
         break;
     case ClaimDecision::Recorded:
         detail::endCall(state, call,
-                        {call.message_.request_, verdict.attempt_, verdict.outcome_, {}, false,
+                        {call.message_.request_,
+                         verdict.attempt_,
+                         verdict.outcome_,
+                         {},
+                         false,
                          state.self_},
                         now);
         break;
     case ClaimDecision::KeyReused:
         detail::endCall(state, call,
-                        detail::refusalResult(state, call, RefusalCode::KeyReused,
-                                              RunState::NotRun, verdict.reason_),
+                        detail::refusalResult(state, call, RefusalCode::KeyReused, RunState::NotRun,
+                                              verdict.reason_),
                         now);
         break;
     case ClaimDecision::HeldElsewhere:
@@ -284,10 +290,10 @@
     if (scope && (result.outcome_ || result.notSent_))
         emit(state, CloseClaim {scope->key_, call.nonce_, result.outcome_});
     if (result.outcome_) {
-        detail::endCall(state, call,
-                        {call.message_.request_, result.attempt_, result.outcome_, {}, false,
-                         state.self_},
-                        now);
+        detail::endCall(
+                state, call,
+                {call.message_.request_, result.attempt_, result.outcome_, {}, false, state.self_},
+                now);
     } else {
         CallResultMessage message = detail::refusalResult(
                 state, call,
--- /dev/null
+++ b/src/app/internal/main.cpp
@@ -0,0 +1,198 @@
+#include <fstream>
+#include <iostream>
+#include <map>
+#include <sstream>
+
+#include <gflags/gflags.h>
+
+#include "app/apikey.h"
+#include "app/commands.h"
+#include "app/log.h"
+#include "app/processes.h"
+#include "documents/settings.h"
+
+DEFINE_string(settings, "", "settings file of the process (entry, agent)");
+DEFINE_string(log, "", "address of the platform's log, HOST:PORT (publish)");
+DEFINE_string(address, "", "operators' address of a process, HOST:PORT (show, drain, quarantine)");
+DEFINE_string(token, "", "operators' token (show, drain, quarantine)");
+DEFINE_string(lift, "", "fingerprint to clear (quarantine)");
+DEFINE_string(level, "info", "least level of log lines: debug, info, warning or error");
+DEFINE_int32(timeout_ms, 30000, "how long to wait for the log's verdict (publish)");
+
+namespace gypsumcroft {
+namespace {
+
+constexpr int ExitUsage = 2;
+constexpr const char *Version = "0.1.0";
+
+using Arguments = std::vector<std::string>;
+using Command = int (*)(const Arguments &);
+
+struct CommandEntry
+{
+    const char *name_;
+    Command run_;
+    const char *help_;
+};
+
+LogLevel levelOf(const std::string &name)
+{
+    static const std::map<std::string, LogLevel> levels = {{"debug", LogLevel::Debug},
+                                                           {"info", LogLevel::Info},
+                                                           {"warning", LogLevel::Warning},
+                                                           {"error", LogLevel::Error}};
+    const auto found = levels.find(name);
+    return found == levels.end() ? LogLevel::Info : found->second;
+}
+
+int runDaemon(ProcessRole role, int (*run)(const Settings &))
+{
+    std::ifstream file(FLAGS_settings, std::ios::binary);
+    if (FLAGS_settings.empty() || !file) {
+        std::cerr << "--settings must name a file that can be read\n";
+        return ExitUsage;
+    }
+    std::ostringstream text;
+    text << file.rdbuf();
+    Findings findings;
+    const auto settings = decodeSettings(text.str(), FLAGS_settings, findings);
+    if (settings && settings->role_ != role)
+        addFinding(findings, FLAGS_settings + "/role", "does not fit the sub-command");
+    for (const Finding &finding : findings)
+        std::cerr << finding.place_ << ": " << finding.message_ << "\n";
+    if (!findings.empty())
+        return 1;
+    startLogging(levelOf(FLAGS_level));
+    const int code = run(*settings);
+    stopLogging();
+    return code;
+}
+
+int entry(const Arguments &)
+{
+    return runDaemon(ProcessRole::Entry, runEntry);
+}
+
+int agent(const Arguments &)
+{
+    return runDaemon(ProcessRole::Agent, runAgent);
+}
+
+int check(const Arguments &arguments)
+{
+    return runCheck(arguments);
+}
+
+int publish(const Arguments &arguments)
+{
+    const auto log = parseAddress(FLAGS_log);
+    if (!log || arguments.size() != 1) {
+        std::cerr << "usage: gypsumcroft publish --log HOST:PORT FILE\n";
+        return ExitUsage;
+    }
+    return runPublish({*log, arguments.front(), std::chrono::milliseconds(FLAGS_timeout_ms)});
+}
+
+int operatorRequest(const std::string &method, const std::string &path)
+{
+    const auto address = parseAddress(FLAGS_address);
+    if (!address) {
+        std::cerr << "--address must be the operators' address, HOST:PORT\n";
+        return ExitUsage;
+    }
+    return runOperatorRequest(*address, method, path, FLAGS_token);
+}
+
+int show(const Arguments &arguments)
+{
+    const std::string what = arguments.empty() ? "config" : arguments.front();
+    if (what != "config" && what != "endpoints" && what != "status") {
+        std::cerr << "show: 'config', 'endpoints' (entries) or 'status' (agents)\n";
+        return ExitUsage;
+    }
+    return operatorRequest("GET", "/v1/" + what);
+}
+
+int drain(const Arguments &)
+{
+    return operatorRequest("POST", "/v1/drain");
+}
+
+int quarantine(const Arguments &)
+{
+    if (FLAGS_lift.empty())
+        return operatorRequest("GET", "/v1/quarantine");
+    return operatorRequest("POST", "/v1/quarantine/lift?fingerprint=" + FLAGS_lift);
+}
+
+int hashKey(const Arguments &arguments)
+{
+    if (arguments.size() != 1) {
+        std::cerr << "usage: gypsumcroft hash-key KEY\n";
+        return ExitUsage;
+    }
+    std::cout << hashApiKey(arguments.front()).value_ << "\n";
+    return 0;
+}
+
+constexpr CommandEntry Commands[] = {
+        {"entry", entry, "run an entry: --settings FILE"},
+        {"agent", agent, "run an agent beside its endpoint: --settings FILE"},
+        {"check", check, "check settings, templates and parameter sets: FILE..."},
+        {"publish", publish, "put a document in force: --log HOST:PORT FILE"},
+        {"show", show,
+         "what a process knows: --address HOST:PORT --token T [config|endpoints|status]"},
+        {"drain", drain, "stop a process gracefully: --address HOST:PORT --token T"},
+        {"quarantine", quarantine,
+         "list suspects, or clear one: --address HOST:PORT --token T [--lift F]"},
+        {"hash-key", hashKey, "hash of an API key for a parameter set: KEY"},
+};
+
+void printHelp(std::ostream &out)
+{
+    out << "usage: gypsumcroft COMMAND [--FLAG VALUE ...] [ARGUMENT ...]\n\ncommands:\n";
+    for (const CommandEntry &command : Commands)
+        out << "  " << command.name_ << std::string(12 - std::string(command.name_).size(), ' ')
+            << command.help_ << "\n";
+    out << "\n--help prints this, --version the version; --level sets the least log level\n";
+}
+
+int runCommand(const std::string &name, const Arguments &arguments)
+{
+    for (const CommandEntry &command : Commands) {
+        if (name == command.name_)
+            return command.run_(arguments);
+    }
+    std::cerr << "gypsumcroft: no sub-command '" << name << "'; there are:";
+    for (const CommandEntry &command : Commands)
+        std::cerr << " " << command.name_;
+    std::cerr << "\n";
+    return ExitUsage;
+}
+
+} // namespace
+} // namespace gypsumcroft
+
+int main(int argc, char **argv)
+{
+    using namespace gypsumcroft;
+    const std::string first = argc > 1 ? argv[1] : "";
+    if (first.empty() || first == "--help" || first == "-h" || first == "help") {
+        printHelp(first.empty() ? std::cerr : std::cout);
+        return first.empty() ? ExitUsage : 0;
+    }
+    if (first == "--version") {
+        std::cout << "gypsumcroft " << Version << "\n";
+        return 0;
+    }
+    for (int i = 2; i < argc; ++i) {
+        if (std::string(argv[i]) == "--help") {
+            printHelp(std::cout);
+            return 0;
+        }
+    }
+    int count = argc - 1;
+    char **rest = argv + 1;
+    gflags::ParseCommandLineFlags(&count, &rest, true);
+    return runCommand(first, Arguments(rest + 1, rest + count));
+}
--- /dev/null
+++ b/src/app/internal/runtime.h
@@ -0,0 +1,126 @@
+//! Threads of a process: one for control, some for traffic, each with an io_context of its own.
+#pragma once
+
+#include <atomic>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <thread>
+#include <vector>
+
+#include <boost/asio.hpp>
+#include <oneapi/tbb/concurrent_queue.h>
+
+#include "core/units.h"
+
+namespace gypsumcroft::detail {
+
+namespace asio = boost::asio;
+
+//! The present time of the monotonic clock.
+inline TimePoint monotonicNow()
+{
+    const auto since = std::chrono::steady_clock::now().time_since_epoch();
+    return TimePoint(std::chrono::duration_cast<Duration>(since));
+}
+
+class Runtime
+{
+public:
+    explicit Runtime(std::uint32_t trafficThreads)
+    {
+        for (std::uint32_t i = 0; i < trafficThreads; ++i)
+            traffic_.push_back(std::make_unique<asio::io_context>(1));
+    }
+
+    asio::io_context &control() { return control_; }
+
+    std::vector<asio::io_context *> traffic()
+    {
+        std::vector<asio::io_context *> contexts;
+        for (const auto &context : traffic_)
+            contexts.push_back(context.get());
+        return contexts;
+    }
+
+    //! Runs until stop(); the calling thread becomes the control thread.
+    void run()
+    {
+        std::vector<std::jthread> threads;
+        for (const auto &context : traffic_) {
+            threads.emplace_back([&context] {
+                const auto guard = asio::make_work_guard(*context);
+                context->run();
+            });
+        }
+        const auto guard = asio::make_work_guard(control_);
+        control_.run();
+        for (const auto &context : traffic_)
+            context->stop();
+    }
+
+    //! Safe from any thread.
+    void stop() { control_.stop(); }
+
+private:
+    asio::io_context control_ {1};
+    std::vector<std::unique_ptr<asio::io_context>> traffic_;
+};
+
+//! What traffic learns for control: a queue with a wake-up of the control thread.
+template <typename Note>
+class Mailbox
+{
+public:
+    Mailbox(asio::io_context &control, std::function<void(Note)> handler)
+        : control_(control), handler_(std::move(handler))
+    { }
+
+    //! Safe from any thread; never blocks.
+    void push(Note note)
+    {
+        notes_.push(std::move(note));
+        if (!woken_.exchange(true))
+            asio::post(control_, [this] { drain(); });
+    }
+
+private:
+    void drain()
+    {
+        woken_ = false;
+        Note note;
+        while (notes_.try_pop(note))
+            handler_(std::move(note));
+    }
+
+    asio::io_context &control_;
+    std::function<void(Note)> handler_;
+    tbb::concurrent_queue<Note> notes_;
+    std::atomic<bool> woken_ {false};
+};
+
+//! Calls an action again and again on an io_context; the action returns the time until the next.
+class Ticker
+{
+public:
+    Ticker(asio::io_context &context, std::function<Duration()> action)
+        : timer_(context), action_(std::move(action))
+    {
+        arm(Duration::zero());
+    }
+
+private:
+    void arm(Duration delay)
+    {
+        timer_.expires_after(delay);
+        timer_.async_wait([this](boost::system::error_code error) {
+            if (!error)
+                arm(action_());
+        });
+    }
+
+    asio::steady_timer timer_;
+    std::function<Duration()> action_;
+};
+
+} // namespace gypsumcroft::detail
--- /dev/null
+++ b/src/app/processes.h
@@ -0,0 +1,14 @@
+//! The two daemons.
+#pragma once
+
+#include "documents/settings.h"
+
+namespace gypsumcroft {
+
+//! Runs an entry until it is told to stop; returns the process's exit code.
+int runEntry(const Settings &settings);
+
+//! Runs an agent until it is told to stop; returns the process's exit code.
+int runAgent(const Settings &settings);
+
+} // namespace gypsumcroft
--- a/src/controllers/internal/claims.cpp
+++ b/src/controllers/internal/claims.cpp
@@ -77,7 +77,7 @@
 
 Claim claimOf(const ClaimsState &state, ClaimNonce nonce, const ClaimWish &wish)
 {
-    return {wish.scope_.key_,   nonce, wish.attempt_, state.self_, wish.fingerprint_,
+    return {wish.scope_.key_,         nonce, wish.attempt_, state.self_, wish.fingerprint_,
             wish.scope_.repeatWindow_};
 }
 
@@ -156,7 +156,10 @@
             continue;
         }
         decide(state,
-               {entry.wish_.attempt_, ClaimDecision::HeldElsewhere, {}, std::nullopt,
+               {entry.wish_.attempt_,
+                ClaimDecision::HeldElsewhere,
+                {},
+                std::nullopt,
                 "another attempt holds the key and its outcome is not known"},
                entry.wish_);
     }
@@ -185,7 +188,10 @@
     }
     if (state.outgoing_.size() >= state.limits_.maxOutgoing_) {
         detail::decide(state,
-                       {wish.attempt_, ClaimDecision::NotClaimed, {}, std::nullopt,
+                       {wish.attempt_,
+                        ClaimDecision::NotClaimed,
+                        {},
+                        std::nullopt,
                         "too many records wait for the log"},
                        wish);
         return;
@@ -222,10 +228,10 @@
 void applyClaimsPage(ClaimsState &state, const ClaimsPage &page, TimePoint now)
 {
     if (page.first_.value_ > state.ledger_.through_.value_ + 1 && state.ledger_.through_.value_ > 0)
-        state.effects_.push_back(logEvent(LogLevel::Warning,
-                                          LogLine("claims-gap")
-                                                  .add("through", state.ledger_.through_)
-                                                  .add("first", page.first_)));
+        state.effects_.push_back(
+                logEvent(LogLevel::Warning, LogLine("claims-gap")
+                                                    .add("through", state.ledger_.through_)
+                                                    .add("first", page.first_)));
     for (const ClaimsPage::Record &record : page.records_)
         applyClaims(state.ledger_, record.offset_, record.time_, record.batch_);
     if (state.ledger_.through_.value_ + 1 >= page.next_.value_ || page.records_.empty())
@@ -248,7 +254,7 @@
 bool claimsIdle(const ClaimsState &state)
 {
     return state.outgoing_.empty() && state.inFlight_.empty() && state.pending_.empty()
-            && state.waiting_.empty();
+           && state.waiting_.empty();
 }
 
 } // namespace gypsumcroft
--- a/src/controllers/internal/config.cpp
+++ b/src/controllers/internal/config.cpp
@@ -36,8 +36,8 @@
     Findings findings;
     validateDocument(publish.document_, name.value_, findings);
     const auto current = state.entries_.find(name);
-    const LogOffset version = current == state.entries_.end() ? LogOffset {}
-                                                              : current->second.version_;
+    const LogOffset version
+            = current == state.entries_.end() ? LogOffset {} : current->second.version_;
     if (version != publish.replaces_)
         addFinding(findings, name.value_,
                    "replaces version " + std::to_string(publish.replaces_.value_) + ", but version "
@@ -72,10 +72,10 @@
         return;
     state.coveredThrough_ = snapshot.throughOffset_;
     state.coveredTime_ = record.time_;
-    const bool uncovered = std::any_of(
-            state.entries_.begin(), state.entries_.end(), [&](const auto &entry) {
-                return entry.second.version_ > snapshot.throughOffset_;
-            });
+    const bool uncovered
+            = std::any_of(state.entries_.begin(), state.entries_.end(), [&](const auto &entry) {
+                  return entry.second.version_ > snapshot.throughOffset_;
+              });
     if (!uncovered)
         state.oldestUncovered_ = {};
 }
@@ -87,18 +87,17 @@
         return applyPublish(state, record, *publish);
     if (const auto *snapshot = std::get_if<ConfigSnapshot>(&record.record_)) {
         noteSnapshot(state, record, *snapshot);
-        return logEvent(LogLevel::Info,
-                        LogLine("config-snapshot")
-                                .add("offset", record.offset_)
-                                .add("through", snapshot->throughOffset_));
+        return logEvent(LogLevel::Info, LogLine("config-snapshot")
+                                                .add("offset", record.offset_)
+                                                .add("through", snapshot->throughOffset_));
     }
     const auto &malformed = std::get<MalformedRecord>(record.record_);
     return logEvent(LogLevel::Warning,
                     LogLine("config-skipped")
                             .add("offset", record.offset_)
-                            .add("reason",
-                                 malformed.findings_.empty() ? "malformed"
-                                                             : malformed.findings_.front().message_));
+                            .add("reason", malformed.findings_.empty()
+                                                   ? "malformed"
+                                                   : malformed.findings_.front().message_));
 }
 
 //! Replaces the entries by a snapshot's; the caller has checked that it is ahead.
@@ -140,16 +139,14 @@
         state.gapRecords_.clear();
     state.gapRecords_.insert(state.gapRecords_.end(), page.records_.begin(), page.records_.end());
     const ConfigLogRecord *record = bestSnapshot(state.gapRecords_);
-    const auto *snapshot
-            = record == nullptr ? nullptr : &std::get<ConfigSnapshot>(record->record_);
+    const auto *snapshot = record == nullptr ? nullptr : &std::get<ConfigSnapshot>(record->record_);
     const bool covers = snapshot != nullptr
-            && snapshot->throughOffset_.value_ + 1 >= page.first_.value_
-            && snapshot->throughOffset_ > state.through_;
+                        && snapshot->throughOffset_.value_ + 1 >= page.first_.value_
+                        && snapshot->throughOffset_ > state.through_;
     if (!covers) {
-        events.push_back(logEvent(LogLevel::Warning,
-                                  LogLine("config-gap")
-                                          .add("through", state.through_)
-                                          .add("first", page.first_)));
+        events.push_back(logEvent(
+                LogLevel::Warning,
+                LogLine("config-gap").add("through", state.through_).add("first", page.first_)));
         return;
     }
     takeSnapshot(state, *snapshot);
--- a/src/controllers/internal/membership.cpp
+++ b/src/controllers/internal/membership.cpp
@@ -73,9 +73,9 @@
 void applyLeavingList(MembershipState &state, const std::vector<InstanceId> &leaving)
 {
     for (auto &[endpoint, member] : state.members_)
-        member.leavingByList_ = std::find(leaving.begin(), leaving.end(),
-                                          member.heartbeat_.instance_)
-                != leaving.end();
+        member.leavingByList_
+                = std::find(leaving.begin(), leaving.end(), member.heartbeat_.instance_)
+                  != leaving.end();
 }
 
 std::vector<MembershipChange> tickMembership(MembershipState &state, const MembershipLimits &limits,
--- a/src/core/internal/logline.cpp
+++ b/src/core/internal/logline.cpp
@@ -64,8 +64,8 @@
 LogLine &LogLine::add(std::string_view key, double value)
 {
     char buffer[32];
-    const auto end =
-            std::to_chars(buffer, buffer + sizeof buffer, value, std::chars_format::fixed, 3);
+    const auto end
+            = std::to_chars(buffer, buffer + sizeof buffer, value, std::chars_format::fixed, 3);
     return add(key, std::string_view(buffer, static_cast<std::size_t>(end.ptr - buffer)));
 }
 
--- a/src/core/messages.h
+++ b/src/core/messages.h
@@ -281,9 +281,9 @@
 };
 
 //! Everything that goes over TCP between processes.
-using Message = std::variant<StepMessage, TokenMessage, StreamFailedMessage, EndStreamMessage,
-                             CallMessage, CallResultMessage, ConfigFetchMessage,
-                             ConfigStateMessage>;
+using Message
+        = std::variant<StepMessage, TokenMessage, StreamFailedMessage, EndStreamMessage,
+                       CallMessage, CallResultMessage, ConfigFetchMessage, ConfigStateMessage>;
 
 //! Everything that goes over UDP between processes.
 using Datagram = std::variant<HeartbeatMessage, DigestMessage, ProbeMessage>;
--- a/src/core/tests/tst_core.cpp
+++ b/src/core/tests/tst_core.cpp
@@ -16,9 +16,12 @@
 };
 
 const QuoteCase QuoteCases[] = {
-        {"plain", "event=e k=plain"},         {"", "event=e k=\"\""},
-        {"two words", "event=e k=\"two words\""}, {"a=b", "event=e k=\"a=b\""},
-        {"say \"hi\"", "event=e k=\"say \\\"hi\\\"\""}, {"line\nbreak", "event=e k=\"line\\x0abreak\""},
+        {"plain", "event=e k=plain"},
+        {"", "event=e k=\"\""},
+        {"two words", "event=e k=\"two words\""},
+        {"a=b", "event=e k=\"a=b\""},
+        {"say \"hi\"", "event=e k=\"say \\\"hi\\\"\""},
+        {"line\nbreak", "event=e k=\"line\\x0abreak\""},
 };
 
 std::ostream &operator<<(std::ostream &out, const QuoteCase &test)
@@ -35,22 +38,28 @@
 
 Template service(RepeatPolicy repeat, Duration window)
 {
-    return {{"booking"}, TemplateKind::Service, {"bookings"}, Rank::Urgent, std::chrono::seconds(5),
-            repeat, window, {}};
+    return {{"booking"},
+            TemplateKind::Service,
+            {"bookings"},
+            Rank::Urgent,
+            std::chrono::seconds(5),
+            repeat,
+            window,
+            {}};
 }
 
 Template model(Duration patience, RepeatPolicy repeat, ParameterSpecs parameters)
 {
-    return {{"quote"}, TemplateKind::Model, {"panels"}, Rank::Urgent, patience, repeat,
-            std::chrono::hours(1), std::move(parameters)};
+    return {{"quote"}, TemplateKind::Model,   {"panels"},           Rank::Urgent, patience,
+            repeat,    std::chrono::hours(1), std::move(parameters)};
 }
 
 const TemplateCase TemplateCases[] = {
         {"good model", model(std::chrono::seconds(1), RepeatPolicy::Safe, {}), 0},
         {"no patience", model(Duration::zero(), RepeatPolicy::Safe, {}), 1},
         {"model never", model(std::chrono::seconds(1), RepeatPolicy::Never, {}), 1},
-        {"unknown parameter", model(std::chrono::seconds(1), RepeatPolicy::Safe, {{"x", {1, 0, 2}}}),
-         1},
+        {"unknown parameter",
+         model(std::chrono::seconds(1), RepeatPolicy::Safe, {{"x", {1, 0, 2}}}), 1},
         {"default out of bounds",
          model(std::chrono::seconds(1), RepeatPolicy::Safe, {{"maxTokens", {9, 1, 8}}}), 1},
         {"both wrong", model(Duration::zero(), RepeatPolicy::Safe, {{"x", {9, 1, 8}}}), 3},
--- /dev/null
+++ b/src/documents/internal/configdocuments.cpp
@@ -0,0 +1,529 @@
+#include "documents/configdocuments.h"
+
+#include <algorithm>
+
+#include "objectreader.h"
+
+namespace gypsumcroft {
+
+namespace json = boost::json;
+
+namespace detail {
+
+template <typename Enum>
+struct NamedValue
+{
+    std::string_view name_;
+    Enum value_;
+};
+
+constexpr NamedValue<TemplateKind> KindNames[]
+        = {{"model", TemplateKind::Model}, {"service", TemplateKind::Service}};
+constexpr NamedValue<RepeatPolicy> RepeatNames[]
+        = {{"safe", RepeatPolicy::Safe}, {"never", RepeatPolicy::Never}};
+constexpr NamedValue<Rank> RankNames[] = {
+        {"urgent", Rank::Urgent}, {"standard", Rank::Standard}, {"background", Rank::Background}};
+
+template <typename Enum, std::size_t Count>
+Enum readNamed(ObjectReader &reader, std::string_view field, const NamedValue<Enum> (&names)[Count])
+{
+    const auto text = reader.text(field, true);
+    std::string all;
+    for (const auto &named : names) {
+        if (text == named.name_)
+            return named.value_;
+        all += (all.empty() ? "'" : ", '") + std::string(named.name_) + "'";
+    }
+    if (text)
+        reader.fault(field, "must be one of " + all);
+    return names[0].value_;
+}
+
+template <typename Enum, std::size_t Count>
+std::string_view nameOf(Enum value, const NamedValue<Enum> (&names)[Count])
+{
+    for (const auto &named : names) {
+        if (named.value_ == value)
+            return named.name_;
+    }
+    return names[0].name_;
+}
+
+std::string_view keyText(const json::key_value_pair &entry)
+{
+    return {entry.key().data(), entry.key().size()};
+}
+
+void readParameters(ObjectReader &reader, Template &work, Findings &findings)
+{
+    const auto *parameters = reader.object("parameters", false);
+    if (parameters == nullptr)
+        return;
+    for (const auto &entry : *parameters) {
+        const std::string place = reader.placeOf("parameters") + pointerStep(keyText(entry));
+        ObjectReader spec(entry.value(), place, findings);
+        ParameterSpec read;
+        read.default_ = spec.integer("default", true).value_or(0);
+        read.minimum_ = spec.integer("minimum", true).value_or(0);
+        read.maximum_ = spec.integer("maximum", true).value_or(0);
+        spec.finish();
+        work.parameters_[std::string(keyText(entry))] = read;
+    }
+}
+
+Template readTemplate(ObjectReader &reader, Findings &findings)
+{
+    Template work;
+    work.id_ = {reader.text("name", true).value_or("")};
+    work.kind_ = readNamed(reader, "kind", KindNames);
+    work.target_ = {reader.text("target", true).value_or("")};
+    work.rank_ = readNamed(reader, "rank", RankNames);
+    work.patience_ = std::chrono::milliseconds(
+            reader.integer("patienceMs", true, 0, 86400000).value_or(0));
+    work.repeat_ = readNamed(reader, "repeat", RepeatNames);
+    constexpr std::int64_t DefaultWindowS = 24 * 3600;
+    work.repeatWindow_
+            = std::chrono::seconds(reader.integer("repeatWindowS", false, 0, 30 * DefaultWindowS)
+                                           .value_or(DefaultWindowS));
+    readParameters(reader, work, findings);
+    return work;
+}
+
+void readOverrides(ObjectReader &reader, ParameterSet &set, Findings &findings)
+{
+    const auto *overrides = reader.object("parameters", false);
+    if (overrides == nullptr)
+        return;
+    for (const auto &entry : *overrides) {
+        const std::string place = reader.placeOf("parameters") + pointerStep(keyText(entry));
+        ParameterValues &values = set.overrides_[TemplateId {std::string(keyText(entry))}];
+        const auto *object = entry.value().if_object();
+        if (object == nullptr) {
+            addFinding(findings, place, "must be an object");
+            continue;
+        }
+        ObjectReader valuesReader(entry.value(), place, findings);
+        for (const auto &value : *object) {
+            const auto number = valuesReader.integer(keyText(value), true);
+            values[std::string(keyText(value))] = number.value_or(0);
+        }
+    }
+}
+
+ParameterSet readParameterSet(ObjectReader &reader, Findings &findings)
+{
+    ParameterSet set;
+    set.organisation_ = {reader.text("organisation", true).value_or("")};
+    constexpr std::int64_t MaxWeight = 1000;
+    set.weight_
+            = static_cast<std::uint32_t>(reader.integer("weight", false, 1, MaxWeight).value_or(1));
+    if (const auto *hashes = reader.array("apiKeyHashes", true)) {
+        for (std::size_t i = 0; i < hashes->size(); ++i) {
+            const auto *text = (*hashes)[i].if_string();
+            if (text == nullptr)
+                addFinding(findings, reader.placeOf("apiKeyHashes") + "/" + std::to_string(i),
+                           "must be a string");
+            else
+                set.apiKeyHashes_.push_back({std::string(*text)});
+        }
+    }
+    readOverrides(reader, set, findings);
+    return set;
+}
+
+FleetPolicy readFleet(ObjectReader &reader, Findings &findings)
+{
+    FleetPolicy fleet;
+    if (const auto *value = reader.member("floorsPerMille", false)) {
+        ObjectReader floors(*value, reader.placeOf("floorsPerMille"), findings);
+        for (std::size_t rank = 0; rank < RankCount; ++rank)
+            fleet.floors_[rank].value_ = static_cast<std::uint32_t>(
+                    floors.integer(RankNames[rank].name_, false, 0, 1000).value_or(0));
+        floors.finish();
+    }
+    const auto *models = reader.array("models", false);
+    if (models == nullptr)
+        return fleet;
+    for (std::size_t i = 0; i < models->size(); ++i) {
+        ObjectReader model((*models)[i], reader.placeOf("models") + "/" + std::to_string(i),
+                           findings);
+        ModelGoal goal;
+        goal.model_ = {model.text("model", true).value_or("")};
+        goal.version_ = {model.text("version", true).value_or("")};
+        goal.pipelines_ = static_cast<std::uint32_t>(
+                model.integer("pipelines", true, 0, 100000).value_or(0));
+        model.finish();
+        fleet.models_.push_back(goal);
+    }
+    return fleet;
+}
+
+//! A place that already has a finding gets no second one: its value was never read.
+void addRangeFindings(const ConfigDocument &document, const std::string &place, std::size_t before,
+                      Findings &findings)
+{
+    Findings ranges;
+    validateDocument(document, place, ranges);
+    for (Finding &range : ranges) {
+        const bool known = std::any_of(
+                findings.begin() + static_cast<std::ptrdiff_t>(before), findings.end(),
+                [&](const Finding &finding) { return finding.place_ == range.place_; });
+        if (!known)
+            findings.push_back(std::move(range));
+    }
+}
+
+std::optional<ConfigDocument> readDocument(const json::value &value, const std::string &place,
+                                           Findings &findings)
+{
+    const std::size_t before = findings.size();
+    ObjectReader reader(value, place, findings);
+    const auto type = reader.text("type", true);
+    ConfigDocument document;
+    if (type == "template")
+        document = readTemplate(reader, findings);
+    else if (type == "organisation")
+        document = readParameterSet(reader, findings);
+    else if (type == "fleet")
+        document = readFleet(reader, findings);
+    else if (type)
+        reader.fault("type", "must be 'template', 'organisation' or 'fleet'");
+    const bool known = type == "template" || type == "organisation" || type == "fleet";
+    if (!known)
+        return std::nullopt;
+    reader.finish();
+    addRangeFindings(document, place, before, findings);
+    if (findings.size() != before)
+        return std::nullopt;
+    return document;
+}
+
+json::object toJson(const Template &work)
+{
+    json::object parameters;
+    for (const auto &[name, spec] : work.parameters_)
+        parameters[name] = {
+                {"default", spec.default_}, {"minimum", spec.minimum_}, {"maximum", spec.maximum_}};
+    return {{"type", "template"},
+            {"name", work.id_.value_},
+            {"kind", nameOf(work.kind_, KindNames)},
+            {"target", work.target_.value_},
+            {"rank", nameOf(work.rank_, RankNames)},
+            {"patienceMs", work.patience_.count() / 1000},
+            {"repeat", nameOf(work.repeat_, RepeatNames)},
+            {"repeatWindowS", work.repeatWindow_.count() / 1000000},
+            {"parameters", parameters}};
+}
+
+json::object toJson(const ParameterSet &set)
+{
+    json::array hashes;
+    for (const ApiKeyHash &hash : set.apiKeyHashes_)
+        hashes.emplace_back(hash.value_);
+    json::object overrides;
+    for (const auto &[work, values] : set.overrides_) {
+        json::object numbers;
+        for (const auto &[name, value] : values)
+            numbers[name] = value;
+        overrides[work.value_] = numbers;
+    }
+    return {{"type", "organisation"},
+            {"organisation", set.organisation_.value_},
+            {"weight", set.weight_},
+            {"apiKeyHashes", hashes},
+            {"parameters", overrides}};
+}
+
+json::object toJson(const FleetPolicy &fleet)
+{
+    json::object floors;
+    for (std::size_t rank = 0; rank < RankCount; ++rank)
+        floors[RankNames[rank].name_] = fleet.floors_[rank].value_;
+    json::array models;
+    for (const ModelGoal &goal : fleet.models_)
+        models.push_back({{"model", goal.model_.value_},
+                          {"version", goal.version_.value_},
+                          {"pipelines", goal.pipelines_}});
+    return {{"type", "fleet"}, {"floorsPerMille", floors}, {"models", models}};
+}
+
+json::object documentToJson(const ConfigDocument &document)
+{
+    return std::visit([](const auto &value) { return toJson(value); }, document);
+}
+
+ConfigRecord readPublish(ObjectReader &reader, const std::string &place, Findings &findings)
+{
+    ConfigPublish publish;
+    publish.id_ = {reader.text("publish", true).value_or("")};
+    publish.replaces_ = {static_cast<std::uint64_t>(reader.integer("replaces", true).value_or(0))};
+    const auto *value = reader.member("document", true);
+    auto document
+            = value == nullptr ? std::nullopt : readDocument(*value, place + "/document", findings);
+    if (!document || !findings.empty())
+        return MalformedRecord {findings};
+    publish.document_ = std::move(*document);
+    return publish;
+}
+
+ConfigRecord readSnapshot(ObjectReader &reader, const std::string &place, Findings &findings)
+{
+    ConfigSnapshot snapshot;
+    snapshot.throughOffset_
+            = {static_cast<std::uint64_t>(reader.integer("throughOffset", true).value_or(0))};
+    if (const auto *entries = reader.array("entries", true)) {
+        for (std::size_t i = 0; i < entries->size(); ++i) {
+            const std::string entryPlace = place + "/entries/" + std::to_string(i);
+            ObjectReader entry((*entries)[i], entryPlace, findings);
+            const auto version = entry.integer("version", true);
+            const auto *value = entry.member("document", true);
+            auto document = value == nullptr
+                                    ? std::nullopt
+                                    : readDocument(*value, entryPlace + "/document", findings);
+            if (document && version)
+                snapshot.entries_.push_back(
+                        {std::move(*document), {static_cast<std::uint64_t>(*version)}});
+        }
+    }
+    if (!findings.empty())
+        return MalformedRecord {findings};
+    return snapshot;
+}
+
+json::object entryToJson(const ConfigEntry &entry)
+{
+    return {{"version", entry.version_.value_}, {"document", documentToJson(entry.document_)}};
+}
+
+//! 64-bit values travel as hexadecimal text: JSON numbers would lose bits elsewhere.
+std::string hex(std::uint64_t value)
+{
+    char text[17];
+    std::snprintf(text, sizeof text, "%016llx", static_cast<unsigned long long>(value));
+    return text;
+}
+
+std::uint64_t unhex(const json::value &value)
+{
+    return std::strtoull(value.as_string().c_str(), nullptr, 16);
+}
+
+std::string keyToText(const KeyHash &key)
+{
+    return hex(key.high_) + hex(key.low_);
+}
+
+KeyHash keyFromText(const json::value &value)
+{
+    constexpr std::size_t HalfDigits = 16;
+    const std::string text(value.as_string());
+    if (text.size() != 2 * HalfDigits)
+        throw std::invalid_argument("key");
+    return {std::strtoull(text.substr(0, HalfDigits).c_str(), nullptr, 16),
+            std::strtoull(text.substr(HalfDigits).c_str(), nullptr, 16)};
+}
+
+json::object toJson(const Claim &claim)
+{
+    return {{"claim", keyToText(claim.key_)},
+            {"nonce", hex(claim.nonce_.value_)},
+            {"attempt", hex(claim.attempt_.value_)},
+            {"endpoint", claim.endpoint_.value_},
+            {"fingerprint", hex(claim.fingerprint_.value_)},
+            {"windowUs", claim.repeatWindow_.count()}};
+}
+
+json::object toJson(const ClaimOutcome &outcome)
+{
+    return {{"outcome", keyToText(outcome.key_)},
+            {"nonce", hex(outcome.nonce_.value_)},
+            {"status", outcome.outcome_.status_},
+            {"body", outcome.outcome_.body_}};
+}
+
+json::object toJson(const ClaimRelease &release)
+{
+    return {{"release", keyToText(release.key_)}, {"nonce", hex(release.nonce_.value_)}};
+}
+
+json::object toJson(const AttemptCancel &cancel)
+{
+    return {{"cancel", keyToText(cancel.key_)}, {"attempt", hex(cancel.attempt_.value_)}};
+}
+
+ClaimRecord readClaimRecord(const json::object &object)
+{
+    if (object.contains("claim"))
+        return Claim {keyFromText(object.at("claim")),
+                      {unhex(object.at("nonce"))},
+                      {unhex(object.at("attempt"))},
+                      {std::string(object.at("endpoint").as_string())},
+                      {unhex(object.at("fingerprint"))},
+                      Duration(object.at("windowUs").to_number<std::int64_t>())};
+    if (object.contains("outcome"))
+        return ClaimOutcome {keyFromText(object.at("outcome")),
+                             {unhex(object.at("nonce"))},
+                             {object.at("status").to_number<std::uint16_t>(),
+                              std::string(object.at("body").as_string())}};
+    if (object.contains("release"))
+        return ClaimRelease {keyFromText(object.at("release")), {unhex(object.at("nonce"))}};
+    return AttemptCancel {keyFromText(object.at("cancel")), {unhex(object.at("attempt"))}};
+}
+
+} // namespace detail
+
+std::optional<ConfigDocument> decodeDocument(std::string_view text, const std::string &place,
+                                             Findings &findings)
+{
+    const auto value = detail::parseJson(text, place, findings);
+    if (!value)
+        return std::nullopt;
+    return detail::readDocument(*value, place, findings);
+}
+
+std::string encodeDocument(const ConfigDocument &document)
+{
+    return json::serialize(detail::documentToJson(document));
+}
+
+void checkReferences(const std::vector<std::pair<std::string, ConfigDocument>> &documents,
+                     Findings &findings)
+{
+    std::map<TemplateId, Template> templates;
+    for (const auto &[place, document] : documents) {
+        if (const auto *work = std::get_if<Template>(&document))
+            templates.emplace(work->id_, *work);
+    }
+    if (templates.empty())
+        return;
+    for (const auto &[place, document] : documents) {
+        const auto *set = std::get_if<ParameterSet>(&document);
+        if (set == nullptr)
+            continue;
+        for (const auto &[id, values] : set->overrides_) {
+            const std::string at = place + "/parameters" + detail::pointerStep(id.value_);
+            const auto work = templates.find(id);
+            if (work == templates.end()) {
+                addFinding(findings, at, "names a template that is not defined");
+                continue;
+            }
+            for (const auto &[name, value] : values) {
+                const auto spec = work->second.parameters_.find(name);
+                if (spec == work->second.parameters_.end())
+                    addFinding(findings, at + detail::pointerStep(name),
+                               "is not a parameter of the template");
+                else if (value < spec->second.minimum_ || value > spec->second.maximum_)
+                    addFinding(findings, at + detail::pointerStep(name),
+                               "is outside the template's bounds");
+            }
+        }
+    }
+}
+
+ConfigRecord decodeConfigRecord(std::string_view text)
+{
+    Findings findings;
+    const std::string place = "record";
+    const auto value = detail::parseJson(text, place, findings);
+    if (!value)
+        return MalformedRecord {findings};
+    detail::ObjectReader reader(*value, place, findings);
+    const auto type = reader.text("record", true);
+    if (type == "publish")
+        return detail::readPublish(reader, place, findings);
+    if (type == "snapshot")
+        return detail::readSnapshot(reader, place, findings);
+    addFinding(findings, place + "/record", "must be 'publish' or 'snapshot'");
+    return MalformedRecord {findings};
+}
+
+std::string encodeConfigRecord(const ConfigRecord &record)
+{
+    if (const auto *publish = std::get_if<ConfigPublish>(&record))
+        return json::serialize(
+                json::object {{"record", "publish"},
+                              {"publish", publish->id_.value_},
+                              {"replaces", publish->replaces_.value_},
+                              {"document", detail::documentToJson(publish->document_)}});
+    const auto *snapshot = std::get_if<ConfigSnapshot>(&record);
+    if (snapshot == nullptr)
+        return "{}";
+    json::array entries;
+    for (const ConfigEntry &entry : snapshot->entries_)
+        entries.push_back(detail::entryToJson(entry));
+    return json::serialize(json::object {{"record", "snapshot"},
+                                         {"throughOffset", snapshot->throughOffset_.value_},
+                                         {"entries", entries}});
+}
+
+std::optional<ClaimBatch> decodeClaimBatch(std::string_view text)
+{
+    try {
+        ClaimBatch batch;
+        const json::value value = json::parse(text);
+        for (const json::value &record : value.as_array())
+            batch.push_back(detail::readClaimRecord(record.as_object()));
+        return batch;
+    } catch (const std::exception &) {
+        return std::nullopt;
+    }
+}
+
+std::string encodeClaimBatch(const ClaimBatch &batch)
+{
+    json::array records;
+    for (const ClaimRecord &record : batch)
+        records.push_back(
+                std::visit([](const auto &value) { return detail::toJson(value); }, record));
+    return json::serialize(records);
+}
+
+std::optional<LogPage> decodeLogPage(std::string_view text)
+{
+    try {
+        const json::value value = json::parse(text);
+        LogPage page;
+        page.first_ = {value.at("first").to_number<std::uint64_t>()};
+        page.next_ = {value.at("next").to_number<std::uint64_t>()};
+        page.now_ = {value.at("now").to_number<std::int64_t>()};
+        page.retention_
+                = std::chrono::milliseconds(value.at("retentionMs").to_number<std::int64_t>());
+        for (const json::value &record : value.at("records").as_array())
+            page.records_.push_back({{record.at("offset").to_number<std::uint64_t>()},
+                                     {record.at("time").to_number<std::int64_t>()},
+                                     std::string(record.at("data").as_string())});
+        return page;
+    } catch (const std::exception &) {
+        return std::nullopt;
+    }
+}
+
+ConfigLogPage configPageOf(const LogPage &page)
+{
+    ConfigLogPage config {page.first_, page.next_, page.now_, page.retention_, {}};
+    for (const LogPage::Record &record : page.records_)
+        config.records_.push_back({record.offset_, record.time_, decodeConfigRecord(record.data_)});
+    return config;
+}
+
+ClaimsPage claimsPageOf(const LogPage &page)
+{
+    ClaimsPage claims {page.first_, page.next_, page.now_, {}};
+    for (const LogPage::Record &record : page.records_)
+        claims.records_.push_back({record.offset_, record.time_,
+                                   decodeClaimBatch(record.data_).value_or(ClaimBatch {})});
+    return claims;
+}
+
+std::string encodeConfigState(const ConfigState &state, Duration inForceFor)
+{
+    json::object objects;
+    for (const auto &[name, entry] : state.entries_)
+        objects[name.value_] = detail::entryToJson(entry);
+    return json::serialize(json::object {{"through", state.through_.value_},
+                                         {"digest", detail::hex(state.digest_)},
+                                         {"inForceMs", inForceFor.count() / 1000},
+                                         {"objects", objects}});
+}
+
+} // namespace gypsumcroft
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -43,12 +43,11 @@
 
 //! The routing view is out of date; build it with viewOf().
 struct ViewChanged
-{
-};
+{ };
 
-using EntryControlEffect = std::variant<SendMessage, SendDatagram, AppendSnapshot, AppendClaims,
-                                        ReadClaims, AttemptVerdict, AgentDown, ViewChanged,
-                                        LogEvent>;
+using EntryControlEffect
+        = std::variant<SendMessage, SendDatagram, AppendSnapshot, AppendClaims, ReadClaims,
+                       AttemptVerdict, AgentDown, ViewChanged, LogEvent>;
 
 //! Another entry, as its digest shows it.
 struct PeerEntry
@@ -99,6 +98,8 @@
     std::uint64_t nextAppend_ = 1;
     TimePoint digestAt_;
     TimePoint fetchedAt_;
+    //! Load figures changed: the view is published with the next tick.
+    bool viewStale_ = false;
     std::vector<EntryControlEffect> effects_;
 };
 
--- a/src/entry/internal/control.cpp
+++ b/src/entry/internal/control.cpp
@@ -1,6 +1,7 @@
 #include "entry/control.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace gypsumcroft {
 
@@ -13,12 +14,11 @@
 
 void noteMembership(EntryControl &state, const MembershipChange &change, std::string_view cause)
 {
-    emit(state, logEvent(LogLevel::Info,
-                         LogLine("membership")
-                                 .add("endpoint", change.endpoint_)
-                                 .add("domain", change.domain_)
-                                 .add("state", endpointStateName(change.state_))
-                                 .add("cause", cause)));
+    emit(state, logEvent(LogLevel::Info, LogLine("membership")
+                                                 .add("endpoint", change.endpoint_)
+                                                 .add("domain", change.domain_)
+                                                 .add("state", endpointStateName(change.state_))
+                                                 .add("cause", cause)));
     emit(state, ViewChanged {});
     if (change.state_ == EndpointState::Down)
         emit(state, AgentDown {change.agent_});
@@ -33,14 +33,13 @@
 void sendDigests(EntryControl &state, TimePoint now)
 {
     state.digestAt_ = now + state.limits_.digestInterval_;
-    DigestMessage digest {state.self_,         state.address_, state.config_.through_,
-                          state.config_.digest_, {},             {}};
+    DigestMessage digest {
+            state.self_, state.address_, state.config_.through_, state.config_.digest_, {}, {}};
     for (const auto &[organisation, rate] : state.ownDemand_) {
         if (digest.demand_.size() < state.limits_.maxDemandInDigest_)
             digest.demand_.push_back({organisation, rate});
     }
-    digest.suspects_
-            = reportSuspects(state.suspects_, state.limits_.maxSuspectsInDigest_, now);
+    digest.suspects_ = reportSuspects(state.suspects_, state.limits_.maxSuspectsInDigest_, now);
     for (const Address &peer : state.peers_) {
         if (peer != state.address_)
             emit(state, SendDatagram {peer, digest});
@@ -109,8 +108,8 @@
                                      .add("request", settle.request_)
                                      .add("attempt", settle.attempt_)
                                      .add("run", runStateName(verdict.run_))
-                                     .add("outcome", key != nullptr && key->outcome_ ? "recorded"
-                                                                                     : "none")));
+                                     .add("outcome",
+                                          key != nullptr && key->outcome_ ? "recorded" : "none")));
         emit(state, verdict);
         state.settling_.erase(current);
     }
@@ -122,9 +121,8 @@
 {
     if (state.settling_.empty() || state.readingClaims_)
         return;
-    const bool appended
-            = std::any_of(state.settling_.begin(), state.settling_.end(),
-                          [](const auto &entry) { return entry.second.appended_; });
+    const bool appended = std::any_of(state.settling_.begin(), state.settling_.end(),
+                                      [](const auto &entry) { return entry.second.appended_; });
     if (!appended)
         return;
     if (!state.settleLedger_) {
@@ -145,9 +143,8 @@
         if (!settling.appended_ && now - settling.sentAt_ >= state.limits_.appendTimeout_)
             appendCancel(state, settling, now);
     }
-    std::erase_if(state.settling_, [&](const auto &entry) {
-        return now >= entry.second.settle_.deadline_;
-    });
+    std::erase_if(state.settling_,
+                  [&](const auto &entry) { return now >= entry.second.settle_.deadline_; });
     if (state.settling_.empty())
         state.settleLedger_.reset();
     readClaims(state);
@@ -159,14 +156,13 @@
 {
     const auto before = state.membership_.members_.find(heartbeat.endpoint_);
     const bool restarted = before != state.membership_.members_.end()
-            && before->second.heartbeat_.incarnation_ < heartbeat.incarnation_;
+                           && before->second.heartbeat_.incarnation_ < heartbeat.incarnation_;
     if (restarted)
         detail::emit(state, AgentDown {before->second.heartbeat_.agent_});
     const auto change = applyHeartbeat(state.membership_, heartbeat, now);
     if (change)
         detail::noteMembership(state, *change, "heartbeat");
-    else
-        detail::emit(state, ViewChanged {});
+    state.viewStale_ = true;
 }
 
 void onDigest(EntryControl &state, const DigestMessage &digest, TimePoint now)
@@ -175,12 +171,14 @@
         return;
     state.digests_[digest.instance_] = {digest, now};
     mergeSuspects(state.suspects_, digest.suspects_, now);
-    const bool known
-            = std::find(state.peers_.begin(), state.peers_.end(), digest.entry_)
-            != state.peers_.end();
+    const bool known = std::find(state.peers_.begin(), state.peers_.end(), digest.entry_)
+                       != state.peers_.end();
     if (!known)
         state.peers_.push_back(digest.entry_);
-    detail::emit(state, ViewChanged {});
+    if (digest.suspects_.empty())
+        state.viewStale_ = true;
+    else
+        detail::emit(state, ViewChanged {});
 }
 
 void onConfigPage(EntryControl &state, const ConfigLogPage &page, TimePoint now)
@@ -198,9 +196,9 @@
 {
     if (!adoptConfig(state.config_, snapshot, now))
         return;
-    detail::emit(state, logEvent(LogLevel::Info,
-                                 LogLine("config-from-peer")
-                                         .add("through", snapshot.throughOffset_)));
+    detail::emit(state,
+                 logEvent(LogLevel::Info,
+                          LogLine("config-from-peer").add("through", snapshot.throughOffset_)));
     detail::configChanged(state);
 }
 
@@ -257,9 +255,10 @@
     state.readingClaims_ = false;
     if (!page || !state.settleLedger_)
         return;
-    const bool early = std::any_of(
-            state.settling_.begin(), state.settling_.end(),
-            [&](const auto &entry) { return entry.second.settle_.from_ < state.readFrom_; });
+    const bool early
+            = std::any_of(state.settling_.begin(), state.settling_.end(), [&](const auto &entry) {
+                  return entry.second.settle_.from_ < state.readFrom_;
+              });
     if (early) {
         state.settleLedger_.reset();
         return;
@@ -317,6 +316,8 @@
         detail::sendDigests(state, now);
     detail::fetchFromPeer(state, now);
     detail::tickSettling(state, now);
+    if (std::exchange(state.viewStale_, false))
+        detail::emit(state, ViewChanged {});
 }
 
 RoutingView viewOf(const EntryControl &state)
--- a/src/entry/internal/traffic.cpp
+++ b/src/entry/internal/traffic.cpp
@@ -22,23 +22,23 @@
 void logEnding(EntryTraffic &state, const RequestContext &context, std::string_view ending,
                TimePoint now)
 {
-    emit(state, logEvent(LogLevel::Info,
-                         LogLine("ended")
-                                 .add("request", context.request_.id_)
-                                 .add("organisation", context.organisation_)
-                                 .add("template", context.request_.template_)
-                                 .add("ending", ending)
-                                 .add("tokens", std::uint64_t {context.tokens_.size()})
-                                 .add("attempts", std::uint64_t {context.attempts_})
-                                 .add("ms", now - context.arrival_)));
+    emit(state,
+         logEvent(LogLevel::Info, LogLine("ended")
+                                          .add("request", context.request_.id_)
+                                          .add("organisation", context.organisation_)
+                                          .add("template", context.request_.template_)
+                                          .add("ending", ending)
+                                          .add("tokens", std::uint64_t {context.tokens_.size()})
+                                          .add("attempts", std::uint64_t {context.attempts_})
+                                          .add("ms", now - context.arrival_)));
 }
 
 //! Ends the streams of every hop, so that slots come free.
 void endStreams(EntryTraffic &state, const RequestContext &context)
 {
     for (const RouteHop &hop : context.route_)
-        emit(state, SendMessage {hop.agent_, EndStreamMessage {context.request_.id_,
-                                                                context.epoch_}});
+        emit(state,
+             SendMessage {hop.agent_, EndStreamMessage {context.request_.id_, context.epoch_}});
 }
 
 void releaseWork(EntryTraffic &state, RequestContext &context)
@@ -58,15 +58,14 @@
     auto &counter = refusal.run_ == RunState::NotRun ? state.counters_.refusedNotRun_
                                                      : state.counters_.refusedUnknown_;
     ++counter;
-    emit(state, logEvent(LogLevel::Info,
-                         LogLine("refused")
-                                 .add("request", context.request_.id_)
-                                 .add("organisation", context.organisation_)
-                                 .add("template", context.request_.template_)
-                                 .add("code", refusalCodeName(refusal.code_))
-                                 .add("run", runStateName(refusal.run_))
-                                 .add("reason", refusal.reason_)
-                                 .add("ms", now - context.arrival_)));
+    emit(state, logEvent(LogLevel::Info, LogLine("refused")
+                                                 .add("request", context.request_.id_)
+                                                 .add("organisation", context.organisation_)
+                                                 .add("template", context.request_.template_)
+                                                 .add("code", refusalCodeName(refusal.code_))
+                                                 .add("run", runStateName(refusal.run_))
+                                                 .add("reason", refusal.reason_)
+                                                 .add("ms", now - context.arrival_)));
     const RequestId id = context.request_.id_;
     emit(state, AnswerRefusal {id, std::move(refusal), context.request_.template_});
     state.requests_.erase(id);
@@ -105,9 +104,9 @@
     const bool begun = !context.tokens_.empty();
     const TimePoint deadline
             = begun ? context.progressAt_ + state.limits_.cutAfter_ : context.deadline_;
-    const bool allowed = begun
-            ? now < deadline
-            : takeRetry(state.retryBudget_, state.limits_.retry_, context.attempts_, deadline, now);
+    const bool allowed = begun ? now < deadline
+                               : takeRetry(state.retryBudget_, state.limits_.retry_,
+                                           context.attempts_, deadline, now);
     if (allowed) {
         delayRetry(state, context, now);
         return;
@@ -119,8 +118,7 @@
 //! Gives a held request back, or ends it, according to the chain's verdict.
 void advance(EntryTraffic &state, RequestContext &context, const RoutingView &view, TimePoint now)
 {
-    FilterVerdict verdict
-            = runChain(entryChain(), context.nextFilter_, context, view, state, now);
+    FilterVerdict verdict = runChain(entryChain(), context.nextFilter_, context, view, state, now);
     if (verdict.action_ == FilterAction::Hold) {
         requeue(state, context);
         return;
@@ -165,13 +163,13 @@
                 TimePoint now)
 {
     ++state.counters_.replanned_;
-    emit(state, logEvent(LogLevel::Warning,
-                         LogLine("stream-failed")
-                                 .add("request", context.request_.id_)
-                                 .add("organisation", context.organisation_)
-                                 .add("epoch", context.epoch_)
-                                 .add("tokens", std::uint64_t {context.tokens_.size()})
-                                 .add("reason", reason)));
+    emit(state,
+         logEvent(LogLevel::Warning, LogLine("stream-failed")
+                                             .add("request", context.request_.id_)
+                                             .add("organisation", context.organisation_)
+                                             .add("epoch", context.epoch_)
+                                             .add("tokens", std::uint64_t {context.tokens_.size()})
+                                             .add("reason", reason)));
     const RunState run = runStateOf(context);
     retryOrEnd(state, context, {code, run, std::move(reason), std::chrono::seconds(1)}, now);
 }
@@ -251,8 +249,10 @@
     if (now < context.retryAt_)
         return;
     endWithRefusal(state, context,
-                   {RefusalCode::OutcomeUnknown, RunState::Unknown,
-                    "the log could not tell in time whether the call ran", {}},
+                   {RefusalCode::OutcomeUnknown,
+                    RunState::Unknown,
+                    "the log could not tell in time whether the call ran",
+                    {}},
                    now);
 }
 
@@ -327,8 +327,8 @@
     countSuccess(state.retryBudget_, state.limits_.retry_);
     ++state.counters_.completed_;
     logEnding(state, context, "answered", now);
-    emit(state, AnswerEnd {context.request_.id_,
-                           static_cast<std::uint32_t>(context.tokens_.size())});
+    emit(state,
+         AnswerEnd {context.request_.id_, static_cast<std::uint32_t>(context.tokens_.size())});
     state.requests_.erase(context.request_.id_);
 }
 
@@ -367,8 +367,7 @@
     detail::pump(state, view, now);
 }
 
-void onToken(EntryTraffic &state, const RoutingView &view, const TokenMessage &token,
-             TimePoint now)
+void onToken(EntryTraffic &state, const RoutingView &view, const TokenMessage &token, TimePoint now)
 {
     RequestContext *context = detail::findRequest(state, token.request_);
     if (context == nullptr || context->phase_ != RequestPhase::Streaming
@@ -400,8 +399,8 @@
         return;
     if (failure.code_ == RefusalCode::Busy)
         detail::shrinkWindows(state, failure.endpoint_, now);
-    const bool first = !context->route_.empty()
-            && context->route_.front().endpoint_ == failure.endpoint_;
+    const bool first
+            = !context->route_.empty() && context->route_.front().endpoint_ == failure.endpoint_;
     if (first && failure.run_ == RunState::NotRun)
         context->mayHaveRun_ = context->ranBefore_;
     detail::failStream(state, *context, failure.code_, failure.reason_, now);
@@ -413,8 +412,8 @@
 {
     RequestContext *context = detail::findRequest(state, result.request_);
     const bool waiting = context != nullptr && context->attempt_ == result.attempt_
-            && (context->phase_ == RequestPhase::Calling
-                || context->phase_ == RequestPhase::Cancelling);
+                         && (context->phase_ == RequestPhase::Calling
+                             || context->phase_ == RequestPhase::Cancelling);
     if (!waiting)
         return;
     if (result.endpointDied_)
@@ -428,7 +427,7 @@
     if (result.refusal_.code_ == RefusalCode::Busy)
         detail::shrinkWindows(state, result.endpoint_, now);
     const bool final = result.refusal_.code_ == RefusalCode::KeyReused
-            || (context->scope_ && result.refusal_.run_ == RunState::Unknown);
+                       || (context->scope_ && result.refusal_.run_ == RunState::Unknown);
     if (result.refusal_.run_ == RunState::NotRun)
         context->mayHaveRun_ = context->ranBefore_;
     if (final)
@@ -451,8 +450,10 @@
     }
     if (verdict.run_ == RunState::Unknown) {
         detail::endWithRefusal(state, *context,
-                               {RefusalCode::OutcomeUnknown, RunState::Unknown,
-                                "the call may have run; its outcome is not known", {}},
+                               {RefusalCode::OutcomeUnknown,
+                                RunState::Unknown,
+                                "the call may have run; its outcome is not known",
+                                {}},
                                now);
         return;
     }
--- a/src/filters/internal/agentfilters.cpp
+++ b/src/filters/internal/agentfilters.cpp
@@ -18,8 +18,7 @@
     const auto ended = state.ended_.find(plan.request_);
     const bool over = ended != state.ended_.end() && plan.epoch_ <= ended->second.epoch_;
     const auto stream = state.streams_.find(plan.request_);
-    const bool older
-            = stream != state.streams_.end() && plan.epoch_ < stream->second.plan_.epoch_;
+    const bool older = stream != state.streams_.end() && plan.epoch_ < stream->second.plan_.epoch_;
     if (!over && !older)
         return proceed();
     ++state.counters_.staleSteps_;
@@ -55,7 +54,7 @@
     if (!stream.running_ && step.firstPosition_ == stream.next_ && step.hop_ == stream.hop_)
         return proceed();
     const bool repeat = !stream.running_ && stream.ranAny_
-            && step.firstPosition_ == stream.lastFirst_ && step.hop_ == stream.hop_;
+                        && step.firstPosition_ == stream.lastFirst_ && step.hop_ == stream.hop_;
     if (!repeat) {
         ++state.counters_.staleSteps_;
         return hold();
@@ -157,9 +156,9 @@
 {
     if (!call.message_.scope_)
         return proceed();
-    emit(state, ClaimWish {call.message_.request_, call.message_.attempt_, *call.message_.scope_,
-                           call.message_.fingerprint_,
-                           call.deadline_ - state.limits_.minCallTime_});
+    emit(state,
+         ClaimWish {call.message_.request_, call.message_.attempt_, *call.message_.scope_,
+                    call.message_.fingerprint_, call.deadline_ - state.limits_.minCallTime_});
     return done();
 }
 
@@ -203,9 +202,10 @@
 
 std::size_t busySlots(const AgentTraffic &state)
 {
-    const auto active = std::count_if(
-            state.calls_.begin(), state.calls_.end(),
-            [](const auto &entry) { return entry.second.phase_ != CallPhase::Waiting; });
+    const auto active
+            = std::count_if(state.calls_.begin(), state.calls_.end(), [](const auto &entry) {
+                  return entry.second.phase_ != CallPhase::Waiting;
+              });
     return state.streams_.size() + static_cast<std::size_t>(active);
 }
 
@@ -215,18 +215,18 @@
     const StreamPlan &plan = stream.plan_;
     const std::size_t nextHop = stream.hop_ + 1;
     if (nextHop < plan.route_.size()) {
-        emit(state, SendMessage {plan.route_[nextHop].agent_,
-                                 StepMessage {plan, static_cast<std::uint32_t>(nextHop), first,
-                                              outputs}});
+        emit(state,
+             SendMessage {plan.route_[nextHop].agent_,
+                          StepMessage {plan, static_cast<std::uint32_t>(nextHop), first, outputs}});
         return;
     }
     const TokenIndex index {stream.next_.value_ - 1};
     const std::string &text = outputs.back();
-    emit(state, SendMessage {plan.entry_,
-                             TokenMessage {plan.request_, plan.epoch_, index, text, ends}});
+    emit(state,
+         SendMessage {plan.entry_, TokenMessage {plan.request_, plan.epoch_, index, text, ends}});
     if (!ends)
-        emit(state, SendMessage {plan.route_.front().agent_,
-                                 StepMessage {plan, 0, stream.next_, {text}}});
+        emit(state,
+             SendMessage {plan.route_.front().agent_, StepMessage {plan, 0, stream.next_, {text}}});
 }
 
 } // namespace gypsumcroft
--- a/src/filters/internal/entryfilters.cpp
+++ b/src/filters/internal/entryfilters.cpp
@@ -48,11 +48,11 @@
     const auto promptTokens
             = static_cast<std::int64_t>(context.request_.body_.size() / BytesPerToken + 1);
     context.cost_ = context.work_.kind_ == TemplateKind::Model
-            ? Tokens {promptTokens + context.maxTokens_.value_}
-            : Tokens {1};
+                            ? Tokens {promptTokens + context.maxTokens_.value_}
+                            : Tokens {1};
     context.deadline_ = context.arrival_ + context.work_.patience_;
-    context.fingerprint_ = fingerprintOf(context.organisation_, context.work_.id_,
-                                         context.request_.body_);
+    context.fingerprint_
+            = fingerprintOf(context.organisation_, context.work_.id_, context.request_.body_);
     return proceed();
 }
 
@@ -159,7 +159,7 @@
 bool mayUse(const RequestContext &context, const EndpointView &endpoint)
 {
     return std::find(context.avoid_.begin(), context.avoid_.end(), endpoint.endpoint_)
-            == context.avoid_.end();
+           == context.avoid_.end();
 }
 
 //! Expected time for one token: the endpoint slows down as its slots fill.
@@ -221,16 +221,16 @@
     if (!plan)
         return hold();
     context.route_ = plan->route_;
-    emit(state, logEvent(LogLevel::Info,
-                         LogLine("route")
-                                 .add("request", context.request_.id_)
-                                 .add("organisation", context.organisation_)
-                                 .add("template", context.work_.id_)
-                                 .add("epoch", std::uint64_t {context.epoch_.value_ + 1})
-                                 .add("route", routeText(plan->route_))
-                                 .add("cost_ms", plan->cost_)
-                                 .add("candidates_us", candidateText(candidates))
-                                 .add("reason", "least-token-time")));
+    emit(state,
+         logEvent(LogLevel::Info, LogLine("route")
+                                          .add("request", context.request_.id_)
+                                          .add("organisation", context.organisation_)
+                                          .add("template", context.work_.id_)
+                                          .add("epoch", std::uint64_t {context.epoch_.value_ + 1})
+                                          .add("route", routeText(plan->route_))
+                                          .add("cost_ms", plan->cost_)
+                                          .add("candidates_us", candidateText(candidates))
+                                          .add("reason", "least-token-time")));
     return proceed();
 }
 
@@ -274,14 +274,14 @@
     const EndpointView *first = open[randomBelow(state.random_, open.size())];
     const EndpointView *second = open[randomBelow(state.random_, open.size())];
     return stepCost(*second, windowOf(state, *second)) < stepCost(*first, windowOf(state, *first))
-            ? second
-            : first;
+                   ? second
+                   : first;
 }
 
 FilterVerdict routeCall(RequestContext &context, const RoutingView &view, EntryTraffic &state)
 {
-    const EndpointView *chosen = context.scope_ ? homeEndpoint(context, view)
-                                                : sampleEndpoint(context, view, state);
+    const EndpointView *chosen
+            = context.scope_ ? homeEndpoint(context, view) : sampleEndpoint(context, view, state);
     if (chosen == nullptr || !hasRoom(windowOf(state, *chosen)))
         return hold();
     context.route_ = {{chosen->endpoint_, chosen->agent_, {}}};
@@ -314,10 +314,10 @@
 StepMessage firstStep(const RequestContext &context, const EntryTraffic &state)
 {
     StepMessage step;
-    step.plan_ = {context.request_.id_, context.epoch_,        state.address_,
-                  context.route_,       context.organisation_, context.work_.id_,
-                  context.fingerprint_, context.work_.rank_,   context.maxTokens_,
-                  context.suspect_};
+    step.plan_
+            = {context.request_.id_,  context.epoch_,    state.address_,       context.route_,
+               context.organisation_, context.work_.id_, context.fingerprint_, context.work_.rank_,
+               context.maxTokens_,    context.suspect_};
     step.inputs_.push_back(context.request_.body_);
     step.inputs_.insert(step.inputs_.end(), context.tokens_.begin(), context.tokens_.end());
     return step;
@@ -325,9 +325,10 @@
 
 CallMessage callOf(const RequestContext &context, const EntryTraffic &state, TimePoint now)
 {
-    return {context.request_.id_, context.attempt_,    state.address_,       context.organisation_,
-            context.work_.id_,    context.fingerprint_, context.work_.rank_, context.request_.body_,
-            context.scope_,       context.deadline_ - now};
+    return {context.request_.id_,   context.attempt_,       state.address_,
+            context.organisation_,  context.work_.id_,      context.fingerprint_,
+            context.work_.rank_,    context.request_.body_, context.scope_,
+            context.deadline_ - now};
 }
 
 FilterVerdict dispatch(RequestContext &context, const RoutingView &view, EntryTraffic &state,
@@ -396,8 +397,12 @@
 QueuedRequest queuedForm(const RequestContext &context)
 {
     const bool begun = !context.tokens_.empty();
-    return {context.request_.id_, context.organisation_, context.request_.caller_,
-            context.work_.rank_,  context.cost_,         context.weight_,
+    return {context.request_.id_,
+            context.organisation_,
+            context.request_.caller_,
+            context.work_.rank_,
+            context.cost_,
+            context.weight_,
             begun ? TimePoint::max() : context.deadline_};
 }
 
--- /dev/null
+++ b/src/http/internal/client.cpp
@@ -0,0 +1,168 @@
+#include "http/client.h"
+
+#include <unordered_map>
+#include <vector>
+
+#include <boost/asio.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+namespace gypsumcroft::http {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using asio::ip::tcp;
+
+namespace detail {
+
+constexpr std::size_t MaxIdlePerAddress = 64;
+constexpr std::uint64_t MaxAnswerBytes = 64 * 1024 * 1024;
+
+using StreamPtr = std::unique_ptr<beast::tcp_stream>;
+using Message = beast::http::request<beast::http::string_body>;
+
+Message messageOf(const Address &to, HttpRequest &request)
+{
+    Message message;
+    message.method_string(request.method_);
+    std::string target = request.path_;
+    char separator = '?';
+    for (const auto &[name, value] : request.query_) {
+        target += separator + name + "=" + value;
+        separator = '&';
+    }
+    message.target(target);
+    message.version(11);
+    message.set(beast::http::field::host, to.host_ + ":" + std::to_string(to.port_));
+    for (const auto &[name, value] : request.headers_)
+        message.set(name, value);
+    message.body() = std::move(request.body_);
+    message.keep_alive(true);
+    message.prepare_payload();
+    return message;
+}
+
+bool isBroken(const boost::system::error_code &error)
+{
+    return error == asio::error::connection_refused || error == asio::error::connection_reset
+           || error == asio::error::eof || error == asio::error::broken_pipe
+           || error == beast::http::error::end_of_stream
+           || error == beast::http::error::partial_message;
+}
+
+} // namespace detail
+
+struct Client::Impl : std::enable_shared_from_this<Client::Impl>
+{
+    explicit Impl(asio::io_context &context) : context_(context) { }
+
+    detail::StreamPtr takeIdle(const Address &to)
+    {
+        auto &idle = idle_[to];
+        while (!idle.empty()) {
+            detail::StreamPtr stream = std::move(idle.back());
+            idle.pop_back();
+            if (isQuiet(*stream))
+                return stream;
+        }
+        return nullptr;
+    }
+
+    //! A kept connection that has become readable was closed by the server.
+    static bool isQuiet(beast::tcp_stream &stream)
+    {
+        char byte = 0;
+        boost::system::error_code error;
+        stream.socket().non_blocking(true, error);
+        stream.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+        return error == asio::error::would_block;
+    }
+
+    void keep(const Address &to, detail::StreamPtr stream)
+    {
+        auto &idle = idle_[to];
+        if (idle.size() < detail::MaxIdlePerAddress)
+            idle.push_back(std::move(stream));
+    }
+
+    static asio::awaitable<ClientResult> connect(beast::tcp_stream &stream, Address to)
+    {
+        ClientResult result;
+        boost::system::error_code error;
+        const auto host = asio::ip::make_address(to.host_, error);
+        if (!error)
+            co_await stream.async_connect(tcp::endpoint(host, to.port_),
+                                          asio::redirect_error(asio::use_awaitable, error));
+        if (!error) {
+            boost::system::error_code ignored;
+            stream.socket().set_option(tcp::no_delay(true), ignored);
+            co_return result;
+        }
+        result.notSent_ = true;
+        result.broken_ = detail::isBroken(error);
+        result.reason_ = "can't connect: " + error.message();
+        co_return result;
+    }
+
+    static asio::awaitable<ClientResult> exchange(std::shared_ptr<Impl> self, Address to,
+                                                  HttpRequest request, ClientOptions options)
+    {
+        detail::StreamPtr stream = options.freshConnection_ ? nullptr : self->takeIdle(to);
+        const bool fresh = stream == nullptr;
+        if (fresh)
+            stream = std::make_unique<beast::tcp_stream>(self->context_);
+        stream->expires_after(options.timeout_);
+        if (fresh) {
+            ClientResult connected = co_await connect(*stream, to);
+            if (!connected.reason_.empty())
+                co_return connected;
+        }
+        boost::system::error_code error;
+        detail::Message message = detail::messageOf(to, request);
+        co_await beast::http::async_write(*stream, message,
+                                          asio::redirect_error(asio::use_awaitable, error));
+        beast::flat_buffer buffer;
+        beast::http::response_parser<beast::http::string_body> parser;
+        parser.body_limit(detail::MaxAnswerBytes);
+        if (!error)
+            co_await beast::http::async_read(*stream, buffer, parser,
+                                             asio::redirect_error(asio::use_awaitable, error));
+        ClientResult result;
+        if (error) {
+            result.broken_ = detail::isBroken(error);
+            result.reason_ = error.message();
+            co_return result;
+        }
+        HttpResponse response;
+        response.status_ = static_cast<std::uint16_t>(parser.get().result_int());
+        response.contentType_ = std::string(parser.get()[beast::http::field::content_type]);
+        const bool keepAlive = parser.get().keep_alive();
+        response.body_ = std::move(parser.get().body());
+        result.response_ = std::move(response);
+        stream->expires_never();
+        if (keepAlive)
+            self->keep(to, std::move(stream));
+        co_return result;
+    }
+
+    asio::io_context &context_;
+    std::unordered_map<Address, std::vector<detail::StreamPtr>> idle_;
+};
+
+Client::Client(asio::io_context &context) : impl_(std::make_shared<Impl>(context)) { }
+
+Client::~Client() = default;
+
+void Client::send(const Address &to, HttpRequest request, ClientOptions options,
+                  std::function<void(ClientResult)> callback)
+{
+    asio::co_spawn(
+            impl_->context_, Impl::exchange(impl_, to, std::move(request), options),
+            [callback = std::move(callback)](const std::exception_ptr &error, ClientResult result) {
+                if (error)
+                    result.reason_ = "internal error";
+                callback(std::move(result));
+            });
+}
+
+} // namespace gypsumcroft::http
--- /dev/null
+++ b/src/http/internal/server.cpp
@@ -0,0 +1,396 @@
+#include "http/server.h"
+
+#include <algorithm>
+#include <deque>
+
+#include <boost/asio.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+namespace gypsumcroft::http {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using asio::ip::tcp;
+
+namespace detail {
+
+//! A caller that reads slower than this many waiting bytes allow is given up on.
+constexpr std::size_t MaxWaitingBytes = 8 * 1024 * 1024;
+
+enum class AnswerState { Waiting, Whole, Events, EventsDone };
+
+//! One connection; its members are used on its io_context's single thread.
+struct Connection : std::enable_shared_from_this<Connection>
+{
+    explicit Connection(tcp::socket socket)
+        : stream_(std::move(socket)), wake_(stream_.get_executor())
+    {
+        wake_.expires_at(asio::steady_timer::time_point::max());
+    }
+
+    void post(std::function<void(Connection &)> action)
+    {
+        asio::post(stream_.get_executor(), [self = shared_from_this(), action = std::move(action)] {
+            action(*self);
+            self->wake_.cancel_one();
+        });
+    }
+
+    void gone()
+    {
+        gone_ = true;
+        if (onGone_)
+            std::exchange(onGone_, nullptr)();
+        wake_.cancel_one();
+    }
+
+    beast::tcp_stream stream_;
+    asio::steady_timer wake_;
+    AnswerState state_ = AnswerState::Waiting;
+    HttpResponse response_;
+    std::deque<std::string> events_;
+    std::size_t waitingBytes_ = 0;
+    std::function<void()> onGone_;
+    bool gone_ = false;
+    //! Counts exchanges, so that a late answer to an earlier one does nothing.
+    std::uint64_t exchange_ = 0;
+};
+
+std::string decodePercent(std::string_view text)
+{
+    std::string plain;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        if (text[i] == '%' && i + 2 < text.size()) {
+            const std::string digits(text.substr(i + 1, 2));
+            plain += static_cast<char>(std::strtoul(digits.c_str(), nullptr, 16));
+            i += 2;
+        } else {
+            plain += text[i] == '+' ? ' ' : text[i];
+        }
+    }
+    return plain;
+}
+
+void splitTarget(std::string_view target, HttpRequest &request)
+{
+    const auto mark = target.find('?');
+    request.path_ = std::string(target.substr(0, mark));
+    if (mark == std::string_view::npos)
+        return;
+    std::string_view rest = target.substr(mark + 1);
+    while (!rest.empty()) {
+        const auto end = rest.find('&');
+        const std::string_view pair = rest.substr(0, end);
+        const auto equals = pair.find('=');
+        if (equals != std::string_view::npos)
+            request.query_[decodePercent(pair.substr(0, equals))]
+                    = decodePercent(pair.substr(equals + 1));
+        rest = end == std::string_view::npos ? std::string_view() : rest.substr(end + 1);
+    }
+}
+
+using Parser = beast::http::request_parser<beast::http::string_body>;
+
+HttpRequest requestOf(Parser &parser)
+{
+    HttpRequest request;
+    auto &message = parser.get();
+    request.method_ = std::string(message.method_string());
+    splitTarget({message.target().data(), message.target().size()}, request);
+    for (const auto &field : message) {
+        std::string name(field.name_string());
+        std::transform(name.begin(), name.end(), name.begin(),
+                       [](unsigned char ch) { return static_cast<char>(std::tolower(ch)); });
+        request.headers_[name] = std::string(field.value());
+    }
+    request.body_ = std::move(message.body());
+    return request;
+}
+
+asio::awaitable<bool> writeWhole(Connection &connection, bool keepAlive)
+{
+    beast::http::response<beast::http::string_body> message;
+    message.result(connection.response_.status_);
+    message.set(beast::http::field::content_type, connection.response_.contentType_);
+    for (const auto &[name, value] : connection.response_.headers_)
+        message.set(name, value);
+    message.body() = std::move(connection.response_.body_);
+    message.keep_alive(keepAlive);
+    message.prepare_payload();
+    boost::system::error_code error;
+    co_await beast::http::async_write(connection.stream_, message,
+                                      asio::redirect_error(asio::use_awaitable, error));
+    co_return !error;
+}
+
+asio::awaitable<bool> writeText(Connection &connection, std::string text)
+{
+    boost::system::error_code error;
+    co_await asio::async_write(connection.stream_, asio::buffer(text),
+                               asio::redirect_error(asio::use_awaitable, error));
+    co_return !error;
+}
+
+std::string chunk(std::string_view text)
+{
+    char size[20];
+    std::snprintf(size, sizeof size, "%zx\r\n", text.size());
+    return size + std::string(text) + "\r\n";
+}
+
+asio::awaitable<void> waitForChange(Connection &connection)
+{
+    boost::system::error_code ignored;
+    connection.wake_.expires_at(asio::steady_timer::time_point::max());
+    co_await connection.wake_.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+}
+
+asio::awaitable<bool> writeEvents(Connection &connection)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+                             "Cache-Control: no-store\r\nTransfer-Encoding: chunked\r\n\r\n";
+    bool open = co_await writeText(connection, head);
+    while (open && !connection.gone_) {
+        if (connection.events_.empty() && connection.state_ == AnswerState::EventsDone)
+            break;
+        if (connection.events_.empty()) {
+            co_await waitForChange(connection);
+            continue;
+        }
+        std::string text;
+        for (const std::string &event : connection.events_)
+            text += event;
+        connection.events_.clear();
+        connection.waitingBytes_ = 0;
+        open = co_await writeText(connection, chunk(text));
+    }
+    if (!open || connection.gone_)
+        co_return false;
+    co_return co_await writeText(connection, "0\r\n\r\n");
+}
+
+//! Notices that the caller has closed while its request is in hand.
+void watchForClose(const std::shared_ptr<Connection> &connection)
+{
+    connection->stream_.socket().async_wait(
+            tcp::socket::wait_read,
+            [connection, exchange = connection->exchange_](boost::system::error_code error) {
+                if (error || connection->exchange_ != exchange
+                    || connection->state_ == AnswerState::Whole)
+                    return;
+                char byte = 0;
+                boost::system::error_code ignored;
+                const auto flags = tcp::socket::message_peek;
+                connection->stream_.socket().non_blocking(true, ignored);
+                const std::size_t size = connection->stream_.socket().receive(
+                        asio::buffer(&byte, 1), flags, ignored);
+                if (size == 0 && ignored != asio::error::would_block)
+                    connection->gone();
+            });
+}
+
+} // namespace detail
+
+constexpr std::size_t FirstReadBytes = 4096;
+
+struct Server::Impl : std::enable_shared_from_this<Server::Impl>
+{
+    asio::awaitable<void> accept()
+    {
+        std::size_t next = 0;
+        while (acceptor_->is_open()) {
+            auto &context = *contexts_[next++ % contexts_.size()];
+            tcp::socket socket(context);
+            boost::system::error_code error;
+            co_await acceptor_->async_accept(socket,
+                                             asio::redirect_error(asio::use_awaitable, error));
+            if (error == asio::error::operation_aborted)
+                co_return;
+            if (error)
+                continue;
+            auto connection = std::make_shared<detail::Connection>(std::move(socket));
+            asio::co_spawn(context, serve(shared_from_this(), std::move(connection)),
+                           asio::detached);
+        }
+    }
+
+    static asio::awaitable<bool> readRequest(const Impl &self, detail::Connection &connection,
+                                             beast::flat_buffer &buffer, detail::Parser &parser)
+    {
+        boost::system::error_code error;
+        parser.body_limit(self.options_.maxBodyBytes_);
+        parser.header_limit(self.options_.maxHeaderBytes_);
+        if (buffer.size() == 0) {
+            connection.stream_.expires_after(self.options_.idleTimeout_);
+            const std::size_t size = co_await connection.stream_.async_read_some(
+                    buffer.prepare(FirstReadBytes),
+                    asio::redirect_error(asio::use_awaitable, error));
+            if (error)
+                co_return false;
+            buffer.commit(size);
+        }
+        connection.stream_.expires_after(self.options_.readTimeout_);
+        co_await beast::http::async_read(connection.stream_, buffer, parser,
+                                         asio::redirect_error(asio::use_awaitable, error));
+        connection.stream_.expires_never();
+        if (!error)
+            co_return true;
+        co_await refuseUnread(connection, error);
+        co_return false;
+    }
+
+    //! Says what was wrong with a request that could not be read; it certainly did not run.
+    static asio::awaitable<void> refuseUnread(detail::Connection &connection,
+                                              boost::system::error_code error)
+    {
+        HttpResponse response;
+        std::string code = "bad-request";
+        response.status_ = 400;
+        if (error == beast::http::error::end_of_stream || error == asio::error::eof
+            || error == asio::error::connection_reset)
+            co_return;
+        if (error == beast::http::error::body_limit) {
+            response.status_ = 413;
+            code = "too-large";
+        } else if (error == beast::http::error::header_limit) {
+            response.status_ = 431;
+            code = "too-large";
+        } else if (error == beast::error::timeout) {
+            response.status_ = 408;
+            code = "timeout";
+        }
+        response.body_ = R"({"run":"not-run","code":")" + code + R"(","reason":")" + error.message()
+                         + "\"}\n";
+        connection.response_ = std::move(response);
+        connection.stream_.expires_after(std::chrono::seconds(1));
+        co_await detail::writeWhole(connection, false);
+        boost::system::error_code ignored;
+        connection.stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    }
+
+    static asio::awaitable<void> serve(std::shared_ptr<Impl> self,
+                                       std::shared_ptr<detail::Connection> connection)
+    {
+        boost::system::error_code ignored;
+        connection->stream_.socket().set_option(tcp::no_delay(true), ignored);
+        beast::flat_buffer buffer;
+        bool open = true;
+        while (open && !connection->gone_) {
+            detail::Parser parser;
+            if (!co_await readRequest(*self, *connection, buffer, parser))
+                break;
+            const bool keepAlive = parser.get().keep_alive();
+            ++connection->exchange_;
+            connection->state_ = detail::AnswerState::Waiting;
+            connection->events_.clear();
+            detail::watchForClose(connection);
+            self->handler_(detail::requestOf(parser), std::make_shared<Exchange>(connection));
+            while (connection->state_ == detail::AnswerState::Waiting && !connection->gone_)
+                co_await detail::waitForChange(*connection);
+            if (connection->gone_)
+                break;
+            if (connection->state_ == detail::AnswerState::Whole)
+                open = co_await detail::writeWhole(*connection, keepAlive) && keepAlive;
+            else
+                open = co_await detail::writeEvents(*connection) && keepAlive;
+            if (!open)
+                connection->gone();
+            connection->onGone_ = nullptr;
+        }
+        ++connection->exchange_;
+        connection->stream_.close();
+    }
+
+    std::vector<asio::io_context *> contexts_;
+    Handler handler_;
+    ServerOptions options_;
+    std::unique_ptr<tcp::acceptor> acceptor_;
+};
+
+Exchange::Exchange(std::shared_ptr<detail::Connection> connection)
+    : connection_(std::move(connection))
+{ }
+
+void Exchange::respond(HttpResponse response)
+{
+    connection_->post([response = std::move(response)](detail::Connection &connection) mutable {
+        if (connection.state_ != detail::AnswerState::Waiting)
+            return;
+        connection.response_ = std::move(response);
+        connection.state_ = detail::AnswerState::Whole;
+    });
+}
+
+void Exchange::startEvents()
+{
+    connection_->post([](detail::Connection &connection) {
+        if (connection.state_ == detail::AnswerState::Waiting)
+            connection.state_ = detail::AnswerState::Events;
+    });
+}
+
+void Exchange::sendEvent(std::string event, std::string data)
+{
+    std::string text = "event: " + event + "\ndata: " + data + "\n\n";
+    connection_->post([text = std::move(text)](detail::Connection &connection) mutable {
+        if (connection.state_ != detail::AnswerState::Events)
+            return;
+        connection.waitingBytes_ += text.size();
+        connection.events_.push_back(std::move(text));
+        if (connection.waitingBytes_ > detail::MaxWaitingBytes)
+            connection.gone();
+    });
+}
+
+void Exchange::finishEvents()
+{
+    connection_->post([](detail::Connection &connection) {
+        if (connection.state_ == detail::AnswerState::Events)
+            connection.state_ = detail::AnswerState::EventsDone;
+    });
+}
+
+void Exchange::onGone(std::function<void()> handler)
+{
+    connection_->post([handler = std::move(handler)](detail::Connection &connection) mutable {
+        if (connection.gone_)
+            handler();
+        else
+            connection.onGone_ = std::move(handler);
+    });
+}
+
+Server::Server(std::vector<asio::io_context *> contexts, Handler handler, ServerOptions options)
+    : impl_(std::make_shared<Impl>())
+{
+    impl_->contexts_ = std::move(contexts);
+    impl_->handler_ = std::move(handler);
+    impl_->options_ = options;
+}
+
+Server::~Server() = default;
+
+Result<Address> Server::listen(const Address &address)
+{
+    try {
+        const tcp::endpoint endpoint(asio::ip::make_address(address.host_), address.port_);
+        impl_->acceptor_ = std::make_unique<tcp::acceptor>(*impl_->contexts_.front(), endpoint);
+        asio::co_spawn(*impl_->contexts_.front(), impl_->accept(), asio::detached);
+        return success(Address {address.host_, impl_->acceptor_->local_endpoint().port()});
+    } catch (const boost::system::system_error &error) {
+        return failure<Address>("can't listen on " + address.host_ + ":"
+                                + std::to_string(address.port_) + ": " + error.code().message());
+    }
+}
+
+void Server::stopAccepting()
+{
+    asio::post(*impl_->contexts_.front(), [impl = impl_] {
+        boost::system::error_code ignored;
+        if (impl->acceptor_)
+            impl->acceptor_->close(ignored);
+    });
+}
+
+} // namespace gypsumcroft::http
--- a/src/policy/internal/admission.cpp
+++ b/src/policy/internal/admission.cpp
@@ -22,10 +22,11 @@
     if (span < detail::RateInterval)
         return;
     const double measured = static_cast<double>(rate.counted_) * detail::MicrosPerSecond
-            / static_cast<double>(span.count());
-    rate.tokensPerSecond_ = rate.known_
-            ? rate.tokensPerSecond_ + detail::RateSmoothing * (measured - rate.tokensPerSecond_)
-            : measured;
+                            / static_cast<double>(span.count());
+    rate.tokensPerSecond_
+            = rate.known_ ? rate.tokensPerSecond_
+                                    + detail::RateSmoothing * (measured - rate.tokensPerSecond_)
+                          : measured;
     rate.known_ = true;
     rate.counted_ = 0;
     rate.since_ = now;
@@ -45,8 +46,7 @@
     verdict.expectedWait_ = expectedWait(rate, ahead);
     verdict.admitted_ = verdict.expectedWait_ <= patience;
     if (!verdict.admitted_)
-        verdict.retryAfter_
-                = std::max(detail::MinRetryAfter, verdict.expectedWait_ - patience);
+        verdict.retryAfter_ = std::max(detail::MinRetryAfter, verdict.expectedWait_ - patience);
     return verdict;
 }
 
--- a/src/policy/internal/claims.cpp
+++ b/src/policy/internal/claims.cpp
@@ -18,17 +18,16 @@
 void apply(ClaimLedger &ledger, LogOffset offset, const Claim &claim)
 {
     const bool counts = !ledger.spentNonces_.contains(claim.nonce_)
-            && !ledger.cancelledAttempts_.contains(claim.attempt_)
-            && !ledger.keys_.contains(claim.key_);
+                        && !ledger.cancelledAttempts_.contains(claim.attempt_)
+                        && !ledger.keys_.contains(claim.key_);
     spendNonce(ledger, claim.nonce_);
     if (!counts)
         return;
     const auto window
             = std::chrono::duration_cast<std::chrono::milliseconds>(claim.repeatWindow_).count();
     const LogTime expires {ledger.time_.value_ + window};
-    ledger.keys_.emplace(claim.key_,
-                         KeyState {claim.nonce_, claim.attempt_, claim.endpoint_,
-                                   claim.fingerprint_, offset, expires, std::nullopt});
+    ledger.keys_.emplace(claim.key_, KeyState {claim.nonce_, claim.attempt_, claim.endpoint_,
+                                               claim.fingerprint_, offset, expires, std::nullopt});
     ledger.forget_.emplace(expires, claim.key_);
 }
 
@@ -43,8 +42,7 @@
 {
     spendNonce(ledger, release.nonce_);
     const auto key = ledger.keys_.find(release.key_);
-    if (key != ledger.keys_.end() && key->second.nonce_ == release.nonce_
-        && !key->second.outcome_)
+    if (key != ledger.keys_.end() && key->second.nonce_ == release.nonce_ && !key->second.outcome_)
         ledger.keys_.erase(key);
 }
 
--- a/src/policy/internal/fairqueue.cpp
+++ b/src/policy/internal/fairqueue.cpp
@@ -148,7 +148,7 @@
     std::size_t count = 0;
     const auto belowFloor = [&](std::size_t rank) {
         return queue.floors_[rank].value_ > 0 && queue.ranks_[rank].size_ > 0
-                && queue.served_[rank] * 1000.0 < total * queue.floors_[rank].value_;
+               && queue.served_[rank] * 1000.0 < total * queue.floors_[rank].value_;
     };
     for (std::size_t rank = 0; rank < RankCount; ++rank) {
         if (belowFloor(rank))
@@ -299,7 +299,10 @@
             continue;
         const std::int64_t fair = turn * other.weight_ / std::max<std::uint32_t>(weight, 1);
         others += std::min<std::int64_t>(
-                fair, static_cast<std::int64_t>(other.size_) * (own.work_ / std::max<std::int64_t>(1, static_cast<std::int64_t>(own.size_))));
+                fair,
+                static_cast<std::int64_t>(other.size_)
+                        * (own.work_
+                           / std::max<std::int64_t>(1, static_cast<std::int64_t>(own.size_))));
     }
     return {ahead + ownWork + others};
 }
--- a/src/policy/internal/retry.cpp
+++ b/src/policy/internal/retry.cpp
@@ -23,7 +23,8 @@
     constexpr std::uint32_t MaxDoublings = 16;
     const std::uint32_t doublings = std::min(attemptsMade, MaxDoublings);
     const Duration most = std::min(limits.maxDelay_, limits.baseDelay_ * (1U << doublings));
-    return Duration(1 + static_cast<std::int64_t>(
+    return Duration(1
+                    + static_cast<std::int64_t>(
                             randomBelow(random, static_cast<std::uint64_t>(most.count()))));
 }
 
--- a/src/policy/internal/routeplan.cpp
+++ b/src/policy/internal/routeplan.cpp
@@ -21,7 +21,7 @@
 bool usable(const StageCandidate &candidate)
 {
     return candidate.layers_.first_ < candidate.layers_.end_
-            && candidate.layers_.end_ <= candidate.modelLayers_;
+           && candidate.layers_.end_ <= candidate.modelLayers_;
 }
 
 std::vector<std::size_t> orderByFirstLayer(const std::vector<StageCandidate> &candidates)
@@ -50,8 +50,9 @@
     for (const std::size_t previous : before->second) {
         if (candidates[previous].modelLayers_ != candidate.modelLayers_)
             continue;
-        const Duration cost = reached[previous].cost_ + candidate.stepCost_
-                + linkDelay(links, candidates[previous].endpoint_, candidate.endpoint_);
+        const Duration cost
+                = reached[previous].cost_ + candidate.stepCost_
+                  + linkDelay(links, candidates[previous].endpoint_, candidate.endpoint_);
         if (cost < best.cost_)
             best = {cost, previous};
     }
--- a/src/policy/internal/subset.cpp
+++ b/src/policy/internal/subset.cpp
@@ -14,7 +14,7 @@
     for (const EndpointId &member : members) {
         const std::uint64_t weight = mixHash(key, hashText(member.value_));
         const bool better = !best || weight > bestWeight
-                || (weight == bestWeight && member.value_ < best->value_);
+                            || (weight == bestWeight && member.value_ < best->value_);
         if (!better)
             continue;
         best = member;
@@ -23,8 +23,8 @@
     return best;
 }
 
-std::vector<EndpointId> pickSubset(const InstanceId &entry, const std::vector<SubsetMember> &members,
-                                   std::size_t count)
+std::vector<EndpointId> pickSubset(const InstanceId &entry,
+                                   const std::vector<SubsetMember> &members, std::size_t count)
 {
     using Weighted = std::pair<std::uint64_t, EndpointId>;
     const std::uint64_t key = hashText(entry.value_);
--- a/src/policy/internal/suspects.cpp
+++ b/src/policy/internal/suspects.cpp
@@ -22,21 +22,22 @@
 
 bool isDarkDomain(const Suspects &suspects, const EndpointDeath &death)
 {
-    const auto near = std::count_if(
-            suspects.recentDeaths_.begin(), suspects.recentDeaths_.end(),
-            [&](const EndpointDeath &other) {
-                const Duration apart
-                        = other.at_ > death.at_ ? other.at_ - death.at_ : death.at_ - other.at_;
-                return other.domain_ == death.domain_ && apart <= DarkDomainSpan;
-            });
+    const auto near
+            = std::count_if(suspects.recentDeaths_.begin(), suspects.recentDeaths_.end(),
+                            [&](const EndpointDeath &other) {
+                                const Duration apart = other.at_ > death.at_
+                                                               ? other.at_ - death.at_
+                                                               : death.at_ - other.at_;
+                                return other.domain_ == death.domain_ && apart <= DarkDomainSpan;
+                            });
     return static_cast<std::size_t>(near) >= DarkDomainDeaths;
 }
 
 void addDeath(std::vector<EndpointDeath> &deaths, const EndpointDeath &death)
 {
-    const bool known = std::any_of(
-            deaths.begin(), deaths.end(),
-            [&](const EndpointDeath &other) { return sameDeath(other, death); });
+    const bool known = std::any_of(deaths.begin(), deaths.end(), [&](const EndpointDeath &other) {
+        return sameDeath(other, death);
+    });
     if (!known)
         deaths.push_back(death);
 }
@@ -61,13 +62,12 @@
 Guilt judge(const Suspects &suspects, Fingerprint fingerprint, TimePoint now)
 {
     const auto found = suspects.entries_.find(fingerprint);
-    if (found == suspects.entries_.end() || found->second.expires_ <= now
-        || found->second.lifted_)
+    if (found == suspects.entries_.end() || found->second.expires_ <= now || found->second.lifted_)
         return Guilt::Innocent;
     std::vector<EndpointId> endpoints;
     for (const EndpointDeath &death : found->second.deaths_) {
-        const bool counted = std::find(endpoints.begin(), endpoints.end(), death.endpoint_)
-                != endpoints.end();
+        const bool counted
+                = std::find(endpoints.begin(), endpoints.end(), death.endpoint_) != endpoints.end();
         if (!counted && !detail::isDarkDomain(suspects, death))
             endpoints.push_back(death.endpoint_);
     }
--- a/src/policy/subset.h
+++ b/src/policy/subset.h
@@ -21,7 +21,7 @@
 };
 
 //! Up to count members for an entry, spread evenly over failure domains.
-std::vector<EndpointId> pickSubset(const InstanceId &entry, const std::vector<SubsetMember> &members,
-                                   std::size_t count);
+std::vector<EndpointId> pickSubset(const InstanceId &entry,
+                                   const std::vector<SubsetMember> &members, std::size_t count);
 
 } // namespace gypsumcroft
--- /dev/null
+++ b/src/wire/internal/codec.cpp
@@ -0,0 +1,318 @@
+#include "wire/codec.h"
+
+#include <cstring>
+#include <sstream>
+
+#include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/array.hpp>
+#include <cereal/types/chrono.hpp>
+#include <cereal/types/map.hpp>
+#include <cereal/types/optional.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/variant.hpp>
+#include <cereal/types/vector.hpp>
+
+#include "core/hash.h"
+
+namespace gypsumcroft {
+
+template <typename Archive, typename Tag, typename Rep>
+void serialize(Archive &archive, StrongType<Tag, Rep> &value)
+{
+    archive(value.value_);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, KeyHash &key)
+{
+    archive(key.high_, key.low_);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, Address &address)
+{
+    archive(address.host_, address.port_);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, LayerRange &range)
+{
+    archive(range.first_, range.end_);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, RouteHop &hop)
+{
+    archive(hop.endpoint_, hop.agent_, hop.layers_);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, StreamPlan &plan)
+{
+    archive(plan.request_, plan.epoch_, plan.entry_, plan.route_, plan.organisation_,
+            plan.template_, plan.fingerprint_, plan.rank_, plan.maxTokens_, plan.suspect_);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, StepMessage &step)
+{
+    archive(step.plan_, step.hop_, step.firstPosition_, step.inputs_);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, TokenMessage &token)
+{
+    archive(token.request_, token.epoch_, token.index_, token.text_, token.last_);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, StreamFailedMessage &failure)
+{
+    archive(failure.request_, failure.epoch_, failure.endpoint_, failure.code_, failure.run_,
+            failure.endpointDied_, failure.reason_);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, EndStreamMessage &end)
+{
+    archive(end.request_, end.epoch_);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, IdempotencyScope &scope)
+{
+    archive(scope.key_, scope.repeatWindow_);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, CallMessage &call)
+{
+    archive(call.request_, call.attempt_, call.entry_, call.organisation_, call.template_,
+            call.fingerprint_, call.rank_, call.body_, call.scope_, call.timeLeft_);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, CallOutcome &outcome)
+{
+    archive(outcome.status_, outcome.body_);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, Refusal &refusal)
+{
+    archive(refusal.code_, refusal.run_, refusal.reason_, refusal.retryAfter_);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, CallResultMessage &result)
+{
+    archive(result.request_, result.attempt_, result.outcome_, result.refusal_,
+            result.endpointDied_, result.endpoint_);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, EndpointReport &report)
+{
+    archive(report.kind_, report.target_, report.version_, report.layers_, report.modelLayers_,
+            report.accelerator_, report.slots_, report.slotsBusy_, report.costPerToken_);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, LinkReport &link)
+{
+    archive(link.to_, link.roundTrip_);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, HeartbeatMessage &heartbeat)
+{
+    archive(heartbeat.endpoint_, heartbeat.instance_, heartbeat.domain_, heartbeat.agent_,
+            heartbeat.incarnation_, heartbeat.sequence_, heartbeat.state_, heartbeat.report_,
+            heartbeat.links_, heartbeat.claimsThrough_);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, DemandReport &demand)
+{
+    archive(demand.organisation_, demand.requestsPerSecond_);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, DeathReport &death)
+{
+    archive(death.endpoint_, death.domain_, death.age_);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, SuspectReport &suspect)
+{
+    archive(suspect.fingerprint_, suspect.deaths_, suspect.timeLeft_, suspect.lifted_);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, DigestMessage &digest)
+{
+    archive(digest.instance_, digest.entry_, digest.configThrough_, digest.configDigest_,
+            digest.demand_, digest.suspects_);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, ConfigFetchMessage &fetch)
+{
+    archive(fetch.replyTo_, fetch.through_);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, ParameterSpec &spec)
+{
+    archive(spec.default_, spec.minimum_, spec.maximum_);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, Template &work)
+{
+    archive(work.id_, work.kind_, work.target_, work.rank_, work.patience_, work.repeat_,
+            work.repeatWindow_, work.parameters_);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, ParameterSet &set)
+{
+    archive(set.organisation_, set.apiKeyHashes_, set.weight_, set.overrides_);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, ModelGoal &goal)
+{
+    archive(goal.model_, goal.version_, goal.pipelines_);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, FleetPolicy &fleet)
+{
+    archive(fleet.floors_, fleet.models_);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, ConfigEntry &entry)
+{
+    archive(entry.document_, entry.version_);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, ConfigSnapshot &snapshot)
+{
+    archive(snapshot.throughOffset_, snapshot.entries_);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, ConfigStateMessage &state)
+{
+    archive(state.snapshot_);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, ProbeMessage &probe)
+{
+    archive(probe.replyTo_, probe.from_, probe.sentMicros_, probe.echo_);
+}
+
+namespace detail {
+
+constexpr std::uint32_t FrameMagic = 0x31434743;
+constexpr std::uint64_t HashSeed = 0x67797073756d;
+
+template <typename Value>
+std::string encodeValue(const Value &value)
+{
+    std::ostringstream stream;
+    {
+        cereal::PortableBinaryOutputArchive archive(stream);
+        archive(value);
+    }
+    return std::move(stream).str();
+}
+
+//! The hash was checked before, so a malformed value here comes from a version that differs.
+template <typename Value>
+std::optional<Value> decodeValue(std::string_view bytes)
+{
+    try {
+        std::istringstream stream {std::string(bytes)};
+        cereal::PortableBinaryInputArchive archive(stream);
+        Value value;
+        archive(value);
+        return value;
+    } catch (const std::exception &) {
+        return std::nullopt;
+    }
+}
+
+void putLittleEndian(std::string &bytes, std::uint64_t value, std::size_t count)
+{
+    for (std::size_t i = 0; i < count; ++i)
+        bytes += static_cast<char>(value >> (8 * i) & 0xff);
+}
+
+std::uint64_t getLittleEndian(std::string_view bytes)
+{
+    std::uint64_t value = 0;
+    for (std::size_t i = bytes.size(); i-- > 0;)
+        value = value << 8 | static_cast<unsigned char>(bytes[i]);
+    return value;
+}
+
+std::string frame(const std::string &payload)
+{
+    std::string bytes;
+    bytes.reserve(FrameHeaderBytes + payload.size());
+    putLittleEndian(bytes, FrameMagic, 4);
+    putLittleEndian(bytes, payload.size(), 4);
+    putLittleEndian(bytes, hashText(payload, HashSeed), 8);
+    return bytes + payload;
+}
+
+bool matches(const FrameHeader &header, std::string_view payload)
+{
+    return payload.size() == header.length_ && hashText(payload, HashSeed) == header.hash_;
+}
+
+} // namespace detail
+
+std::string encodeFrame(const Message &message)
+{
+    return detail::frame(detail::encodeValue(message));
+}
+
+std::string encodeDatagram(const Datagram &datagram)
+{
+    return detail::frame(detail::encodeValue(datagram));
+}
+
+std::optional<FrameHeader> decodeFrameHeader(std::string_view bytes)
+{
+    if (bytes.size() < FrameHeaderBytes
+        || detail::getLittleEndian(bytes.substr(0, 4)) != detail::FrameMagic)
+        return std::nullopt;
+    const auto length = static_cast<std::uint32_t>(detail::getLittleEndian(bytes.substr(4, 4)));
+    if (length > MaxFrameBytes)
+        return std::nullopt;
+    return FrameHeader {length, detail::getLittleEndian(bytes.substr(8, 8))};
+}
+
+std::optional<Message> decodePayload(const FrameHeader &header, std::string_view payload)
+{
+    if (!detail::matches(header, payload))
+        return std::nullopt;
+    return detail::decodeValue<Message>(payload);
+}
+
+std::optional<Datagram> decodeDatagram(std::string_view bytes)
+{
+    const auto header = decodeFrameHeader(bytes);
+    if (!header || !detail::matches(*header, bytes.substr(FrameHeaderBytes)))
+        return std::nullopt;
+    return detail::decodeValue<Datagram>(bytes.substr(FrameHeaderBytes));
+}
+
+} // namespace gypsumcroft
--- /dev/null
+++ b/src/wire/internal/mesh.cpp
@@ -0,0 +1,293 @@
+#include "wire/mesh.h"
+
+#include <deque>
+#include <mutex>
+#include <unordered_map>
+
+#include <boost/asio.hpp>
+
+#include "wire/codec.h"
+
+namespace gypsumcroft {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using asio::ip::udp;
+
+namespace detail {
+
+constexpr std::size_t MaxQueuedBytes = 64 * 1024 * 1024;
+
+//! An outgoing connection. All members are used on its io_context's single thread.
+struct PeerConnection : std::enable_shared_from_this<PeerConnection>
+{
+    PeerConnection(asio::io_context &context, Address to, std::function<void(Address)> onDown)
+        : context_(context), socket_(context), to_(std::move(to)), onDown_(std::move(onDown))
+    { }
+
+    void push(std::string frame)
+    {
+        if (queuedBytes_ + frame.size() > MaxQueuedBytes)
+            return fail();
+        queuedBytes_ += frame.size();
+        queue_.push_back(std::move(frame));
+        if (!open_ && !connecting_)
+            connect();
+        else if (open_ && !writing_)
+            write();
+    }
+
+    void connect()
+    {
+        boost::system::error_code error;
+        const auto host = asio::ip::make_address(to_.host_, error);
+        if (error)
+            return fail();
+        connecting_ = true;
+        socket_ = tcp::socket(context_);
+        socket_.async_connect({host, to_.port_},
+                              [self = shared_from_this()](boost::system::error_code result) {
+                                  self->connected(result);
+                              });
+    }
+
+    void connected(boost::system::error_code error)
+    {
+        connecting_ = false;
+        if (error)
+            return fail();
+        boost::system::error_code ignored;
+        socket_.set_option(tcp::no_delay(true), ignored);
+        open_ = true;
+        watch();
+        if (!queue_.empty())
+            write();
+    }
+
+    //! The peer never sends on this connection: a read only ends when it closes.
+    void watch()
+    {
+        socket_.async_read_some(
+                asio::buffer(&watched_, 1),
+                [self = shared_from_this(), life = life_](boost::system::error_code, std::size_t) {
+                    if (self->open_ && self->life_ == life)
+                        self->fail();
+                });
+    }
+
+    void write()
+    {
+        writing_ = true;
+        asio::async_write(socket_, asio::buffer(queue_.front()),
+                          [self = shared_from_this(), life = life_](boost::system::error_code error,
+                                                                    std::size_t) {
+                              if (self->life_ == life)
+                                  self->written(error);
+                          });
+    }
+
+    void written(boost::system::error_code error)
+    {
+        writing_ = false;
+        if (error)
+            return fail();
+        queuedBytes_ -= queue_.front().size();
+        queue_.pop_front();
+        if (!queue_.empty())
+            write();
+    }
+
+    void fail()
+    {
+        ++life_;
+        boost::system::error_code ignored;
+        socket_.close(ignored);
+        open_ = connecting_ = writing_ = false;
+        queue_.clear();
+        queuedBytes_ = 0;
+        onDown_(to_);
+    }
+
+    asio::io_context &context_;
+    tcp::socket socket_;
+    Address to_;
+    std::function<void(Address)> onDown_;
+    std::deque<std::string> queue_;
+    std::size_t queuedBytes_ = 0;
+    std::uint64_t life_ = 0;
+    bool open_ = false;
+    bool connecting_ = false;
+    bool writing_ = false;
+    char watched_ = 0;
+};
+
+} // namespace detail
+
+struct Mesh::Impl : std::enable_shared_from_this<Mesh::Impl>
+{
+    asio::io_context &contextFor(std::size_t hash) { return *contexts_[hash % contexts_.size()]; }
+
+    std::shared_ptr<detail::PeerConnection> peer(const Address &to)
+    {
+        const std::lock_guard lock(mutex_);
+        auto &peer = peers_[to];
+        if (!peer)
+            peer = std::make_shared<detail::PeerConnection>(contextFor(std::hash<Address> {}(to)),
+                                                            to, handlers_.onPeerDown_);
+        return peer;
+    }
+
+    asio::awaitable<void> accept()
+    {
+        std::size_t next = 0;
+        while (acceptor_->is_open()) {
+            tcp::socket socket(contextFor(next++));
+            boost::system::error_code error;
+            co_await acceptor_->async_accept(socket,
+                                             asio::redirect_error(asio::use_awaitable, error));
+            if (error == asio::error::operation_aborted)
+                co_return;
+            if (error)
+                continue;
+            auto executor = socket.get_executor();
+            asio::co_spawn(executor, read(shared_from_this(), std::move(socket)), asio::detached);
+        }
+    }
+
+    static asio::awaitable<void> read(std::shared_ptr<Impl> self, tcp::socket socket)
+    {
+        std::string header(FrameHeaderBytes, '\0');
+        std::string payload;
+        boost::system::error_code error;
+        while (true) {
+            co_await asio::async_read(socket, asio::buffer(header),
+                                      asio::redirect_error(asio::use_awaitable, error));
+            if (error)
+                co_return;
+            const auto frame = decodeFrameHeader(header);
+            if (!frame) {
+                self->handlers_.onGarbage_("not a frame");
+                co_return;
+            }
+            payload.resize(frame->length_);
+            co_await asio::async_read(socket, asio::buffer(payload),
+                                      asio::redirect_error(asio::use_awaitable, error));
+            if (error)
+                co_return;
+            auto message = decodePayload(*frame, payload);
+            if (!message) {
+                self->handlers_.onGarbage_("malformed frame");
+                co_return;
+            }
+            self->handlers_.onMessage_(std::move(*message));
+        }
+    }
+
+    std::vector<asio::io_context *> contexts_;
+    MeshHandlers handlers_;
+    std::unique_ptr<tcp::acceptor> acceptor_;
+    std::mutex mutex_;
+    std::unordered_map<Address, std::shared_ptr<detail::PeerConnection>> peers_;
+};
+
+Mesh::Mesh(std::vector<asio::io_context *> contexts, MeshHandlers handlers)
+    : impl_(std::make_shared<Impl>())
+{
+    impl_->contexts_ = std::move(contexts);
+    impl_->handlers_ = std::move(handlers);
+}
+
+Mesh::~Mesh() = default;
+
+Result<Address> Mesh::listen(const Address &address)
+{
+    try {
+        const tcp::endpoint endpoint(asio::ip::make_address(address.host_), address.port_);
+        impl_->acceptor_ = std::make_unique<tcp::acceptor>(*impl_->contexts_.front(), endpoint);
+        asio::co_spawn(*impl_->contexts_.front(), impl_->accept(), asio::detached);
+        return success(Address {address.host_, impl_->acceptor_->local_endpoint().port()});
+    } catch (const boost::system::system_error &error) {
+        return failure<Address>("can't listen on " + address.host_ + ":"
+                                + std::to_string(address.port_) + ": " + error.code().message());
+    }
+}
+
+void Mesh::send(const Address &to, const Message &message)
+{
+    auto peer = impl_->peer(to);
+    asio::post(peer->context_,
+               [peer, frame = encodeFrame(message)]() mutable { peer->push(std::move(frame)); });
+}
+
+struct DatagramSocket::Impl : std::enable_shared_from_this<DatagramSocket::Impl>
+{
+    explicit Impl(asio::io_context &context) : socket_(context) { }
+
+    void receive()
+    {
+        socket_.async_receive_from(
+                asio::buffer(buffer_), from_,
+                [self = shared_from_this()](boost::system::error_code error, std::size_t size) {
+                    if (error == asio::error::operation_aborted || !self->socket_.is_open())
+                        return;
+                    if (!error)
+                        self->received(size);
+                    self->receive();
+                });
+    }
+
+    void received(std::size_t size)
+    {
+        auto datagram = decodeDatagram({buffer_.data(), size});
+        if (datagram)
+            handler_(std::move(*datagram));
+        else
+            onGarbage_("malformed datagram");
+    }
+
+    udp::socket socket_;
+    udp::endpoint from_;
+    std::array<char, 65536> buffer_ {};
+    Handler handler_;
+    GarbageHandler onGarbage_;
+};
+
+DatagramSocket::DatagramSocket(asio::io_context &context, Handler handler, GarbageHandler onGarbage)
+    : impl_(std::make_shared<Impl>(context))
+{
+    impl_->handler_ = std::move(handler);
+    impl_->onGarbage_ = std::move(onGarbage);
+}
+
+DatagramSocket::~DatagramSocket()
+{
+    boost::system::error_code ignored;
+    impl_->socket_.close(ignored);
+}
+
+Result<Address> DatagramSocket::bind(const Address &address)
+{
+    try {
+        const udp::endpoint endpoint(asio::ip::make_address(address.host_), address.port_);
+        impl_->socket_.open(endpoint.protocol());
+        impl_->socket_.bind(endpoint);
+        impl_->receive();
+        return success(Address {address.host_, impl_->socket_.local_endpoint().port()});
+    } catch (const boost::system::system_error &error) {
+        return failure<Address>("can't bind UDP " + address.host_ + ":"
+                                + std::to_string(address.port_) + ": " + error.code().message());
+    }
+}
+
+void DatagramSocket::send(const Address &to, const Datagram &datagram)
+{
+    boost::system::error_code error;
+    const auto host = asio::ip::make_address(to.host_, error);
+    if (error)
+        return;
+    auto bytes = std::make_shared<std::string>(encodeDatagram(datagram));
+    impl_->socket_.async_send_to(asio::buffer(*bytes), {host, to.port_},
+                                 [bytes](boost::system::error_code, std::size_t) {});
+}
+
+} // namespace gypsumcroft
