A request's refusal speaks for all its attempts; a dead entry's streams end

Change: the entry gives the run state of the whole request, not of the last attempt; an agent that can't reach a stream's entry ends the stream on the other hops too. The lab counts an entry's restart as a new life.

--- a/lab/fleet.cpp
+++ b/lab/fleet.cpp
@@ -292,6 +292,7 @@
 //! A fresh process: nothing is kept from an earlier life.
 void Fleet::resetEntry(EntryNode &entry)
 {
+    ++entry.generation_;
     entry.control_ = {};
     entry.traffic_ = {};
     entry.callers_.clear();
--- a/src/agent/internal/traffic.cpp
+++ b/src/agent/internal/traffic.cpp
@@ -168,6 +168,15 @@
     });
 }
 
+//! The entry is gone: the other stages would keep their slots until the streams turn idle.
+void endOtherHops(AgentTraffic &state, const StreamPlan &plan)
+{
+    for (const RouteHop &hop : plan.route_) {
+        if (hop.endpoint_ != state.self_)
+            emit(state, SendMessage {hop.agent_, EndStreamMessage {plan.request_, plan.epoch_}});
+    }
+}
+
 bool usesPeer(const AgentStream &stream, const Address &peer)
 {
     const Route &route = stream.plan_.route_;
@@ -313,9 +322,13 @@
             affected.push_back(request);
     }
     std::sort(affected.begin(), affected.end());
-    for (const RequestId &request : affected)
+    for (const RequestId &request : affected) {
+        const StreamPlan plan = state.streams_.at(request).plan_;
+        if (plan.entry_ == peer)
+            detail::endOtherHops(state, plan);
         detail::failStream(state, request, RefusalCode::EndpointFailed, false,
                            "a process of the route can't be reached", now);
+    }
     detail::drainBacklog(state, view, now);
 }
 
--- a/src/entry/internal/traffic.cpp
+++ b/src/entry/internal/traffic.cpp
@@ -112,6 +112,8 @@
         return;
     }
     context.phase_ = RequestPhase::Delayed;
+    //! The last attempt's refusal speaks for that attempt only.
+    refusal.run_ = runStateOf(context);
     endWithRefusal(state, context, std::move(refusal), now);
 }
 
