--- a/src/agent/control.h
+++ b/src/agent/control.h
@@ -62,6 +62,7 @@
     bool endpointUp_ = false;
     bool reset_ = false;
     std::uint32_t missedPolls_ = 0;
+    std::uint64_t endpointLife_ = 0;
     std::uint32_t slotsBusy_ = 0;
     TimePoint heartbeatAt_;
     TimePoint probeAt_;
--- a/src/agent/internal/control.cpp
+++ b/src/agent/internal/control.cpp
@@ -58,6 +58,7 @@
     if (state.endpointUp_)
         return;
     state.endpointUp_ = true;
+    ++state.endpointLife_;
     state.reset_ = false;
     emit(state, ResetEndpoint {});
 }
@@ -205,7 +206,7 @@
 
 AgentView viewOf(const AgentControl &state)
 {
-    return {state.heartbeat_.state_, state.heartbeat_.report_};
+    return {state.heartbeat_.state_, state.heartbeat_.report_, state.endpointLife_};
 }
 
 bool isIdle(const AgentControl &state)
--- a/src/agent/internal/traffic.cpp
+++ b/src/agent/internal/traffic.cpp
@@ -211,9 +211,13 @@
     AgentStream &stream = found->second;
     stream.running_ = false;
     stream.activeAt_ = now;
+    if (result.died_) {
+        onEndpointDied(state, view, now);
+        return;
+    }
     if (!result.failure_.empty() || result.outputs_.empty()) {
         stream.ranAny_ = stream.ranAny_ && !(result.notRun_ && result.firstPosition_.value_ == 0);
-        detail::failStream(state, result.request_, RefusalCode::EndpointFailed, result.died_,
+        detail::failStream(state, result.request_, RefusalCode::EndpointFailed, false,
                            result.failure_, now);
         detail::drainBacklog(state, view, now);
         return;
@@ -332,15 +336,20 @@
     detail::drainBacklog(state, view, now);
 }
 
-void onEndpointDied(AgentTraffic &state, const AgentView &, TimePoint now)
+void onEndpointDied(AgentTraffic &state, const AgentView &view, TimePoint now)
 {
+    state.endedLife_ = view.endpointLife_;
     std::vector<RequestId> affected;
     for (const auto &[request, stream] : state.streams_)
         affected.push_back(request);
     std::sort(affected.begin(), affected.end());
-    for (const RequestId &request : affected)
-        detail::failStream(state, request, RefusalCode::EndpointFailed, true, "the endpoint died",
+    for (const RequestId &request : affected) {
+        //! A stream that had not run yet bears no blame.
+        const bool held = state.streams_.at(request).ranAny_;
+        detail::failStream(state, request, RefusalCode::EndpointFailed, held, "the endpoint died",
                            now);
+    }
+    detail::drainBacklog(state, view, now);
 }
 
 void onTick(AgentTraffic &state, const AgentView &view, TimePoint now)
--- a/src/controllers/internal/claims.cpp
+++ b/src/controllers/internal/claims.cpp
@@ -64,6 +64,37 @@
     send(state, now);
 }
 
+//! What tells one record from all others of its kind.
+std::uint64_t recordName(const ClaimRecord &record)
+{
+    if (const auto *claim = std::get_if<Claim>(&record))
+        return claim->nonce_.value_;
+    if (const auto *outcome = std::get_if<ClaimOutcome>(&record))
+        return outcome->nonce_.value_;
+    if (const auto *release = std::get_if<ClaimRelease>(&record))
+        return release->nonce_.value_;
+    return std::get<AttemptCancel>(record).attempt_.value_;
+}
+
+bool sameBatch(const ClaimBatch &left, const ClaimBatch &right)
+{
+    return left.size() == right.size()
+           && std::equal(left.begin(), left.end(), right.begin(),
+                         [](const ClaimRecord &one, const ClaimRecord &other) {
+                             return one.index() == other.index()
+                                    && recordName(one) == recordName(other);
+                         });
+}
+
+//! A batch that was read back has taken effect, whether or not its append was ever answered.
+void settleAppends(ClaimsState &state, const ClaimBatch &batch)
+{
+    if (batch.empty())
+        return;
+    std::erase_if(state.inFlight_,
+                  [&](const auto &entry) { return sameBatch(entry.second.batch_, batch); });
+}
+
 //! Puts records of a failed append back in front, without claims that were given up on.
 void takeBack(ClaimsState &state, const ClaimBatch &batch)
 {
@@ -232,8 +263,10 @@
                 logEvent(LogLevel::Warning, LogLine("claims-gap")
                                                     .add("through", state.ledger_.through_)
                                                     .add("first", page.first_)));
-    for (const ClaimsPage::Record &record : page.records_)
+    for (const ClaimsPage::Record &record : page.records_) {
         applyClaims(state.ledger_, record.offset_, record.time_, record.batch_);
+        detail::settleAppends(state, record.batch_);
+    }
     if (state.ledger_.through_.value_ + 1 >= page.next_.value_ || page.records_.empty())
         state.caughtUp_ = true;
     if (page.records_.empty())
--- a/src/controllers/internal/membership.cpp
+++ b/src/controllers/internal/membership.cpp
@@ -25,7 +25,8 @@
 {
     if (member.silent_ || member.failedInTraffic_)
         return EndpointState::Down;
-    if (member.leavingByList_ && member.heartbeat_.state_ == EndpointState::Ready)
+    const bool leaving = member.leavingByList_ || member.leavingInTraffic_;
+    if (leaving && member.heartbeat_.state_ == EndpointState::Ready)
         return EndpointState::Leaving;
     return member.heartbeat_.state_;
 }
@@ -51,6 +52,7 @@
     member.lastSeen_ = now;
     member.silent_ = false;
     member.failedInTraffic_ = false;
+    member.leavingInTraffic_ = false;
     member.leavingByList_ = member.leavingByList_ && !restarted;
     if (effectiveState(member) == before && !restarted)
         return std::nullopt;
@@ -70,6 +72,16 @@
     return detail::changeOf(found->second);
 }
 
+std::optional<MembershipChange> noteEndpointLeaving(MembershipState &state,
+                                                    const EndpointId &endpoint)
+{
+    const auto found = state.members_.find(endpoint);
+    if (found == state.members_.end() || effectiveState(found->second) != EndpointState::Ready)
+        return std::nullopt;
+    found->second.leavingInTraffic_ = true;
+    return detail::changeOf(found->second);
+}
+
 void applyLeavingList(MembershipState &state, const std::vector<InstanceId> &leaving)
 {
     for (auto &[endpoint, member] : state.members_)
--- a/src/controllers/membership.h
+++ b/src/controllers/membership.h
@@ -20,6 +20,8 @@
     //! Traffic saw the agent fail; holds until a heartbeat sent later arrives.
     bool failedInTraffic_ = false;
     bool leavingByList_ = false;
+    //! Its agent told traffic that it leaves; holds until the next heartbeat.
+    bool leavingInTraffic_ = false;
     bool silent_ = false;
 };
 
@@ -52,6 +54,10 @@
 std::optional<MembershipChange> noteEndpointFailure(MembershipState &state,
                                                     const EndpointId &endpoint, TimePoint now);
 
+//! The agent told traffic that its endpoint is leaving.
+std::optional<MembershipChange> noteEndpointLeaving(MembershipState &state,
+                                                    const EndpointId &endpoint);
+
 //! Takes the platform's list of leaving endpoints; a hint, for the list lags.
 void applyLeavingList(MembershipState &state, const std::vector<InstanceId> &leaving);
 
--- a/src/documents/internal/configdocuments.cpp
+++ b/src/documents/internal/configdocuments.cpp
@@ -81,7 +81,7 @@
     work.patience_ = std::chrono::milliseconds(
             reader.integer("patienceMs", true, 0, 86400000).value_or(0));
     work.repeat_ = readNamed(reader, "repeat", RepeatNames);
-    constexpr std::int64_t DefaultWindowS = 24 * 3600;
+    constexpr std::int64_t DefaultWindowS = 24L * 3600;
     work.repeatWindow_
             = std::chrono::seconds(reader.integer("repeatWindowS", false, 0, 30 * DefaultWindowS)
                                            .value_or(DefaultWindowS));
--- a/src/entry/internal/control.cpp
+++ b/src/entry/internal/control.cpp
@@ -215,14 +215,18 @@
     const auto member = state.membership_.members_.find(report.endpoint_);
     if (member == state.membership_.members_.end())
         return;
-    if (report.died_) {
-        const EndpointDeath death {report.endpoint_, member->second.heartbeat_.domain_, now};
-        recordEndpointDeath(state.suspects_, death);
-        for (const Fingerprint fingerprint : report.inFlight_)
-            recordSuspicion(state.suspects_, fingerprint, death);
-        detail::sendDigests(state, now);
-        detail::emit(state, ViewChanged {});
+    if (report.kind_ == FailureKind::Leaving) {
+        const auto change = noteEndpointLeaving(state.membership_, report.endpoint_);
+        if (change)
+            detail::noteMembership(state, *change, "traffic");
+        return;
     }
+    const EndpointDeath death {report.endpoint_, member->second.heartbeat_.domain_, now};
+    recordEndpointDeath(state.suspects_, death);
+    for (const Fingerprint fingerprint : report.inFlight_)
+        recordSuspicion(state.suspects_, fingerprint, death);
+    detail::sendDigests(state, now);
+    detail::emit(state, ViewChanged {});
     const auto change = noteEndpointFailure(state.membership_, report.endpoint_, now);
     if (change)
         detail::noteMembership(state, *change, "traffic");
--- a/src/entry/internal/traffic.cpp
+++ b/src/entry/internal/traffic.cpp
@@ -273,6 +273,8 @@
 
 void tickRequest(EntryTraffic &state, RequestContext &context, TimePoint now)
 {
+    std::erase_if(context.avoid_,
+                  [&](const AvoidedEndpoint &avoided) { return avoided.until_ <= now; });
     switch (context.phase_) {
     case RequestPhase::Queued:
         return tickQueued(state, context, now);
@@ -311,6 +313,18 @@
         shrinkWindow(window->second, now);
 }
 
+//! Busy narrows the window; an endpoint that can't take the request is passed over for a while.
+void learnFromRefusal(EntryTraffic &state, RequestContext &context, const EndpointId &endpoint,
+                      RefusalCode code, TimePoint now)
+{
+    if (code == RefusalCode::Busy)
+        return shrinkWindows(state, endpoint, now);
+    if (code == RefusalCode::Leaving)
+        emit(state, ReportFailure {endpoint, FailureKind::Leaving, {}});
+    if (code == RefusalCode::Leaving || code == RefusalCode::EndpointFailed)
+        context.avoid_.push_back({endpoint, now + state.limits_.avoidFor_});
+}
+
 void growWindows(EntryTraffic &state, const RoutingView &view, const Route &route)
 {
     for (const RouteHop &hop : route) {
@@ -390,7 +404,7 @@
 {
     if (failure.endpointDied_) {
         RequestContext *blamed = detail::findRequest(state, failure.request_);
-        ReportFailure report {failure.endpoint_, true, {}};
+        ReportFailure report {failure.endpoint_, FailureKind::Died, {}};
         if (blamed != nullptr)
             report.inFlight_.push_back(blamed->fingerprint_);
         emit(state, std::move(report));
@@ -399,8 +413,7 @@
     if (context == nullptr || context->phase_ != RequestPhase::Streaming
         || context->epoch_ != failure.epoch_)
         return;
-    if (failure.code_ == RefusalCode::Busy)
-        detail::shrinkWindows(state, failure.endpoint_, now);
+    detail::learnFromRefusal(state, *context, failure.endpoint_, failure.code_, now);
     const bool first
             = !context->route_.empty() && context->route_.front().endpoint_ == failure.endpoint_;
     if (first && failure.run_ == RunState::NotRun)
@@ -419,15 +432,14 @@
     if (!waiting)
         return;
     if (result.endpointDied_)
-        emit(state, ReportFailure {result.endpoint_, true, {context->fingerprint_}});
+        emit(state, ReportFailure {result.endpoint_, FailureKind::Died, {context->fingerprint_}});
     if (result.outcome_) {
         detail::growWindows(state, view, context->route_);
         detail::endWithOutcome(state, *context, *result.outcome_, now);
         detail::pump(state, view, now);
         return;
     }
-    if (result.refusal_.code_ == RefusalCode::Busy)
-        detail::shrinkWindows(state, result.endpoint_, now);
+    detail::learnFromRefusal(state, *context, result.endpoint_, result.refusal_.code_, now);
     const bool final = result.refusal_.code_ == RefusalCode::KeyReused
                        || (context->scope_ && result.refusal_.run_ == RunState::Unknown);
     if (result.refusal_.run_ == RunState::NotRun)
--- a/src/filters/agentstate.h
+++ b/src/filters/agentstate.h
@@ -22,6 +22,8 @@
 {
     EndpointState state_ = EndpointState::Starting;
     EndpointReport report_;
+    //! Counts the times that the endpoint came up.
+    std::uint64_t endpointLife_ = 0;
 };
 
 //! Runs layers for consecutive positions of a stream on the engine.
@@ -138,6 +140,8 @@
     //! Attempts that ended lately; a late repeat of one never runs.
     std::unordered_map<AttemptId, TimePoint> endedAttempts_;
     std::deque<AttemptId> callBacklog_;
+    //! The endpoint's life that traffic saw end; nothing begins before the next one.
+    std::uint64_t endedLife_ = 0;
     AgentCounters counters_;
     std::vector<AgentEffect> effects_;
 };
--- a/src/filters/entrystate.h
+++ b/src/filters/entrystate.h
@@ -47,6 +47,13 @@
     Cancelling,
 };
 
+//! An endpoint that a request passes over for a while, until heartbeats tell its state.
+struct AvoidedEndpoint
+{
+    EndpointId endpoint_;
+    TimePoint until_;
+};
+
 //! A request on its way through the chain.
 struct RequestContext
 {
@@ -75,8 +82,8 @@
     bool ranBefore_ = false;
     TimePoint progressAt_;
     TimePoint retryAt_;
-    //! Endpoint that must not be tried again for this request.
-    std::vector<EndpointId> avoid_;
+    //! Endpoints that refused or failed this request lately.
+    std::vector<AvoidedEndpoint> avoid_;
 };
 
 struct SendMessage
@@ -125,12 +132,19 @@
     TimePoint deadline_;
 };
 
-//! For control: an endpoint failed under traffic.
+enum class FailureKind : std::uint8_t {
+    //! The endpoint died under its work.
+    Died,
+    //! Its agent said that it takes nothing new.
+    Leaving,
+};
+
+//! For control: what traffic learnt of an endpoint before its next heartbeat.
 struct ReportFailure
 {
     EndpointId endpoint_;
-    //! The endpoint itself died, and these requests were in flight there.
-    bool died_ = false;
+    FailureKind kind_ = FailureKind::Died;
+    //! Requests that were in flight when it died.
     std::vector<Fingerprint> inFlight_;
 };
 
@@ -148,6 +162,7 @@
     Duration cutAfter_ = std::chrono::seconds(30);
     //! How long beyond the deadline the log is asked about an attempt.
     Duration settleGrace_ = std::chrono::seconds(3);
+    Duration avoidFor_ = std::chrono::milliseconds(500);
     RetryLimits retry_;
     //! Plain first-come routing, for comparison only.
     bool randomRoute_ = false;
--- a/src/filters/internal/agentfilters.cpp
+++ b/src/filters/internal/agentfilters.cpp
@@ -72,7 +72,7 @@
         return proceed();
     if (view.state_ == EndpointState::Leaving)
         return refuse(RefusalCode::Leaving, "the endpoint is leaving");
-    if (view.state_ != EndpointState::Ready)
+    if (view.state_ != EndpointState::Ready || view.endpointLife_ == state.endedLife_)
         return refuse(RefusalCode::EndpointFailed, "the endpoint is not ready");
     const LayerRange layers = ownHop(context.step_).layers_;
     if (layers != view.report_.layers_)
@@ -126,11 +126,11 @@
     return done();
 }
 
-FilterVerdict callOpen(AgentCall &call, const AgentView &view, AgentTraffic &, TimePoint now)
+FilterVerdict callOpen(AgentCall &call, const AgentView &view, AgentTraffic &state, TimePoint now)
 {
     if (view.state_ == EndpointState::Leaving)
         return refuse(RefusalCode::Leaving, "the endpoint is leaving");
-    if (view.state_ != EndpointState::Ready)
+    if (view.state_ != EndpointState::Ready || view.endpointLife_ == state.endedLife_)
         return refuse(RefusalCode::EndpointFailed, "the endpoint is not ready");
     if (view.report_.kind_ != EndpointKind::Service)
         return refuse(RefusalCode::NoRoute, "the endpoint is not a plain service");
--- a/src/filters/internal/entryfilters.cpp
+++ b/src/filters/internal/entryfilters.cpp
@@ -158,8 +158,10 @@
 
 bool mayUse(const RequestContext &context, const EndpointView &endpoint)
 {
-    return std::find(context.avoid_.begin(), context.avoid_.end(), endpoint.endpoint_)
-           == context.avoid_.end();
+    return std::none_of(context.avoid_.begin(), context.avoid_.end(),
+                        [&](const AvoidedEndpoint &avoided) {
+                            return avoided.endpoint_ == endpoint.endpoint_;
+                        });
 }
 
 //! Expected time for one token: the endpoint slows down as its slots fill.
@@ -222,15 +224,16 @@
         return hold();
     context.route_ = plan->route_;
     emit(state,
-         logEvent(LogLevel::Info, LogLine("route")
-                                          .add("request", context.request_.id_)
-                                          .add("organisation", context.organisation_)
-                                          .add("template", context.work_.id_)
-                                          .add("epoch", std::uint64_t {context.epoch_.value_ + 1})
-                                          .add("route", routeText(plan->route_))
-                                          .add("cost_ms", plan->cost_)
-                                          .add("candidates_us", candidateText(candidates))
-                                          .add("reason", "least-token-time")));
+         logEvent(LogLevel::Info,
+                  LogLine("route")
+                          .add("request", context.request_.id_)
+                          .add("organisation", context.organisation_)
+                          .add("template", context.work_.id_)
+                          .add("epoch", std::uint64_t {context.epoch_.value_ + 1})
+                          .add("route", routeText(plan->route_))
+                          .add("cost_ms", plan->cost_)
+                          .add("candidates_us", candidateText(candidates))
+                          .add("reason", context.suspect_ ? "suspect-alone" : "least-token-time")));
     return proceed();
 }
 
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -42,7 +42,7 @@
 
 struct ServerOptions
 {
-    std::uint64_t maxBodyBytes_ = 1024 * 1024;
+    std::uint64_t maxBodyBytes_ = 1024UL * 1024;
     std::uint32_t maxHeaderBytes_ = 16 * 1024;
     //! A request must arrive whole within this time.
     std::chrono::milliseconds readTimeout_ {10000};
--- a/src/policy/internal/claims.cpp
+++ b/src/policy/internal/claims.cpp
@@ -6,7 +6,7 @@
 
 //! How long a spent nonce or a cancelled attempt is remembered: far above the longest time that
 //! an append can take effect after its sender gave up.
-constexpr std::int64_t SpentMemoryMs = 3600 * 1000;
+constexpr std::int64_t SpentMemoryMs = 3600L * 1000;
 
 void spendNonce(ClaimLedger &ledger, ClaimNonce nonce)
 {
