Scenarios on real processes; unit tables and differential tests of the policies

Cause: at-most-once, pipelines, configuration and stopping are to hold on real processes too, under SIGKILL and SIGSTOP. Change: lab/ starts a fleet on loopback, drives it over HTTP and judges callers' answers, effects and exit codes; scenario files marked 'processes' run there as well. Found on the way (harness): ports from the kernel's own range collide with outgoing connections, so free ports come from below it; service answers are no event streams; a process restarted by one step was waited for by another.

--- a/lab/fleet.cpp
+++ b/lab/fleet.cpp
@@ -133,6 +133,18 @@
     return slow == slow_.end() ? delay : slow->second;
 }
 
+Evidence Fleet::takeEvidence()
+{
+    Evidence evidence;
+    evidence.records_ = std::move(records_);
+    evidence.layerRuns_ = std::move(layerRuns_);
+    for (const auto &[name, endpoint] : endpoints_) {
+        for (const auto &[body, count] : endpoint->service_.effects_)
+            evidence.effects_[body] += count;
+    }
+    return evidence;
+}
+
 // Messages between processes ----------------------------------------------------------------
 
 void Fleet::sendMessage(Node &from, const Address &to, const Message &message)
--- a/lab/judge.h
+++ b/lab/judge.h
@@ -6,28 +6,25 @@
 #include <vector>
 
 #include "core/findings.h"
-#include "fleet.h"
+#include "evidence.h"
 
 namespace gypsumcroft::lab {
 
 //! No key took effect twice, a "done" did take effect, and all "done" of a key agree.
-void judgeAtMostOnce(const Fleet &fleet, const std::string &place, Findings &failures);
+void judgeAtMostOnce(const Evidence &evidence, const std::string &place, Findings &failures);
 
 //! Requests that only ever heard "not-run" show no effect and no layer run.
-void judgeNotRun(const Fleet &fleet, const std::string &place, Findings &failures);
+void judgeNotRun(const Evidence &evidence, const std::string &place, Findings &failures);
 
 //! Every whole answer equals an undisturbed run's; no layer ran twice for a position of one epoch;
 //! every delivered token has a lineage of all layers in order.
-void judgeAnswers(const Fleet &fleet, std::uint32_t layers, const std::string &place,
+void judgeAnswers(const Evidence &evidence, std::uint32_t layers, const std::string &place,
                   Findings &failures);
 
 //! Every request has an ending.
-void judgeEnded(const Fleet &fleet, const std::string &place, Findings &failures);
+void judgeEnded(const Evidence &evidence, const std::string &place, Findings &failures);
 
 //! No request was cut or ended unknown.
-void judgeNoneCut(const Fleet &fleet, const std::string &place, Findings &failures);
-
-//! Effects per body over all services.
-std::map<std::string, std::uint32_t> effectsOf(const Fleet &fleet);
+void judgeNoneCut(const Evidence &evidence, const std::string &place, Findings &failures);
 
 } // namespace gypsumcroft::lab
--- a/src/app/internal/entryprocess.cpp
+++ b/src/app/internal/entryprocess.cpp
@@ -120,6 +120,14 @@
     std::optional<Ticker> demandTicker_;
 };
 
+//! An answer that carries the system's own name of the request, as log lines do.
+http::HttpResponse answerFor(const RequestId &request)
+{
+    http::HttpResponse response;
+    response.headers_.emplace_back("X-Request-Id", request.value_);
+    return response;
+}
+
 http::ServerOptions callerOptions(const Settings &settings)
 {
     http::ServerOptions options;
@@ -423,7 +431,7 @@
         caller.exchange_->sendEvent("end", encodeEnd(end.count_, caller.requestId_));
         caller.exchange_->finishEvents();
     } else {
-        http::HttpResponse response;
+        http::HttpResponse response = answerFor(end.request_);
         response.body_ = encodeAnswer(caller.tokens_, caller.requestId_);
         caller.exchange_->respond(std::move(response));
     }
@@ -435,7 +443,7 @@
     const auto found = exchanges_.find(call.request_);
     if (found == exchanges_.end())
         return;
-    http::HttpResponse response;
+    http::HttpResponse response = answerFor(call.request_);
     response.body_ = encodeOutcome(call.outcome_, found->second.requestId_);
     found->second.exchange_->respond(std::move(response));
     exchanges_.erase(found);
@@ -452,7 +460,7 @@
         caller.exchange_->sendEvent("error", body.substr(0, body.size() - 1));
         caller.exchange_->finishEvents();
     } else {
-        http::HttpResponse response;
+        http::HttpResponse response = answerFor(refusal.request_);
         response.status_ = statusOf(refusal.refusal_);
         response.body_ = body;
         const auto seconds = (refusal.refusal_.retryAfter_.count() + 999999) / 1000000;
--- a/src/http/internal/client.cpp
+++ b/src/http/internal/client.cpp
@@ -136,6 +136,9 @@
         HttpResponse response;
         response.status_ = static_cast<std::uint16_t>(parser.get().result_int());
         response.contentType_ = std::string(parser.get()[beast::http::field::content_type]);
+        for (const auto &field : parser.get())
+            response.headers_.emplace_back(std::string(field.name_string()),
+                                           std::string(field.value()));
         const bool keepAlive = parser.get().keep_alive();
         response.body_ = std::move(parser.get().body());
         result.response_ = std::move(response);
--- /dev/null
+++ b/src/policy/tests/tst_claims.cpp
@@ -0,0 +1,173 @@
+//! The claims ledger: tables of short logs, and a naive whole-log fold beside it.
+#include <algorithm>
+
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+
+#include "policy/claims.h"
+
+using namespace gypsumcroft;
+
+namespace {
+
+constexpr KeyHash Key {1, 1};
+constexpr Duration Window = std::chrono::hours(1);
+
+Claim claim(std::uint64_t nonce, std::uint64_t attempt, KeyHash key = Key)
+{
+    return {key, {nonce}, {attempt}, {"agent"}, {7}, Window};
+}
+
+ClaimOutcome outcome(std::uint64_t nonce)
+{
+    return {Key, {nonce}, {200, "done"}};
+}
+
+ClaimRelease release(std::uint64_t nonce)
+{
+    return {Key, {nonce}};
+}
+
+AttemptCancel cancel(std::uint64_t attempt)
+{
+    return {Key, {attempt}};
+}
+
+struct LedgerCase
+{
+    const char *name_;
+    ClaimBatch log_;
+    //! Nonce that holds the key at the end; 0 for none.
+    std::uint64_t holder_;
+    bool hasOutcome_;
+};
+
+const LedgerCase LedgerCases[] = {
+        {"first claim wins", {claim(1, 11), claim(2, 12)}, 1, false},
+        {"outcome is kept", {claim(1, 11), outcome(1)}, 1, true},
+        {"outcome of a loser is ignored", {claim(1, 11), claim(2, 12), outcome(2)}, 1, false},
+        {"release frees the key", {claim(1, 11), release(1)}, 0, false},
+        {"another may claim after a release", {claim(1, 11), release(1), claim(2, 12)}, 2, false},
+        {"release before its claim voids it", {release(1), claim(1, 11)}, 0, false},
+        {"void claim leaves the key to the next",
+         {release(1), claim(1, 11), claim(2, 12)},
+         2,
+         false},
+        {"cancel before the claim voids it", {cancel(11), claim(1, 11)}, 0, false},
+        {"cancel after the claim changes nothing", {claim(1, 11), cancel(11)}, 1, false},
+        {"cancel never touches a later attempt", {cancel(11), claim(2, 12)}, 2, false},
+        {"repeated append counts once", {claim(1, 11), release(1), claim(1, 11)}, 0, false},
+        {"release after the outcome changes nothing",
+         {claim(1, 11), outcome(1), release(1)},
+         1,
+         true},
+        {"release of a loser leaves the holder",
+         {claim(1, 11), claim(2, 12), release(2)},
+         1,
+         false},
+        {"other keys are apart", {claim(1, 11, {2, 2}), claim(2, 12)}, 2, false},
+};
+
+std::ostream &operator<<(std::ostream &out, const LedgerCase &test)
+{
+    return out << test.name_;
+}
+
+//! The rule spelt out over the whole log each time: the first claim on the key whose nonce was not
+//! seen or released before it, whose attempt was not cancelled before it, and that no later
+//! release of its own freed before its outcome.
+std::uint64_t naiveHolder(const std::vector<ClaimRecord> &log)
+{
+    std::uint64_t holder = 0;
+    bool done = false;
+    for (std::size_t at = 0; at < log.size(); ++at) {
+        const auto before = [&](const auto &matches) {
+            return std::any_of(log.begin(), log.begin() + static_cast<std::ptrdiff_t>(at), matches);
+        };
+        if (const auto *one = std::get_if<Claim>(&log[at])) {
+            const bool spent = before([&](const ClaimRecord &other) {
+                const auto *earlier = std::get_if<Claim>(&other);
+                const auto *freed = std::get_if<ClaimRelease>(&other);
+                const auto *stopped = std::get_if<AttemptCancel>(&other);
+                return (earlier != nullptr && earlier->nonce_ == one->nonce_)
+                       || (freed != nullptr && freed->nonce_ == one->nonce_)
+                       || (stopped != nullptr && stopped->attempt_ == one->attempt_);
+            });
+            if (holder == 0 && !spent)
+                holder = one->nonce_.value_;
+        } else if (const auto *freed = std::get_if<ClaimRelease>(&log[at])) {
+            if (holder == freed->nonce_.value_ && !done)
+                holder = 0;
+        } else if (const auto *ended = std::get_if<ClaimOutcome>(&log[at])) {
+            done = done || holder == ended->nonce_.value_;
+        }
+    }
+    return holder;
+}
+
+ClaimRecord recordOf(std::uint8_t kind, std::uint64_t nonce, std::uint64_t attempt)
+{
+    switch (kind % 5) {
+    case 0:
+        return release(nonce);
+    case 1:
+        return cancel(attempt);
+    case 2:
+        return outcome(nonce);
+    default:
+        return claim(nonce, attempt);
+    }
+}
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(logOrderDecides, LedgerCases)
+{
+    ClaimLedger ledger;
+    std::uint64_t offset = 0;
+    for (const ClaimRecord &record : sample.log_)
+        applyClaims(ledger, {++offset}, {1000}, {record});
+    const KeyState *key = findKey(ledger, Key);
+    BOOST_TEST((key == nullptr ? 0 : key->nonce_.value_) == sample.holder_);
+    BOOST_TEST((key != nullptr && key->outcome_.has_value()) == sample.hasOutcome_);
+}
+
+BOOST_DATA_TEST_CASE(batchesCountLikeSingleRecords, LedgerCases)
+{
+    ClaimLedger ledger;
+    applyClaims(ledger, {1}, {1000}, sample.log_);
+    const KeyState *key = findKey(ledger, Key);
+    BOOST_TEST((key == nullptr ? 0 : key->nonce_.value_) == sample.holder_);
+}
+
+BOOST_AUTO_TEST_CASE(keysAndNoncesAreForgottenByTheLogsTime)
+{
+    ClaimLedger ledger;
+    applyClaims(ledger, {1}, {1000}, {claim(1, 11), cancel(5), release(9)});
+    constexpr std::int64_t Later = 1000 + 2 * 3600 * 1000;
+    applyClaims(ledger, {2}, {Later}, {});
+    BOOST_TEST(ledger.keys_.empty());
+    BOOST_TEST(ledger.spentNonces_.empty());
+    BOOST_TEST(ledger.cancelledAttempts_.empty());
+    BOOST_TEST(ledger.forget_.empty());
+}
+
+BOOST_AUTO_TEST_CASE(foldAgreesWithTheWholeLog)
+{
+    const bool holds = rc::check("fold agrees with the whole log", [] {
+        const auto kinds = *rc::gen::container<std::vector<std::uint8_t>>(
+                rc::gen::inRange<std::uint8_t>(0, 5));
+        ClaimLedger ledger;
+        std::vector<ClaimRecord> log;
+        for (const std::uint8_t kind : kinds) {
+            const auto nonce = *rc::gen::inRange<std::uint64_t>(1, 6);
+            //! A nonce belongs to one attempt, as in the product.
+            log.push_back(recordOf(kind, nonce, 10 + nonce));
+            applyClaims(ledger, {log.size()}, {1000}, {log.back()});
+            const KeyState *key = findKey(ledger, Key);
+            RC_ASSERT((key == nullptr ? 0 : key->nonce_.value_) == naiveHolder(log));
+        }
+    });
+    BOOST_TEST(holds);
+}
--- a/standins/plainservice/main.cpp
+++ b/standins/plainservice/main.cpp
@@ -1,4 +1,6 @@
 //! Plain service stand-in: docs/PROTOCOLS.md, "Plain services".
+#include <fstream>
+
 #include <gflags/gflags.h>
 
 #include "common/program.h"
@@ -7,6 +9,7 @@
 DEFINE_string(listen, "127.0.0.1:0", "address to listen on");
 DEFINE_string(service, "bookings", "service name");
 DEFINE_int32(slots, 16, "calls side by side");
+DEFINE_string(effects, "", "file to which each effect is appended, one body a line");
 DEFINE_int64(cost_us, 2000, "time for one call, in microseconds");
 
 namespace json = boost::json;
@@ -34,6 +37,8 @@
                             --self.service_.busy_;
                             http::HttpResponse response;
                             response.body_ = runCall(self.service_, body);
+                            if (!FLAGS_effects.empty())
+                                std::ofstream(FLAGS_effects, std::ios::app) << body << "\n";
                             if (self.loseAnswers_ > 0)
                                 --self.loseAnswers_;
                             else
