Measure in virtual time beside a naive entry; agents forget ended streams in order

Each agent walked its memory of ended streams (60 s of them) every 10 ms, an entry sorted all its requests every 10 ms, and admission walked the organisation's own queue. Engines may hold more streams than they run side by side; a rank below its floor is run by the engine as urgent.

--- a/lab/fleet.cpp
+++ b/lab/fleet.cpp
@@ -229,6 +229,8 @@
             onConfigState(entry.control_, state->snapshot_, now_);
             return flushEntryControl(entry);
         }
+        if (entry.naive_)
+            return naiveMessage(entry, message);
         entryTraffic(entry, [&] {
             if (const auto *token = std::get_if<TokenMessage>(&message))
                 onToken(entry.traffic_, *entry.view_, *token, now_);
@@ -257,7 +259,7 @@
 {
     if (const auto found = entries_.find(node.name_); found != entries_.end()) {
         EntryNode &entry = *found->second;
-        entryTraffic(entry, [&] { onAgentDown(entry.traffic_, *entry.view_, peer, now_); });
+        agentDown(entry, peer);
         onUnreachable(entry.control_, peer, now_);
         flushEntryControl(entry);
     } else if (const auto agent = agents_.find(node.name_); agent != agents_.end()) {
@@ -320,6 +322,12 @@
     entry.traffic_.address_ = entry.address_;
     entry.traffic_.limits_ = options_.entryLimits_;
     entry.traffic_.random_ = {nextRandom(random_)};
+    entry.naive_.reset();
+    if (options_.naive_) {
+        entry.naive_.emplace();
+        entry.naive_->address_ = entry.address_;
+        entry.naive_->random_ = {nextRandom(random_)};
+    }
     entry.view_ = std::make_shared<const RoutingView>(viewOf(entry.control_));
     const Duration phase(randomBelow(random_, 10000));
     deliver(entry, phase, [this, &entry] { tickEntry(entry); });
@@ -327,9 +335,34 @@
     deliver(entry, phase, [this, &entry] { pollConfig(entry); });
 }
 
+void Fleet::agentDown(EntryNode &entry, const Address &agent)
+{
+    entryTraffic(entry, [&] {
+        if (entry.naive_)
+            naiveAgentDown(*entry.naive_, agent, now_);
+        else
+            onAgentDown(entry.traffic_, *entry.view_, agent, now_);
+    });
+}
+
+void Fleet::naiveMessage(EntryNode &entry, const Message &message)
+{
+    entryTraffic(entry, [&] {
+        if (const auto *token = std::get_if<TokenMessage>(&message))
+            naiveToken(*entry.naive_, *token, now_);
+        else if (const auto *failure = std::get_if<StreamFailedMessage>(&message))
+            naiveFailed(*entry.naive_, *failure, now_);
+    });
+}
+
 void Fleet::tickEntry(EntryNode &entry)
 {
-    entryTraffic(entry, [&] { onTick(entry.traffic_, *entry.view_, now_); });
+    entryTraffic(entry, [&] {
+        if (entry.naive_)
+            naiveTick(*entry.naive_, *entry.view_, now_);
+        else
+            onTick(entry.traffic_, *entry.view_, now_);
+    });
     deliver(entry, EntryTickInterval, [this, &entry] { tickEntry(entry); });
 }
 
@@ -349,8 +382,9 @@
 
 void Fleet::flushEntry(EntryNode &entry)
 {
-    std::vector<EntryEffect> effects = std::move(entry.traffic_.effects_);
-    entry.traffic_.effects_.clear();
+    auto &left = entry.naive_ ? entry.naive_->effects_ : entry.traffic_.effects_;
+    std::vector<EntryEffect> effects = std::move(left);
+    left.clear();
     for (EntryEffect &effect : effects)
         performEntry(entry, effect);
 }
@@ -463,7 +497,7 @@
         entryTraffic(entry,
                      [&] { onAttemptVerdict(entry.traffic_, *entry.view_, *verdict, now_); });
     } else if (const auto *down = std::get_if<AgentDown>(&effect)) {
-        entryTraffic(entry, [&] { onAgentDown(entry.traffic_, *entry.view_, down->agent_, now_); });
+        agentDown(entry, down->agent_);
     } else if (const auto *event = std::get_if<LogEvent>(&effect)) {
         keepLine(entry, *event);
     }
@@ -497,7 +531,10 @@
             caller.maxTokens_ = record.maxTokens_;
         entry.callers_[id] = index;
         entryTraffic(entry, [&] {
-            onCallerRequest(entry.traffic_, *entry.view_, std::move(caller), now_);
+            if (entry.naive_)
+                naiveRequest(*entry.naive_, *entry.view_, std::move(caller), now_);
+            else
+                onCallerRequest(entry.traffic_, *entry.view_, std::move(caller), now_);
         });
     });
     return index;
@@ -825,7 +862,7 @@
 void Fleet::startSteps(EndpointNode &endpoint)
 {
     while (!endpoint.waiting_.empty()
-           && endpoint.running_ < endpoint.engine_.settings_.slots_.value_) {
+           && endpoint.running_ < standins::batchWidth(endpoint.engine_.settings_)) {
         const auto next = std::min_element(endpoint.waiting_.begin(), endpoint.waiting_.end(),
                                            [](const PendingStep &left, const PendingStep &right) {
                                                return left.step_.rank_ < right.step_.rank_;
--- a/lab/fleet.h
+++ b/lab/fleet.h
@@ -17,6 +17,7 @@
 #include "entry/traffic.h"
 #include "evidence.h"
 #include "logservice/log.h"
+#include "naive.h"
 #include "plainservice/service.h"
 #include "stageengine/engine.h"
 
@@ -52,6 +53,8 @@
     ClaimsLimits claimsLimits_;
     //! How late load figures of heartbeats reach the entries.
     Duration reportLag_ {};
+    //! Entries decide naively.
+    bool naive_ = false;
 };
 
 //! A simulated process: alive, frozen or dead.
@@ -76,6 +79,8 @@
     //! Requests in hand, by the index of their caller's record.
     std::map<RequestId, std::size_t> callers_;
     bool readScheduled_ = false;
+    //! Set for comparison: decides in place of the traffic core.
+    std::optional<NaiveEntry> naive_;
 };
 
 struct PendingStep
@@ -213,6 +218,8 @@
     void performAgent(AgentNode &agent, AgentEffect &effect);
     void keepLine(const Node &node, const LogEvent &event);
 
+    void agentDown(EntryNode &entry, const Address &agent);
+    void naiveMessage(EntryNode &entry, const Message &message);
     void tickEntry(EntryNode &entry);
     void tickEntryControl(EntryNode &entry);
     void tickAgent(AgentNode &agent);
--- a/src/agent/internal/traffic.cpp
+++ b/src/agent/internal/traffic.cpp
@@ -25,9 +25,7 @@
 
 void endStream(AgentTraffic &state, const RequestId &request, Epoch epoch, TimePoint now)
 {
-    const auto ended = state.ended_.find(request);
-    if (ended == state.ended_.end() || ended->second.epoch_ < epoch)
-        state.ended_[request] = {epoch, now};
+    rememberEnded(state, request, epoch, now);
     const auto stream = state.streams_.find(request);
     if (stream != state.streams_.end() && stream->second.plan_.epoch_ <= epoch) {
         if (stream->second.ranAny_)
@@ -60,7 +58,7 @@
         return;
     ++state.counters_.refused_;
     const StreamPlan &plan = context.step_.plan_;
-    state.ended_[plan.request_] = {plan.epoch_, now};
+    rememberEnded(state, plan.request_, plan.epoch_, now);
     sendStreamFailed(state, plan, verdict.refusal_.code_, RunState::NotRun, false,
                      verdict.refusal_.reason_);
 }
@@ -93,7 +91,7 @@
                           .add("run",
                                result.outcome_ ? "done" : runStateName(result.refusal_.run_))));
     emit(state, SendMessage {call.message_.entry_, std::move(result)});
-    state.endedAttempts_[attempt] = now;
+    rememberEnded(state, attempt, now);
     std::erase(state.callBacklog_, attempt);
     state.calls_.erase(attempt);
 }
@@ -158,14 +156,28 @@
         failStream(state, request, RefusalCode::EndpointFailed, false, "no step for too long", now);
 }
 
+void forgetOne(AgentTraffic &state, const RequestId &request, TimePoint before)
+{
+    const auto found = state.ended_.find(request);
+    if (found != state.ended_.end() && found->second.at_ <= before)
+        state.ended_.erase(found);
+}
+
+void forgetOne(AgentTraffic &state, const AttemptId &attempt, TimePoint before)
+{
+    const auto found = state.endedAttempts_.find(attempt);
+    if (found != state.endedAttempts_.end() && found->second <= before)
+        state.endedAttempts_.erase(found);
+}
+
 void forgetEnded(AgentTraffic &state, TimePoint now)
 {
-    std::erase_if(state.ended_, [&](const auto &entry) {
-        return now - entry.second.at_ >= state.limits_.endedMemory_;
-    });
-    std::erase_if(state.endedAttempts_, [&](const auto &entry) {
-        return now - entry.second >= state.limits_.endedMemory_;
-    });
+    const TimePoint before = now - state.limits_.endedMemory_;
+    while (!state.endedOrder_.empty() && state.endedOrder_.front().first <= before) {
+        std::visit([&](const auto &id) { forgetOne(state, id, before); },
+                   state.endedOrder_.front().second);
+        state.endedOrder_.pop_front();
+    }
 }
 
 //! The entry is gone: the other stages would keep their slots until the streams turn idle.
--- a/src/core/messages.h
+++ b/src/core/messages.h
@@ -77,6 +77,8 @@
     TokenIndex maxTokens_;
     //! True when this endpoint must run no other suspect meanwhile.
     bool suspect_ = false;
+    //! Share of an endpoint's work that the rank keeps in a flood of more urgent work.
+    PerMille floor_;
 };
 
 //! Asks the agent of route_[hop_] to run its layers for consecutive positions.
--- a/src/entry/internal/traffic.cpp
+++ b/src/entry/internal/traffic.cpp
@@ -139,9 +139,11 @@
     while (state.queue_.size_ > 0) {
         std::unordered_map<TargetName, bool> routable;
         const auto mayTake = [&](const QueuedRequest &queued) {
-            const RequestContext *context = findRequest(state, queued.request_);
+            RequestContext *context = findRequest(state, queued.request_);
             if (context == nullptr)
                 return true;
+            std::erase_if(context->avoid_,
+                          [&](const AvoidedEndpoint &avoided) { return avoided.until_ <= now; });
             const bool shared = !context->scope_ && context->avoid_.empty();
             if (!shared)
                 return canRoute(*context, view, state);
@@ -273,8 +275,6 @@
 
 void tickRequest(EntryTraffic &state, RequestContext &context, TimePoint now)
 {
-    std::erase_if(context.avoid_,
-                  [&](const AvoidedEndpoint &avoided) { return avoided.until_ <= now; });
     switch (context.phase_) {
     case RequestPhase::Queued:
         return tickQueued(state, context, now);
@@ -289,6 +289,39 @@
     }
 }
 
+//! When a request next needs a look.
+TimePoint dueAt(const EntryTraffic &state, const RequestContext &context)
+{
+    const bool begun = !context.tokens_.empty();
+    const TimePoint ends
+            = begun ? context.progressAt_ + state.limits_.cutAfter_ : context.deadline_;
+    switch (context.phase_) {
+    case RequestPhase::Queued:
+        return ends;
+    case RequestPhase::Delayed:
+        return std::min(ends, context.retryAt_);
+    case RequestPhase::Streaming:
+        return std::min(begun ? TimePoint::max() : context.deadline_,
+                        context.progressAt_ + state.limits_.stallAfter_);
+    case RequestPhase::Calling:
+        return context.deadline_;
+    case RequestPhase::Cancelling:
+        return context.retryAt_;
+    }
+    return TimePoint::min();
+}
+
+std::vector<RequestId> dueRequests(const EntryTraffic &state, TimePoint now)
+{
+    std::vector<RequestId> ids;
+    for (const auto &[id, context] : state.requests_) {
+        if (dueAt(state, context) <= now)
+            ids.push_back(id);
+    }
+    std::sort(ids.begin(), ids.end());
+    return ids;
+}
+
 //! Ids first: handling one request may end others.
 std::vector<RequestId> requestIds(const EntryTraffic &state)
 {
@@ -496,7 +529,7 @@
 
 void onTick(EntryTraffic &state, const RoutingView &view, TimePoint now)
 {
-    for (const RequestId &id : detail::requestIds(state)) {
+    for (const RequestId &id : detail::dueRequests(state, now)) {
         RequestContext *context = detail::findRequest(state, id);
         if (context != nullptr)
             detail::tickRequest(state, *context, now);
--- a/src/filters/agentstate.h
+++ b/src/filters/agentstate.h
@@ -1,6 +1,7 @@
 //! State of an agent's traffic: streams of its stage engine, calls of its plain service.
 #pragma once
 
+#include <array>
 #include <deque>
 #include <map>
 #include <optional>
@@ -136,16 +137,24 @@
     std::deque<WaitingStep> backlog_;
     //! Epochs up to which a request's streams have ended here.
     std::unordered_map<RequestId, EndedStream> ended_;
+    //! Entries of ended_ and endedAttempts_ in the order in which they are forgotten.
+    std::deque<std::pair<TimePoint, std::variant<RequestId, AttemptId>>> endedOrder_;
     std::unordered_map<AttemptId, AgentCall> calls_;
     //! Attempts that ended lately; a late repeat of one never runs.
     std::unordered_map<AttemptId, TimePoint> endedAttempts_;
     std::deque<AttemptId> callBacklog_;
     //! The endpoint's life that traffic saw end; nothing begins before the next one.
     std::uint64_t endedLife_ = 0;
+    //! Positions run lately for each rank, halved as they age.
+    std::array<double, RankCount> servedPositions_ {};
     AgentCounters counters_;
     std::vector<AgentEffect> effects_;
 };
 
+//! Remembers that a request's streams up to an epoch have ended here.
+void rememberEnded(AgentTraffic &state, const RequestId &request, Epoch epoch, TimePoint now);
+void rememberEnded(AgentTraffic &state, AttemptId attempt, TimePoint now);
+
 inline void emit(AgentTraffic &state, AgentEffect effect)
 {
     state.effects_.push_back(std::move(effect));
--- a/src/filters/entrystate.h
+++ b/src/filters/entrystate.h
@@ -164,9 +164,6 @@
     Duration settleGrace_ = std::chrono::seconds(3);
     Duration avoidFor_ = std::chrono::milliseconds(500);
     RetryLimits retry_;
-    //! Plain first-come routing, for comparison only.
-    bool randomRoute_ = false;
-    bool admission_ = true;
 };
 
 //! Bucket of an organisation and template for requestsPerSecond.
--- a/src/filters/internal/agentfilters.cpp
+++ b/src/filters/internal/agentfilters.cpp
@@ -110,6 +110,25 @@
     return hold();
 }
 
+//! Counts the step, and gives the rank with which the engine is to run it: a rank that is below its
+//! floor here is run as urgent, for the engine serves the most urgent first.
+Rank engineRank(AgentTraffic &state, const StreamPlan &plan, std::size_t positions)
+{
+    constexpr double WindowPositions = 2000;
+    constexpr double Whole = 1000;
+    double total = 0;
+    for (const double served : state.servedPositions_)
+        total += served;
+    double &own = state.servedPositions_[static_cast<std::size_t>(plan.rank_)];
+    const bool belowFloor = own * Whole < total * plan.floor_.value_;
+    own += static_cast<double>(positions);
+    if (total > WindowPositions) {
+        for (double &served : state.servedPositions_)
+            served /= 2;
+    }
+    return belowFloor ? Rank::Urgent : plan.rank_;
+}
+
 FilterVerdict runStep(StepContext &context, const AgentView &, AgentTraffic &state, TimePoint now)
 {
     StepMessage &step = context.step_;
@@ -121,8 +140,9 @@
     stream.next_.value_
             = step.firstPosition_.value_ + static_cast<std::uint32_t>(step.inputs_.size());
     ++state.counters_.steps_;
+    const Rank rank = engineRank(state, step.plan_, step.inputs_.size());
     emit(state, RunStep {step.plan_.request_, step.plan_.epoch_, ownHop(step).layers_,
-                         step.firstPosition_, std::move(step.inputs_), step.plan_.rank_});
+                         step.firstPosition_, std::move(step.inputs_), rank});
     return done();
 }
 
@@ -190,6 +210,19 @@
 
 } // namespace detail
 
+void rememberEnded(AgentTraffic &state, const RequestId &request, Epoch epoch, TimePoint now)
+{
+    EndedStream &ended = state.ended_[request];
+    ended = {std::max(ended.epoch_, epoch), now};
+    state.endedOrder_.emplace_back(now, request);
+}
+
+void rememberEnded(AgentTraffic &state, AttemptId attempt, TimePoint now)
+{
+    state.endedAttempts_[attempt] = now;
+    state.endedOrder_.emplace_back(now, attempt);
+}
+
 std::span<const StepFilter> stepChain()
 {
     return detail::StepChain;
--- a/src/filters/internal/entryfilters.cpp
+++ b/src/filters/internal/entryfilters.cpp
@@ -129,7 +129,7 @@
 FilterVerdict enqueue(RequestContext &context, const RoutingView &, EntryTraffic &state,
                       TimePoint now)
 {
-    if (state.limits_.admission_ && context.work_.kind_ == TemplateKind::Model) {
+    if (context.work_.kind_ == TemplateKind::Model) {
         const Tokens ahead = workAhead(state.queue_, context.work_.rank_, context.organisation_,
                                        context.weight_);
         const AdmissionVerdict verdict = admit(state.drain_, ahead, context.work_.patience_);
@@ -189,9 +189,7 @@
             continue;
         candidates.push_back({endpoint.endpoint_, endpoint.agent_, endpoint.report_.version_,
                               endpoint.report_.layers_, endpoint.report_.modelLayers_,
-                              state.limits_.randomRoute_
-                                      ? Duration(1 + randomBelow(state.random_, 1000))
-                                      : stepCost(endpoint, window)});
+                              stepCost(endpoint, window)});
     }
     return candidates;
 }
@@ -314,13 +312,22 @@
         ++state.windows_[hop.endpoint_].outstanding_;
 }
 
-StepMessage firstStep(const RequestContext &context, const EntryTraffic &state)
+StepMessage firstStep(const RequestContext &context, const RoutingView &view,
+                      const EntryTraffic &state)
 {
     StepMessage step;
-    step.plan_
-            = {context.request_.id_,  context.epoch_,    state.address_,       context.route_,
-               context.organisation_, context.work_.id_, context.fingerprint_, context.work_.rank_,
-               context.maxTokens_,    context.suspect_};
+    StreamPlan &plan = step.plan_;
+    plan.request_ = context.request_.id_;
+    plan.epoch_ = context.epoch_;
+    plan.entry_ = state.address_;
+    plan.route_ = context.route_;
+    plan.organisation_ = context.organisation_;
+    plan.template_ = context.work_.id_;
+    plan.fingerprint_ = context.fingerprint_;
+    plan.rank_ = context.work_.rank_;
+    plan.maxTokens_ = context.maxTokens_;
+    plan.suspect_ = context.suspect_;
+    plan.floor_ = view.config_->fleet_.floors_[static_cast<std::size_t>(plan.rank_)];
     step.inputs_.push_back(context.request_.body_);
     step.inputs_.insert(step.inputs_.end(), context.tokens_.begin(), context.tokens_.end());
     return step;
@@ -346,7 +353,7 @@
     if (context.work_.kind_ == TemplateKind::Model) {
         ++context.epoch_.value_;
         context.phase_ = RequestPhase::Streaming;
-        emit(state, SendMessage {first, firstStep(context, state)});
+        emit(state, SendMessage {first, firstStep(context, view, state)});
     } else {
         context.attempt_ = {nextRandom(state.random_)};
         context.claimsFrom_ = view.claimsThrough_;
--- a/src/policy/fairqueue.h
+++ b/src/policy/fairqueue.h
@@ -49,6 +49,7 @@
     std::int64_t deficit_ = 0;
     bool inTurn_ = false;
     std::size_t size_ = 0;
+    std::int64_t work_ = 0;
     std::list<CallerQueue> callers_;
     std::unordered_map<CallerId, std::list<CallerQueue>::iterator> byCaller_;
 };
--- a/src/policy/internal/fairqueue.cpp
+++ b/src/policy/internal/fairqueue.cpp
@@ -50,6 +50,7 @@
     rank.work_ += request.work_.value_;
     ++rank.size_;
     ++organisation.size_;
+    organisation.work_ += request.work_.value_;
     ++queue.size_;
     if (front) {
         organisation.deficit_ += request.work_.value_;
@@ -78,6 +79,7 @@
     rank.work_ -= request.work_.value_;
     --rank.size_;
     --organisation.size_;
+    organisation.work_ -= request.work_.value_;
     --queue.size_;
 }
 
@@ -284,13 +286,7 @@
         ahead += queue.ranks_[index].work_;
     const detail::RankQueue &own = queue.ranks_[detail::rankIndex(rank)];
     const auto mine = own.byOrganisation_.find(organisation);
-    std::int64_t ownWork = 0;
-    if (mine != own.byOrganisation_.end()) {
-        for (const detail::CallerQueue &caller : mine->second->callers_) {
-            for (const QueuedRequest &request : caller.requests_)
-                ownWork += request.work_.value_;
-        }
-    }
+    const std::int64_t ownWork = mine == own.byOrganisation_.end() ? 0 : mine->second->work_;
     //! While the own work is served, each other organisation gets its share beside it at most.
     std::int64_t others = 0;
     const std::int64_t turn = std::max<std::int64_t>(ownWork, detail::Quantum * weight);
@@ -298,11 +294,7 @@
         if (other.organisation_ == organisation)
             continue;
         const std::int64_t fair = turn * other.weight_ / std::max<std::uint32_t>(weight, 1);
-        others += std::min<std::int64_t>(
-                fair,
-                static_cast<std::int64_t>(other.size_)
-                        * (own.work_
-                           / std::max<std::int64_t>(1, static_cast<std::int64_t>(own.size_))));
+        others += std::min(fair, other.work_);
     }
     return {ahead + ownWork + others};
 }
--- a/src/wire/internal/codec.cpp
+++ b/src/wire/internal/codec.cpp
@@ -50,7 +50,8 @@
 void serialize(Archive &archive, StreamPlan &plan)
 {
     archive(plan.request_, plan.epoch_, plan.entry_, plan.route_, plan.organisation_,
-            plan.template_, plan.fingerprint_, plan.rank_, plan.maxTokens_, plan.suspect_);
+            plan.template_, plan.fingerprint_, plan.rank_, plan.maxTokens_, plan.suspect_,
+            plan.floor_);
 }
 
 template <typename Archive>
--- a/standins/stageengine/engine.cpp
+++ b/standins/stageengine/engine.cpp
@@ -40,6 +40,11 @@
 
 } // namespace detail
 
+std::uint32_t batchWidth(const EngineSettings &settings)
+{
+    return settings.batch_ > 0 ? settings.batch_ : settings.slots_.value_;
+}
+
 bool isPoisoned(const StageEngine &engine, const EngineStep &step)
 {
     if (engine.settings_.poison_.empty() || step.inputs_.empty())
--- a/standins/stageengine/engine.h
+++ b/standins/stageengine/engine.h
@@ -19,7 +19,10 @@
     LayerRange layers_;
     LayerIndex modelLayers_;
     std::string accelerator_ = "a1";
+    //! Streams that it holds.
     Slots slots_ {8};
+    //! Steps that it runs side by side; 0: as many as it holds streams.
+    std::uint32_t batch_ = 0;
     Duration costPerToken_ = std::chrono::milliseconds(2);
     //! A prompt that holds this text crashes the engine; empty: none does.
     std::string poison_;
@@ -65,6 +68,9 @@
     bool keepRecords_ = true;
 };
 
+//! Steps that the engine runs side by side.
+std::uint32_t batchWidth(const EngineSettings &settings);
+
 //! Whether this step crashes the engine.
 bool isPoisoned(const StageEngine &engine, const EngineStep &step);
 
--- a/standins/stageengine/main.cpp
+++ b/standins/stageengine/main.cpp
@@ -16,6 +16,7 @@
 DEFINE_int32(layers, 1, "layers of the whole model");
 DEFINE_string(accelerator, "a1", "kind of accelerator");
 DEFINE_int32(slots, 8, "streams side by side");
+DEFINE_int32(batch, 0, "steps side by side; 0: as many as slots");
 DEFINE_int64(cost_us, 2000, "time for one token, in microseconds");
 DEFINE_string(poison, "", "a prompt with this text crashes the engine");
 DEFINE_bool(records, true, "keep a record of every layer run");
@@ -65,7 +66,7 @@
 //! Continuous batching: as many steps side by side as there are slots, the most urgent first.
 void startNext(EngineProgram &self)
 {
-    while (!self.waiting_.empty() && self.running_ < self.engine_.settings_.slots_.value_) {
+    while (!self.waiting_.empty() && self.running_ < batchWidth(self.engine_.settings_)) {
         auto next = self.waiting_.begin();
         for (auto at = self.waiting_.begin(); at != self.waiting_.end(); ++at) {
             if (at->step_.priority_ < next->step_.priority_)
@@ -177,6 +178,7 @@
     settings.modelLayers_ = {static_cast<std::uint32_t>(FLAGS_layers)};
     settings.accelerator_ = FLAGS_accelerator;
     settings.slots_ = {static_cast<std::uint32_t>(FLAGS_slots)};
+    settings.batch_ = static_cast<std::uint32_t>(FLAGS_batch);
     settings.costPerToken_ = Duration(FLAGS_cost_us);
     settings.poison_ = FLAGS_poison;
     self.engine_.keepRecords_ = FLAGS_records;
