Entries see each other's slots; busy costs a request no attempt

A look at second 30 showed queues empty, slow pipelines idle, agents of fast ones full with a backlog, windows of three entries adding up to 96 for 32 slots, and 1018 requests ended after four busy answers. Ruled out: admission refusing too early (316 only); link costs. Change: heartbeats carry the slots that the receiving entry's own work holds, so that an entry leaves room for the others'; busy narrows the window but no longer counts against the request's attempts.

--- a/lab/fleet.h
+++ b/lab/fleet.h
@@ -51,7 +51,7 @@
     EntryLimits entryLimits_;
     AgentLimits agentLimits_;
     ClaimsLimits claimsLimits_;
-    //! How late load figures of heartbeats reach the entries.
+    //! How late the load figures are that agents put into heartbeats.
     Duration reportLag_ {};
     //! Entries decide naively.
     bool naive_ = false;
--- a/src/agent/control.h
+++ b/src/agent/control.h
@@ -63,7 +63,7 @@
     bool reset_ = false;
     std::uint32_t missedPolls_ = 0;
     std::uint64_t endpointLife_ = 0;
-    std::uint32_t slotsBusy_ = 0;
+    AgentLoad load_;
     TimePoint heartbeatAt_;
     TimePoint probeAt_;
     std::vector<AgentControlEffect> effects_;
@@ -87,8 +87,8 @@
 //! Entries that the platform lists.
 void onEntryList(AgentControl &state, const std::vector<Address> &entries);
 
-//! Slots that traffic has in use, for heartbeats.
-void onLoad(AgentControl &state, std::uint32_t slotsBusy);
+//! What traffic has in hand, for heartbeats.
+void onLoad(AgentControl &state, AgentLoad load);
 
 //! Takes no new work from now on.
 void beginLeaving(AgentControl &state, TimePoint now);
--- a/src/agent/internal/control.cpp
+++ b/src/agent/internal/control.cpp
@@ -28,14 +28,18 @@
     state.heartbeatAt_ = now + state.limits_.heartbeatInterval_;
     ++state.heartbeat_.sequence_;
     state.heartbeat_.claimsThrough_ = state.claims_.ledger_.through_;
-    state.heartbeat_.report_.slotsBusy_ = {state.slotsBusy_};
+    state.heartbeat_.report_.slotsBusy_ = state.load_.slotsBusy_;
     state.heartbeat_.links_.clear();
     for (const auto &[address, link] : state.links_) {
         if (link.known_)
             state.heartbeat_.links_.push_back({link.endpoint_, link.roundTrip_});
     }
-    for (const Address &entry : state.entries_)
+    for (const Address &entry : state.entries_) {
+        const auto own = state.load_.byEntry_.find(entry);
+        state.heartbeat_.slotsOfReceiver_
+                = own == state.load_.byEntry_.end() ? Slots {} : own->second;
         emit(state, SendDatagram {entry, state.heartbeat_});
+    }
 }
 
 //! A change of state is told at once, not with the next heartbeat.
@@ -183,9 +187,9 @@
     }
 }
 
-void onLoad(AgentControl &state, std::uint32_t slotsBusy)
+void onLoad(AgentControl &state, AgentLoad load)
 {
-    state.slotsBusy_ = slotsBusy;
+    state.load_ = std::move(load);
 }
 
 void beginLeaving(AgentControl &state, TimePoint now)
--- a/src/app/internal/agentprocess.cpp
+++ b/src/app/internal/agentprocess.cpp
@@ -38,11 +38,6 @@
     EndpointId endpoint_;
 };
 
-struct AgentLoad
-{
-    std::uint32_t slotsBusy_ = 0;
-};
-
 struct EndpointBroke
 { };
 
@@ -207,8 +202,8 @@
         onCloseClaim(control_, *close, now);
     else if (const auto *link = std::get_if<LinkUsed>(&note))
         onLinkUsed(control_, link->peer_, link->endpoint_, now);
-    else if (const auto *load = std::get_if<AgentLoad>(&note))
-        onLoad(control_, load->slotsBusy_);
+    else if (auto *load = std::get_if<AgentLoad>(&note))
+        onLoad(control_, std::move(*load));
     else if (std::holds_alternative<EndpointBroke>(note))
         onPoll(control_, {std::nullopt, false, true}, now);
     performControl();
@@ -454,13 +449,13 @@
 Duration AgentProcess::tickTraffic()
 {
     bool idle = false;
-    std::uint32_t busy = 0;
+    AgentLoad load;
     withTraffic([&](const AgentView &view, TimePoint now) {
         onTick(traffic_, view, now);
         idle = isIdle(traffic_);
-        busy = static_cast<std::uint32_t>(busySlots(traffic_));
+        load = loadOf(traffic_);
     });
-    mailbox_.push(AgentLoad {busy});
+    mailbox_.push(std::move(load));
     return idle ? IdleAgentTick : AgentTickInterval;
 }
 
--- a/src/controllers/internal/routingview.cpp
+++ b/src/controllers/internal/routingview.cpp
@@ -12,6 +12,12 @@
         links.delays_[heartbeat.endpoint_][link.to_] = link.roundTrip_ / 2;
 }
 
+Slots slotsOfOthers(const HeartbeatMessage &heartbeat)
+{
+    const std::uint32_t busy = heartbeat.report_.slotsBusy_.value_;
+    return {busy - std::min(busy, heartbeat.slotsOfReceiver_.value_)};
+}
+
 } // namespace detail
 
 RoutingView buildRoutingView(std::shared_ptr<const ConfigIndex> index, const ConfigState &config,
@@ -26,7 +32,7 @@
         const EndpointState state = effectiveState(member);
         const std::size_t at = view.endpoints_.size();
         view.endpoints_.push_back({endpoint, heartbeat.instance_, heartbeat.domain_,
-                                   heartbeat.agent_, state, heartbeat.report_,
+                                   heartbeat.agent_, state, heartbeat.report_, detail::slotsOfOthers(heartbeat),
                                    heartbeat.claimsThrough_});
         view.byEndpoint_.emplace(endpoint, at);
         view.claimsThrough_ = std::max(view.claimsThrough_, heartbeat.claimsThrough_);
--- a/src/controllers/routingview.h
+++ b/src/controllers/routingview.h
@@ -23,6 +23,8 @@
     Address agent_;
     EndpointState state_ = EndpointState::Starting;
     EndpointReport report_;
+    //! Slots that other entries' work held at the last report.
+    Slots slotsOfOthers_;
     LogOffset claimsThrough_;
 };
 
--- a/src/core/messages.h
+++ b/src/core/messages.h
@@ -205,6 +205,8 @@
     std::uint64_t sequence_ = 0;
     EndpointState state_ = EndpointState::Starting;
     EndpointReport report_;
+    //! Slots, of those in use, that the receiving entry's own work holds.
+    Slots slotsOfReceiver_;
     std::vector<LinkReport> links_;
     //! Offset through which the agent has folded the claims stream.
     LogOffset claimsThrough_;
--- a/src/entry/internal/traffic.cpp
+++ b/src/entry/internal/traffic.cpp
@@ -104,7 +104,9 @@
     const bool begun = !context.tokens_.empty();
     const TimePoint deadline
             = begun ? context.progressAt_ + state.limits_.cutAfter_ : context.deadline_;
-    const bool allowed = begun ? now < deadline
+    //! Busy says nothing against the request: the window narrows instead.
+    const bool unbounded = begun || refusal.code_ == RefusalCode::Busy;
+    const bool allowed = unbounded ? now < deadline
                                : takeRetry(state.retryBudget_, state.limits_.retry_,
                                            context.attempts_, deadline, now);
     if (allowed) {
--- a/src/filters/agentfilters.h
+++ b/src/filters/agentfilters.h
@@ -29,6 +29,9 @@
 //! Streams that hold a slot, and calls that do.
 std::size_t busySlots(const AgentTraffic &state);
 
+//! The same by entry, for heartbeats.
+AgentLoad loadOf(const AgentTraffic &state);
+
 //! Sends a step's outputs on: to the next hop, or the token to the entry and the first hop.
 void forwardStep(AgentTraffic &state, const AgentStream &stream, TokenIndex first,
                  const std::vector<std::string> &outputs, bool ends);
--- a/src/filters/agentstate.h
+++ b/src/filters/agentstate.h
@@ -119,6 +119,13 @@
     TimePoint at_;
 };
 
+//! Slots in use, in all and by the entry whose work holds them.
+struct AgentLoad
+{
+    Slots slotsBusy_;
+    std::unordered_map<Address, Slots> byEntry_;
+};
+
 struct AgentCounters
 {
     std::uint64_t steps_ = 0;
--- a/src/filters/internal/agentfilters.cpp
+++ b/src/filters/internal/agentfilters.cpp
@@ -242,6 +242,19 @@
     return state.streams_.size() + static_cast<std::size_t>(active);
 }
 
+AgentLoad loadOf(const AgentTraffic &state)
+{
+    AgentLoad load;
+    load.slotsBusy_ = {static_cast<std::uint32_t>(busySlots(state))};
+    for (const auto &[request, stream] : state.streams_)
+        ++load.byEntry_[stream.plan_.entry_].value_;
+    for (const auto &[attempt, call] : state.calls_) {
+        if (call.phase_ != CallPhase::Waiting)
+            ++load.byEntry_[call.message_.entry_].value_;
+    }
+    return load;
+}
+
 void forwardStep(AgentTraffic &state, const AgentStream &stream, TokenIndex first,
                  const std::vector<std::string> &outputs, bool ends)
 {
--- a/src/filters/internal/entryfilters.cpp
+++ b/src/filters/internal/entryfilters.cpp
@@ -156,6 +156,14 @@
     return state.windows_.emplace(endpoint.endpoint_, window).first->second;
 }
 
+//! Room in the own window, and a slot that nobody held at the last report.
+bool hasRoomAt(const EndpointView &endpoint, const DispatchWindow &window)
+{
+    return hasRoom(window)
+            && window.outstanding_ + endpoint.slotsOfOthers_.value_
+                    < endpoint.report_.slots_.value_;
+}
+
 bool mayUse(const RequestContext &context, const EndpointView &endpoint)
 {
     return std::none_of(context.avoid_.begin(), context.avoid_.end(),
@@ -169,7 +177,7 @@
 {
     const double slots = std::max<double>(1.0, endpoint.report_.slots_.value_);
     const double load
-            = std::max<double>(window.outstanding_, endpoint.report_.slotsBusy_.value_) / slots;
+            = (window.outstanding_ + endpoint.slotsOfOthers_.value_) / slots;
     const double cost = static_cast<double>(endpoint.report_.costPerToken_.count()) * (1.0 + load);
     return Duration(static_cast<std::int64_t>(cost) + 1);
 }
@@ -184,7 +192,7 @@
     for (const std::size_t index : found->second) {
         const EndpointView &endpoint = view.endpoints_[index];
         const DispatchWindow &window = windowOf(state, endpoint);
-        if (endpoint.report_.kind_ != EndpointKind::Stage || !hasRoom(window)
+        if (endpoint.report_.kind_ != EndpointKind::Stage || !hasRoomAt(endpoint, window)
             || !mayUse(context, endpoint))
             continue;
         candidates.push_back({endpoint.endpoint_, endpoint.agent_, endpoint.report_.version_,
@@ -267,7 +275,7 @@
 {
     std::vector<const EndpointView *> open;
     for (const EndpointView *endpoint : serviceEndpoints(context, view)) {
-        if (hasRoom(windowOf(state, *endpoint)))
+        if (hasRoomAt(*endpoint, windowOf(state, *endpoint)))
             open.push_back(endpoint);
     }
     if (open.empty())
@@ -283,7 +291,7 @@
 {
     const EndpointView *chosen
             = context.scope_ ? homeEndpoint(context, view) : sampleEndpoint(context, view, state);
-    if (chosen == nullptr || !hasRoom(windowOf(state, *chosen)))
+    if (chosen == nullptr || !hasRoomAt(*chosen, windowOf(state, *chosen)))
         return hold();
     context.route_ = {{chosen->endpoint_, chosen->agent_, {}}};
     emit(state, logEvent(LogLevel::Info,
@@ -390,7 +398,7 @@
         return planRoute(detail::stageCandidates(context, view, state), view.links_).has_value();
     if (context.scope_) {
         const EndpointView *home = detail::homeEndpoint(context, view);
-        return home != nullptr && hasRoom(detail::windowOf(state, *home));
+        return home != nullptr && detail::hasRoomAt(*home, detail::windowOf(state, *home));
     }
     return detail::sampleEndpoint(context, view, state) != nullptr;
 }
