Routes stay within a class of similar speed

Change: coveringClasses groups endpoints by token cost; where a class covers the model alone, a route takes its stages from one class; otherwise from all.

--- a/src/controllers/internal/routingview.cpp
+++ b/src/controllers/internal/routingview.cpp
@@ -18,8 +18,28 @@
     return {busy - std::min(busy, heartbeat.slotsOfReceiver_.value_)};
 }
 
+void addClasses(RoutingView &view)
+{
+    for (const auto &[target, indexes] : view.byTarget_) {
+        std::vector<StageCandidate> candidates;
+        for (const std::size_t index : indexes) {
+            if (view.endpoints_[index].report_.kind_ == EndpointKind::Stage)
+                candidates.push_back(stageCandidate(view.endpoints_[index]));
+        }
+        if (!candidates.empty())
+            view.classes_[target] = coveringClasses(candidates);
+    }
+}
+
 } // namespace detail
 
+StageCandidate stageCandidate(const EndpointView &endpoint)
+{
+    const EndpointReport &report = endpoint.report_;
+    return {endpoint.endpoint_,  endpoint.agent_,      report.version_,     report.layers_,
+            report.modelLayers_, report.costPerToken_, report.costPerToken_};
+}
+
 RoutingView buildRoutingView(std::shared_ptr<const ConfigIndex> index, const ConfigState &config,
                              const MembershipState &membership, const Suspects &suspects)
 {
@@ -40,6 +60,7 @@
         if (state == EndpointState::Ready)
             view.byTarget_[heartbeat.report_.target_].push_back(at);
     }
+    detail::addClasses(view);
     return view;
 }
 
--- a/src/controllers/routingview.h
+++ b/src/controllers/routingview.h
@@ -37,6 +37,8 @@
     std::unordered_map<TargetName, std::vector<std::size_t>> byTarget_;
     std::unordered_map<EndpointId, std::size_t> byEndpoint_;
     LinkTable links_;
+    //! Speed classes that cover a model, by its name.
+    std::unordered_map<TargetName, std::vector<SpeedClass>> classes_;
     Suspects suspects_;
     //! Requests a second that other entries see from each organisation.
     std::unordered_map<OrganisationId, std::uint32_t> demandElsewhere_;
@@ -44,6 +46,9 @@
     LogOffset claimsThrough_;
 };
 
+//! An endpoint as the route planner sees it, with its cost when idle.
+StageCandidate stageCandidate(const EndpointView &endpoint);
+
 //! Builds the picture from the controllers' states; index is shared while it is unchanged.
 RoutingView buildRoutingView(std::shared_ptr<const ConfigIndex> index, const ConfigState &config,
                              const MembershipState &membership, const Suspects &suspects);
--- a/src/filters/internal/entryfilters.cpp
+++ b/src/filters/internal/entryfilters.cpp
@@ -195,13 +195,34 @@
         if (endpoint.report_.kind_ != EndpointKind::Stage || !hasRoomAt(endpoint, window)
             || !mayUse(context, endpoint))
             continue;
-        candidates.push_back({endpoint.endpoint_, endpoint.agent_, endpoint.report_.version_,
-                              endpoint.report_.layers_, endpoint.report_.modelLayers_,
-                              stepCost(endpoint, window)});
+        StageCandidate candidate = stageCandidate(endpoint);
+        candidate.stepCost_ = stepCost(endpoint, window);
+        candidates.push_back(std::move(candidate));
     }
     return candidates;
 }
 
+//! The cheapest route within one speed class.
+std::optional<PlannedRoute> planStream(const std::vector<StageCandidate> &candidates,
+                                       const RequestContext &context, const RoutingView &view)
+{
+    std::optional<PlannedRoute> best;
+    const auto classes = view.classes_.find(context.work_.target_);
+    if (classes == view.classes_.end())
+        return best;
+    for (const SpeedClass &speed : classes->second) {
+        std::vector<StageCandidate> members;
+        for (const StageCandidate &candidate : candidates) {
+            if (isInClass(speed, candidate.tokenCost_))
+                members.push_back(candidate);
+        }
+        auto plan = planRoute(members, view.links_);
+        if (plan && (!best || plan->cost_ < best->cost_))
+            best = std::move(plan);
+    }
+    return best;
+}
+
 std::string candidateText(const std::vector<StageCandidate> &candidates)
 {
     std::string text;
@@ -225,7 +246,7 @@
 FilterVerdict routeStream(RequestContext &context, const RoutingView &view, EntryTraffic &state)
 {
     const auto candidates = stageCandidates(context, view, state);
-    const auto plan = planRoute(candidates, view.links_);
+    const auto plan = planStream(candidates, context, view);
     if (!plan)
         return hold();
     context.route_ = plan->route_;
@@ -395,7 +416,8 @@
 bool canRoute(const RequestContext &context, const RoutingView &view, EntryTraffic &state)
 {
     if (context.work_.kind_ == TemplateKind::Model)
-        return planRoute(detail::stageCandidates(context, view, state), view.links_).has_value();
+        return detail::planStream(detail::stageCandidates(context, view, state), context, view)
+                .has_value();
     if (context.scope_) {
         const EndpointView *home = detail::homeEndpoint(context, view);
         return home != nullptr && detail::hasRoomAt(*home, detail::windowOf(state, *home));
--- a/src/policy/internal/routeplan.cpp
+++ b/src/policy/internal/routeplan.cpp
@@ -1,6 +1,7 @@
 #include "policy/routeplan.h"
 
 #include <algorithm>
+#include <iterator>
 #include <map>
 
 namespace gypsumcroft {
@@ -72,6 +73,24 @@
     return plan;
 }
 
+//! Costs within this factor, in tenths, of the fastest of a class belong to it.
+constexpr std::int64_t ClassFactorTenths = 15;
+
+std::vector<SpeedClass> speedClasses(const std::vector<StageCandidate> &candidates)
+{
+    std::vector<Duration> costs;
+    for (const StageCandidate &candidate : candidates)
+        costs.push_back(candidate.tokenCost_);
+    std::sort(costs.begin(), costs.end());
+    std::vector<SpeedClass> classes;
+    for (const Duration cost : costs) {
+        if (classes.empty() || cost * 10 > classes.back().least_ * ClassFactorTenths)
+            classes.push_back({cost, cost});
+        classes.back().most_ = cost;
+    }
+    return classes;
+}
+
 } // namespace detail
 
 Duration linkDelay(const LinkTable &links, const EndpointId &from, const EndpointId &to)
@@ -105,4 +124,26 @@
     return detail::unwind(candidates, reached, best);
 }
 
+bool isInClass(const SpeedClass &speed, Duration tokenCost)
+{
+    return tokenCost >= speed.least_ && tokenCost <= speed.most_;
+}
+
+std::vector<SpeedClass> coveringClasses(const std::vector<StageCandidate> &candidates)
+{
+    std::vector<SpeedClass> covering;
+    for (const SpeedClass &speed : detail::speedClasses(candidates)) {
+        std::vector<StageCandidate> members;
+        std::copy_if(candidates.begin(), candidates.end(), std::back_inserter(members),
+                     [&](const StageCandidate &candidate) {
+                         return isInClass(speed, candidate.tokenCost_);
+                     });
+        if (planRoute(members, {}))
+            covering.push_back(speed);
+    }
+    if (covering.empty())
+        covering.push_back({Duration::zero(), Duration::max()});
+    return covering;
+}
+
 } // namespace gypsumcroft
--- a/src/policy/routeplan.h
+++ b/src/policy/routeplan.h
@@ -21,6 +21,8 @@
     LayerIndex modelLayers_;
     //! Expected time for one token, waiting included.
     Duration stepCost_ {};
+    //! Time for one token on the idle endpoint; tells kinds of accelerator apart.
+    Duration tokenCost_ {};
 };
 
 //! One-way delays between agents; pairs not listed take defaultDelay_.
@@ -45,4 +47,19 @@
 std::optional<PlannedRoute> planRoute(const std::vector<StageCandidate> &candidates,
                                       const LinkTable &links);
 
+//! Endpoints of similar speed: token costs in [least_, most_].
+struct SpeedClass
+{
+    Duration least_ {};
+    Duration most_ {};
+    auto operator<=>(const SpeedClass &) const = default;
+};
+
+bool isInClass(const SpeedClass &speed, Duration tokenCost);
+
+//! The classes whose endpoints alone cover all layers. A slow stage keeps the slots of a route's
+//! fast ones for longer, so routes within one class get more out of the fleet. If no class covers
+//! the model, one class of all endpoints.
+std::vector<SpeedClass> coveringClasses(const std::vector<StageCandidate> &candidates);
+
 } // namespace gypsumcroft
