--- a/src/policy/internal/window.cpp
+++ b/src/policy/internal/window.cpp
@@ -26,7 +26,9 @@
 {
     if (now < window.decreaseAfter_)
         return;
-    window.size_ = std::max(1.0, window.size_ * detail::DecreaseFactor);
+    //! What is outstanding now is already too much; a far larger window would say nothing.
+    const double held = std::min(window.size_, static_cast<double>(window.outstanding_));
+    window.size_ = std::max(1.0, held * detail::DecreaseFactor);
     window.decreaseAfter_ = now + detail::DecreaseInterval;
 }
 
