No quantum for blocked turns; first steps go first; background leaves slots free

The fair queue gave a fresh quantum to every organisation that was asked while nothing had room, so deficits grew without bound and the one at the front kept the turn. Quotes waited for slots that summaries filled, and their first step behind decoding. Change: a blocked organisation is passed by without losing its turn or gaining a quantum; an engine gets first steps before others of the rank; background work leaves an eighth of the slots free.

--- a/lab/fleet.cpp
+++ b/lab/fleet.cpp
@@ -867,7 +867,7 @@
            && endpoint.running_ < standins::batchWidth(endpoint.engine_.settings_)) {
         const auto next = std::min_element(endpoint.waiting_.begin(), endpoint.waiting_.end(),
                                            [](const PendingStep &left, const PendingStep &right) {
-                                               return left.step_.rank_ < right.step_.rank_;
+                                               return left.step_.priority_ < right.step_.priority_;
                                            });
         const PendingStep pending = *next;
         endpoint.waiting_.erase(next);
@@ -888,7 +888,7 @@
     const RunStep &step = pending.step_;
     const standins::EngineStep engineStep {detail::streamName(step.request_, step.epoch_),
                                            step.layers_, step.firstPosition_,
-                                           static_cast<std::uint32_t>(step.rank_), step.inputs_};
+                                           step.priority_, step.inputs_};
     if (standins::isPoisoned(endpoint.engine_, engineStep)) {
         runningSteps_[pending.id_] = pending;
         killEndpoint(pending.agent_);
--- a/src/documents/internal/endpointdocuments.cpp
+++ b/src/documents/internal/endpointdocuments.cpp
@@ -177,7 +177,7 @@
             json::object {{"stream", stream},
                           {"layers", {step.layers_.first_.value_, step.layers_.end_.value_}},
                           {"position", step.firstPosition_.value_},
-                          {"priority", static_cast<std::uint32_t>(step.rank_)},
+                          {"priority", step.priority_},
                           {"inputs", inputs}});
 }
 
--- a/src/entry/internal/traffic.cpp
+++ b/src/entry/internal/traffic.cpp
@@ -1,6 +1,7 @@
 #include "entry/traffic.h"
 
 #include <algorithm>
+#include <map>
 
 #include "filters/entryfilters.h"
 
@@ -139,7 +140,7 @@
 {
     state.queue_.floors_ = view.config_->fleet_.floors_;
     while (state.queue_.size_ > 0) {
-        std::unordered_map<TargetName, bool> routable;
+        std::map<std::pair<TargetName, Rank>, bool> routable;
         const auto mayTake = [&](const QueuedRequest &queued) {
             RequestContext *context = findRequest(state, queued.request_);
             if (context == nullptr)
@@ -149,11 +150,12 @@
             const bool shared = !context->scope_ && context->avoid_.empty();
             if (!shared)
                 return canRoute(*context, view, state);
-            const auto known = routable.find(context->work_.target_);
+            const std::pair kind(context->work_.target_, context->work_.rank_);
+            const auto known = routable.find(kind);
             if (known != routable.end())
                 return known->second;
             const bool can = canRoute(*context, view, state);
-            routable.emplace(context->work_.target_, can);
+            routable.emplace(kind, can);
             return can;
         };
         const auto next = popRequest(state.queue_, mayTake);
--- a/src/filters/agentstate.h
+++ b/src/filters/agentstate.h
@@ -35,7 +35,8 @@
     LayerRange layers_;
     TokenIndex firstPosition_;
     std::vector<std::string> inputs_;
-    Rank rank_ = Rank::Standard;
+    //! The engine runs the lowest first.
+    std::uint32_t priority_ = 0;
 };
 
 //! Frees the engine's memory and slot of a stream.
--- a/src/filters/internal/agentfilters.cpp
+++ b/src/filters/internal/agentfilters.cpp
@@ -129,6 +129,13 @@
     return belowFloor ? Rank::Urgent : plan.rank_;
 }
 
+//! Within a rank a stream's first step goes before the others': a caller waits for it.
+std::uint32_t enginePriority(Rank rank, TokenIndex firstPosition)
+{
+    const auto level = static_cast<std::uint32_t>(rank) * 2;
+    return firstPosition.value_ == 0 ? level : level + 1;
+}
+
 FilterVerdict runStep(StepContext &context, const AgentView &, AgentTraffic &state, TimePoint now)
 {
     StepMessage &step = context.step_;
@@ -141,8 +148,9 @@
             = step.firstPosition_.value_ + static_cast<std::uint32_t>(step.inputs_.size());
     ++state.counters_.steps_;
     const Rank rank = engineRank(state, step.plan_, step.inputs_.size());
+    const std::uint32_t priority = enginePriority(rank, step.firstPosition_);
     emit(state, RunStep {step.plan_.request_, step.plan_.epoch_, ownHop(step).layers_,
-                         step.firstPosition_, std::move(step.inputs_), rank});
+                         step.firstPosition_, std::move(step.inputs_), priority});
     return done();
 }
 
--- a/src/filters/internal/entryfilters.cpp
+++ b/src/filters/internal/entryfilters.cpp
@@ -156,11 +156,18 @@
     return state.windows_.emplace(endpoint.endpoint_, window).first->second;
 }
 
+//! Slots that background work leaves free, so that a flood of it keeps nobody else waiting.
+std::uint32_t slotsLeftFree(const EndpointView &endpoint, Rank rank)
+{
+    constexpr std::uint32_t ReservedShare = 8;
+    return rank == Rank::Background ? endpoint.report_.slots_.value_ / ReservedShare : 0;
+}
+
 //! Room in the own window, and a slot that nobody held at the last report.
-bool hasRoomAt(const EndpointView &endpoint, const DispatchWindow &window)
+bool hasRoomAt(const EndpointView &endpoint, const DispatchWindow &window, Rank rank)
 {
     return hasRoom(window)
-            && window.outstanding_ + endpoint.slotsOfOthers_.value_
+            && window.outstanding_ + endpoint.slotsOfOthers_.value_ + slotsLeftFree(endpoint, rank)
                     < endpoint.report_.slots_.value_;
 }
 
@@ -192,7 +199,7 @@
     for (const std::size_t index : found->second) {
         const EndpointView &endpoint = view.endpoints_[index];
         const DispatchWindow &window = windowOf(state, endpoint);
-        if (endpoint.report_.kind_ != EndpointKind::Stage || !hasRoomAt(endpoint, window)
+        if (endpoint.report_.kind_ != EndpointKind::Stage || !hasRoomAt(endpoint, window, context.work_.rank_)
             || !mayUse(context, endpoint))
             continue;
         StageCandidate candidate = stageCandidate(endpoint);
@@ -296,7 +303,7 @@
 {
     std::vector<const EndpointView *> open;
     for (const EndpointView *endpoint : serviceEndpoints(context, view)) {
-        if (hasRoomAt(*endpoint, windowOf(state, *endpoint)))
+        if (hasRoomAt(*endpoint, windowOf(state, *endpoint), context.work_.rank_))
             open.push_back(endpoint);
     }
     if (open.empty())
@@ -312,7 +319,7 @@
 {
     const EndpointView *chosen
             = context.scope_ ? homeEndpoint(context, view) : sampleEndpoint(context, view, state);
-    if (chosen == nullptr || !hasRoomAt(*chosen, windowOf(state, *chosen)))
+    if (chosen == nullptr || !hasRoomAt(*chosen, windowOf(state, *chosen), context.work_.rank_))
         return hold();
     context.route_ = {{chosen->endpoint_, chosen->agent_, {}}};
     emit(state, logEvent(LogLevel::Info,
@@ -420,7 +427,7 @@
                 .has_value();
     if (context.scope_) {
         const EndpointView *home = detail::homeEndpoint(context, view);
-        return home != nullptr && detail::hasRoomAt(*home, detail::windowOf(state, *home));
+        return home != nullptr && detail::hasRoomAt(*home, detail::windowOf(state, *home), context.work_.rank_);
     }
     return detail::sampleEndpoint(context, view, state) != nullptr;
 }
--- a/src/policy/internal/fairqueue.cpp
+++ b/src/policy/internal/fairqueue.cpp
@@ -96,13 +96,19 @@
     return request;
 }
 
-void passTurn(RankQueue &rank)
+//! Lets the next organisation be asked; the front one keeps its turn and its deficit.
+void rotate(RankQueue &rank)
 {
-    rank.organisations_.front().inTurn_ = false;
     rank.organisations_.splice(rank.organisations_.end(), rank.organisations_,
                                rank.organisations_.begin());
 }
 
+void passTurn(RankQueue &rank)
+{
+    rank.organisations_.front().inTurn_ = false;
+    rotate(rank);
+}
+
 //! Callers whose head may not be taken step behind those whose head may.
 bool bringTakeableForward(OrganisationQueue &organisation, const MayTake &mayTake)
 {
@@ -123,8 +129,9 @@
     while (blocked < rank.organisations_.size()) {
         const auto organisation = rank.organisations_.begin();
         if (!bringTakeableForward(*organisation, mayTake)) {
+            //! No new quantum: what could not be spent for lack of room must not add up.
             ++blocked;
-            passTurn(rank);
+            rotate(rank);
             continue;
         }
         blocked = 0;
