Admission by caller and with the time to the first token; floors reach the route

Change: work ahead is counted by callers' turns; the queue's word that a rank is below its floor travels with the request; admission adds the usual time from dispatch to first token (mean and two deviations) to the expected wait.

--- a/lab/fleet.cpp
+++ b/lab/fleet.cpp
@@ -682,9 +682,8 @@
     if (options_.reportLag_ == Duration::zero())
         onLoad(agent.control_, std::move(load));
     else
-        deliver(agent, options_.reportLag_, [&agent, load = std::move(load)] {
-            onLoad(agent.control_, load);
-        });
+        deliver(agent, options_.reportLag_,
+                [&agent, load = std::move(load)] { onLoad(agent.control_, load); });
     deliver(agent, AgentTickInterval, [this, &agent] { tickAgent(agent); });
 }
 
@@ -887,8 +886,8 @@
     --endpoint.running_;
     const RunStep &step = pending.step_;
     const standins::EngineStep engineStep {detail::streamName(step.request_, step.epoch_),
-                                           step.layers_, step.firstPosition_,
-                                           step.priority_, step.inputs_};
+                                           step.layers_, step.firstPosition_, step.priority_,
+                                           step.inputs_};
     if (standins::isPoisoned(endpoint.engine_, engineStep)) {
         runningSteps_[pending.id_] = pending;
         killEndpoint(pending.agent_);
--- a/lab/measure.cpp
+++ b/lab/measure.cpp
@@ -237,6 +237,22 @@
     const std::string name = "urgent." + shape.name_ + ".quote_flood";
     print(report, name + ".admitted_in_time", inTime(pair.ours_, "quote", false),
           Direction::AtLeast, 0.95, inTime(pair.naive_, "quote", false));
+    if (FLAGS_verbose) {
+        std::map<std::string, int> kinds;
+        for (const CallerRecord &record : pair.ours_.records_) {
+            const bool late = !record.tokens_.empty()
+                              && record.firstToken_ - record.sent_ > FirstTokenTarget;
+            const std::string code
+                    = record.code_ ? std::string(refusalCodeName(*record.code_)) : "-";
+            ++kinds["ending=" + std::to_string(static_cast<int>(record.ending_)) + " code=" + code
+                    + " tokens="
+                    + (record.tokens_.empty() ? "no"
+                       : late                 ? "late"
+                                              : "in-time")];
+        }
+        for (const auto &[kind, count] : kinds)
+            std::cerr << kind << " count=" << count << "\n";
+    }
     std::uint64_t refused = 0;
     std::uint64_t early = 0;
     std::uint64_t whole = 0;
--- a/src/controllers/internal/routingview.cpp
+++ b/src/controllers/internal/routingview.cpp
@@ -52,8 +52,8 @@
         const EndpointState state = effectiveState(member);
         const std::size_t at = view.endpoints_.size();
         view.endpoints_.push_back({endpoint, heartbeat.instance_, heartbeat.domain_,
-                                   heartbeat.agent_, state, heartbeat.report_, detail::slotsOfOthers(heartbeat),
-                                   heartbeat.claimsThrough_});
+                                   heartbeat.agent_, state, heartbeat.report_,
+                                   detail::slotsOfOthers(heartbeat), heartbeat.claimsThrough_});
         view.byEndpoint_.emplace(endpoint, at);
         view.claimsThrough_ = std::max(view.claimsThrough_, heartbeat.claimsThrough_);
         detail::addLinks(view.links_, heartbeat);
--- a/src/entry/internal/traffic.cpp
+++ b/src/entry/internal/traffic.cpp
@@ -108,8 +108,8 @@
     //! Busy says nothing against the request: the window narrows instead.
     const bool unbounded = begun || refusal.code_ == RefusalCode::Busy;
     const bool allowed = unbounded ? now < deadline
-                               : takeRetry(state.retryBudget_, state.limits_.retry_,
-                                           context.attempts_, deadline, now);
+                                   : takeRetry(state.retryBudget_, state.limits_.retry_,
+                                               context.attempts_, deadline, now);
     if (allowed) {
         delayRetry(state, context, now);
         return;
@@ -147,6 +147,7 @@
                 return true;
             std::erase_if(context->avoid_,
                           [&](const AvoidedEndpoint &avoided) { return avoided.until_ <= now; });
+            context->belowFloor_ = isBelowFloor(state.queue_, context->work_.rank_);
             const bool shared = !context->scope_ && context->avoid_.empty();
             if (!shared)
                 return canRoute(*context, view, state);
@@ -426,6 +427,9 @@
     if (context == nullptr || context->phase_ != RequestPhase::Streaming
         || context->epoch_ != token.epoch_ || context->tokens_.size() != token.index_.value_)
         return;
+    if (context->tokens_.empty())
+        countService(state.serviceTimes_[static_cast<std::size_t>(context->work_.rank_)],
+                     now - context->progressAt_);
     context->tokens_.push_back(token.text_);
     context->progressAt_ = now;
     ++state.counters_.tokens_;
--- a/src/filters/entrystate.h
+++ b/src/filters/entrystate.h
@@ -67,6 +67,8 @@
     Template work_;
     Fingerprint fingerprint_;
     bool suspect_ = false;
+    //! Its rank was below its floor when the queue last asked for it.
+    bool belowFloor_ = false;
     std::optional<IdempotencyScope> scope_;
     TokenIndex maxTokens_;
     Tokens cost_;
@@ -194,8 +196,8 @@
     FairQueue queue_;
     std::unordered_map<RequestId, RequestContext> requests_;
     std::unordered_map<EndpointId, DispatchWindow> windows_;
-    std::array<DrainRate, RankCount> drains_;
     DrainRate drain_;
+    std::array<ServiceTime, RankCount> serviceTimes_;
     RetryBudget retryBudget_;
     std::unordered_map<std::string, RateBucket> buckets_;
     //! Requests since the last report to control, per organisation.
--- a/src/filters/internal/entryfilters.cpp
+++ b/src/filters/internal/entryfilters.cpp
@@ -130,9 +130,10 @@
                       TimePoint now)
 {
     if (context.work_.kind_ == TemplateKind::Model) {
-        const Tokens ahead = workAhead(state.queue_, context.work_.rank_, context.organisation_,
-                                       context.weight_);
-        const AdmissionVerdict verdict = admit(state.drain_, ahead, context.work_.patience_);
+        const Tokens ahead = workAhead(state.queue_, queuedForm(context));
+        const auto rank = static_cast<std::size_t>(context.work_.rank_);
+        const AdmissionVerdict verdict
+                = admit(state.drain_, ahead, state.serviceTimes_[rank], context.work_.patience_);
         if (!verdict.admitted_)
             return refuse(RefusalCode::Overloaded,
                           "the expected wait is beyond the template's patience",
@@ -157,18 +158,20 @@
 }
 
 //! Slots that background work leaves free, so that a flood of it keeps nobody else waiting.
-std::uint32_t slotsLeftFree(const EndpointView &endpoint, Rank rank)
+std::uint32_t slotsLeftFree(const RequestContext &context, const EndpointView &endpoint)
 {
     constexpr std::uint32_t ReservedShare = 8;
-    return rank == Rank::Background ? endpoint.report_.slots_.value_ / ReservedShare : 0;
+    const bool flooding = context.work_.rank_ == Rank::Background && !context.belowFloor_;
+    return flooding ? endpoint.report_.slots_.value_ / ReservedShare : 0;
 }
 
 //! Room in the own window, and a slot that nobody held at the last report.
-bool hasRoomAt(const EndpointView &endpoint, const DispatchWindow &window, Rank rank)
+bool hasRoomAt(const RequestContext &context, const EndpointView &endpoint,
+               const DispatchWindow &window)
 {
-    return hasRoom(window)
-            && window.outstanding_ + endpoint.slotsOfOthers_.value_ + slotsLeftFree(endpoint, rank)
-                    < endpoint.report_.slots_.value_;
+    const std::uint32_t held = window.outstanding_ + endpoint.slotsOfOthers_.value_
+                               + slotsLeftFree(context, endpoint);
+    return hasRoom(window) && held < endpoint.report_.slots_.value_;
 }
 
 bool mayUse(const RequestContext &context, const EndpointView &endpoint)
@@ -183,8 +186,7 @@
 Duration stepCost(const EndpointView &endpoint, const DispatchWindow &window)
 {
     const double slots = std::max<double>(1.0, endpoint.report_.slots_.value_);
-    const double load
-            = (window.outstanding_ + endpoint.slotsOfOthers_.value_) / slots;
+    const double load = (window.outstanding_ + endpoint.slotsOfOthers_.value_) / slots;
     const double cost = static_cast<double>(endpoint.report_.costPerToken_.count()) * (1.0 + load);
     return Duration(static_cast<std::int64_t>(cost) + 1);
 }
@@ -199,7 +201,7 @@
     for (const std::size_t index : found->second) {
         const EndpointView &endpoint = view.endpoints_[index];
         const DispatchWindow &window = windowOf(state, endpoint);
-        if (endpoint.report_.kind_ != EndpointKind::Stage || !hasRoomAt(endpoint, window, context.work_.rank_)
+        if (endpoint.report_.kind_ != EndpointKind::Stage || !hasRoomAt(context, endpoint, window)
             || !mayUse(context, endpoint))
             continue;
         StageCandidate candidate = stageCandidate(endpoint);
@@ -303,7 +305,7 @@
 {
     std::vector<const EndpointView *> open;
     for (const EndpointView *endpoint : serviceEndpoints(context, view)) {
-        if (hasRoomAt(*endpoint, windowOf(state, *endpoint), context.work_.rank_))
+        if (hasRoomAt(context, *endpoint, windowOf(state, *endpoint)))
             open.push_back(endpoint);
     }
     if (open.empty())
@@ -319,7 +321,7 @@
 {
     const EndpointView *chosen
             = context.scope_ ? homeEndpoint(context, view) : sampleEndpoint(context, view, state);
-    if (chosen == nullptr || !hasRoomAt(*chosen, windowOf(state, *chosen), context.work_.rank_))
+    if (chosen == nullptr || !hasRoomAt(context, *chosen, windowOf(state, *chosen)))
         return hold();
     context.route_ = {{chosen->endpoint_, chosen->agent_, {}}};
     emit(state, logEvent(LogLevel::Info,
@@ -427,7 +429,7 @@
                 .has_value();
     if (context.scope_) {
         const EndpointView *home = detail::homeEndpoint(context, view);
-        return home != nullptr && detail::hasRoomAt(*home, detail::windowOf(state, *home), context.work_.rank_);
+        return home != nullptr && detail::hasRoomAt(context, *home, detail::windowOf(state, *home));
     }
     return detail::sampleEndpoint(context, view, state) != nullptr;
 }
--- a/src/policy/admission.h
+++ b/src/policy/admission.h
@@ -22,6 +22,19 @@
 //! Time until work that stands ahead is served; zero while the rate is not known.
 Duration expectedWait(const DrainRate &rate, Tokens ahead);
 
+//! Time from dispatch to the first token, as it was lately: mean and mean deviation.
+struct ServiceTime
+{
+    Duration mean_ {};
+    Duration deviation_ {};
+    bool known_ = false;
+};
+
+void countService(ServiceTime &service, Duration measured);
+
+//! Time that nearly all dispatched requests need to their first token; zero while not known.
+Duration usualService(const ServiceTime &service);
+
 //! Verdict on a new request.
 struct AdmissionVerdict
 {
@@ -30,7 +43,9 @@
     Duration retryAfter_ {};
 };
 
-//! Refuses when the expected wait is beyond the patience.
-AdmissionVerdict admit(const DrainRate &rate, Tokens ahead, Duration patience);
+//! Refuses when the expected wait and the service after it are beyond the patience. Work that
+//! begins at once is never refused.
+AdmissionVerdict admit(const DrainRate &rate, Tokens ahead, const ServiceTime &service,
+                       Duration patience);
 
 } // namespace gypsumcroft
--- a/src/policy/fairqueue.h
+++ b/src/policy/fairqueue.h
@@ -97,8 +97,10 @@
 //! more urgent than rank.
 std::optional<QueuedRequest> dropForRoom(FairQueue &queue, Rank rank);
 
-//! Work that stands before a new request of this rank and organisation, in tokens.
-Tokens workAhead(const FairQueue &queue, Rank rank, const OrganisationId &organisation,
-                 std::uint32_t weight);
+//! Work that stands before a new request of this caller, in tokens.
+Tokens workAhead(const FairQueue &queue, const QueuedRequest &request);
+
+//! True when the rank has requests and was served less than its floor lately.
+bool isBelowFloor(const FairQueue &queue, Rank rank);
 
 } // namespace gypsumcroft
--- a/src/policy/internal/admission.cpp
+++ b/src/policy/internal/admission.cpp
@@ -10,6 +10,8 @@
 constexpr double RateSmoothing = 0.3;
 constexpr Duration MinRetryAfter = std::chrono::seconds(1);
 constexpr double MicrosPerSecond = 1e6;
+constexpr int ServiceSmoothing = 16;
+constexpr int ServiceDeviations = 2;
 
 } // namespace detail
 
@@ -40,13 +42,31 @@
     return Duration(static_cast<std::int64_t>(seconds * detail::MicrosPerSecond));
 }
 
-AdmissionVerdict admit(const DrainRate &rate, Tokens ahead, Duration patience)
+void countService(ServiceTime &service, Duration measured)
+{
+    if (!service.known_) {
+        service = {measured, measured / 2, true};
+        return;
+    }
+    const Duration off = measured - service.mean_;
+    service.mean_ += off / detail::ServiceSmoothing;
+    service.deviation_ += (std::chrono::abs(off) - service.deviation_) / detail::ServiceSmoothing;
+}
+
+Duration usualService(const ServiceTime &service)
+{
+    return service.mean_ + detail::ServiceDeviations * service.deviation_;
+}
+
+AdmissionVerdict admit(const DrainRate &rate, Tokens ahead, const ServiceTime &service,
+                       Duration patience)
 {
     AdmissionVerdict verdict;
     verdict.expectedWait_ = expectedWait(rate, ahead);
-    verdict.admitted_ = verdict.expectedWait_ <= patience;
+    const Duration allowed = std::max(Duration::zero(), patience - usualService(service));
+    verdict.admitted_ = verdict.expectedWait_ <= allowed;
     if (!verdict.admitted_)
-        verdict.retryAfter_ = std::max(detail::MinRetryAfter, verdict.expectedWait_ - patience);
+        verdict.retryAfter_ = std::max(detail::MinRetryAfter, verdict.expectedWait_ - allowed);
     return verdict;
 }
 
--- a/src/policy/internal/fairqueue.cpp
+++ b/src/policy/internal/fairqueue.cpp
@@ -150,15 +150,9 @@
 //! Ranks in the order in which they are asked: those below their floor, then by urgency.
 std::array<std::size_t, RankCount> rankOrder(const FairQueue &queue)
 {
-    double total = 0;
-    for (const double served : queue.served_)
-        total += served;
     std::array<std::size_t, RankCount> order {};
     std::size_t count = 0;
-    const auto belowFloor = [&](std::size_t rank) {
-        return queue.floors_[rank].value_ > 0 && queue.ranks_[rank].size_ > 0
-               && queue.served_[rank] * 1000.0 < total * queue.floors_[rank].value_;
-    };
+    const auto belowFloor = [&](std::size_t rank) { return isBelowFloor(queue, AllRanks[rank]); };
     for (std::size_t rank = 0; rank < RankCount; ++rank) {
         if (belowFloor(rank))
             order[count++] = rank;
@@ -170,6 +164,21 @@
     return order;
 }
 
+//! Callers take turns by requests: before the next of one, the others are served as often at most.
+std::int64_t workAheadOfCaller(const OrganisationQueue &organisation, const CallerId &caller)
+{
+    const auto own = organisation.byCaller_.find(caller);
+    const std::size_t turns
+            = own == organisation.byCaller_.end() ? 0 : own->second->requests_.size();
+    std::int64_t ahead = 0;
+    for (const CallerQueue &other : organisation.callers_) {
+        const std::size_t most = other.caller_ == caller ? turns : turns + 1;
+        for (std::size_t i = 0; i < std::min(most, other.requests_.size()); ++i)
+            ahead += other.requests_[i].work_.value_;
+    }
+    return ahead;
+}
+
 void countServed(FairQueue &queue, const QueuedRequest &request)
 {
     queue.served_[rankIndex(request.rank_)] += static_cast<double>(request.work_.value_);
@@ -285,25 +294,40 @@
     return std::nullopt;
 }
 
-Tokens workAhead(const FairQueue &queue, Rank rank, const OrganisationId &organisation,
-                 std::uint32_t weight)
+Tokens workAhead(const FairQueue &queue, const QueuedRequest &request)
 {
+    const std::size_t rank = detail::rankIndex(request.rank_);
     std::int64_t ahead = 0;
-    for (std::size_t index = 0; index < detail::rankIndex(rank); ++index)
+    for (std::size_t index = 0; index < rank; ++index)
         ahead += queue.ranks_[index].work_;
-    const detail::RankQueue &own = queue.ranks_[detail::rankIndex(rank)];
-    const auto mine = own.byOrganisation_.find(organisation);
-    const std::int64_t ownWork = mine == own.byOrganisation_.end() ? 0 : mine->second->work_;
+    const detail::RankQueue &queued = queue.ranks_[rank];
+    const auto mine = queued.byOrganisation_.find(request.organisation_);
+    const std::int64_t own = mine == queued.byOrganisation_.end()
+                                     ? 0
+                                     : detail::workAheadOfCaller(*mine->second, request.caller_);
     //! While the own work is served, each other organisation gets its share beside it at most.
+    const std::int64_t turn = std::max<std::int64_t>(own, detail::Quantum * request.weight_);
     std::int64_t others = 0;
-    const std::int64_t turn = std::max<std::int64_t>(ownWork, detail::Quantum * weight);
-    for (const detail::OrganisationQueue &other : own.organisations_) {
-        if (other.organisation_ == organisation)
+    for (const detail::OrganisationQueue &other : queued.organisations_) {
+        if (other.organisation_ == request.organisation_)
             continue;
-        const std::int64_t fair = turn * other.weight_ / std::max<std::uint32_t>(weight, 1);
+        const std::int64_t fair
+                = turn * other.weight_ / std::max<std::uint32_t>(request.weight_, 1);
         others += std::min(fair, other.work_);
     }
-    return {ahead + ownWork + others};
+    return {ahead + own + others};
+}
+
+bool isBelowFloor(const FairQueue &queue, Rank rank)
+{
+    constexpr double Whole = 1000;
+    const std::size_t index = detail::rankIndex(rank);
+    if (queue.floors_[index].value_ == 0 || queue.ranks_[index].size_ == 0)
+        return false;
+    double total = 0;
+    for (const double served : queue.served_)
+        total += served;
+    return queue.served_[index] * Whole < total * queue.floors_[index].value_;
 }
 
 } // namespace gypsumcroft
--- a/src/policy/tests/tst_limits.cpp
+++ b/src/policy/tests/tst_limits.cpp
@@ -108,7 +108,7 @@
     rate.tokensPerSecond_ = sample.tokensPerSecond_;
     rate.known_ = sample.known_;
     const auto verdict
-            = admit(rate, {sample.ahead_}, std::chrono::milliseconds(sample.patienceMs_));
+            = admit(rate, {sample.ahead_}, {}, std::chrono::milliseconds(sample.patienceMs_));
     BOOST_TEST(verdict.admitted_ == sample.admitted_);
     BOOST_TEST(verdict.expectedWait_.count() == sample.waitMs_ * 1000);
     BOOST_TEST((verdict.retryAfter_ > Duration::zero()) == !sample.admitted_);
--- a/src/policy/tests/tst_routeplan.cpp
+++ b/src/policy/tests/tst_routeplan.cpp
@@ -12,7 +12,8 @@
 StageCandidate stage(const std::string &name, std::uint32_t first, std::uint32_t end,
                      std::int64_t cost, std::uint32_t layers = 8, const std::string &version = "1")
 {
-    return {{name}, {"127.0.0.1", 1}, {version}, {{first}, {end}}, {layers},   Duration(cost),   Duration(cost)};
+    return {{name},   {"127.0.0.1", 1}, {version},     {{first}, {end}},
+            {layers}, Duration(cost),   Duration(cost)};
 }
 
 struct PlanCase
--- a/src/wire/internal/codec.cpp
+++ b/src/wire/internal/codec.cpp
@@ -128,8 +128,8 @@
 void serialize(Archive &archive, HeartbeatMessage &heartbeat)
 {
     archive(heartbeat.endpoint_, heartbeat.instance_, heartbeat.domain_, heartbeat.agent_,
-            heartbeat.incarnation_, heartbeat.sequence_, heartbeat.state_, heartbeat.report_, heartbeat.slotsOfReceiver_,
-            heartbeat.links_, heartbeat.claimsThrough_);
+            heartbeat.incarnation_, heartbeat.sequence_, heartbeat.state_, heartbeat.report_,
+            heartbeat.slotsOfReceiver_, heartbeat.links_, heartbeat.claimsThrough_);
 }
 
 template <typename Archive>
