Admission promises half of the spare time; late first tokens count

Of 3300 some 345 were dispatched and had no token by their deadline: the service time left those out, so it flattered the rest, and every millisecond of spare time was promised to the queue. Change: a first token that did not come counts with the time it was waited for; the expected wait may take half of the patience that the service leaves.

--- a/src/entry/internal/traffic.cpp
+++ b/src/entry/internal/traffic.cpp
@@ -211,6 +211,9 @@
 {
     const bool begun = !context.tokens_.empty();
     if (!begun && now >= context.deadline_) {
+        //! A service time that was cut short counts too; leaving it out would flatter the rest.
+        countService(state.serviceTimes_[static_cast<std::size_t>(context.work_.rank_)],
+                     now - context.progressAt_);
         endWithRefusal(state, context,
                        {RefusalCode::Expired, RunState::Unknown,
                         "no token within the template's patience", std::chrono::seconds(1)},
--- a/src/policy/internal/admission.cpp
+++ b/src/policy/internal/admission.cpp
@@ -12,6 +12,7 @@
 constexpr double MicrosPerSecond = 1e6;
 constexpr int ServiceSmoothing = 16;
 constexpr int ServiceDeviations = 2;
+constexpr int WaitMargin = 2;
 
 } // namespace detail
 
@@ -63,7 +64,9 @@
 {
     AdmissionVerdict verdict;
     verdict.expectedWait_ = expectedWait(rate, ahead);
-    const Duration allowed = std::max(Duration::zero(), patience - usualService(service));
+    //! Waits spread about their expectation, so only a part of the spare time is promised away.
+    const Duration spare = std::max(Duration::zero(), patience - usualService(service));
+    const Duration allowed = spare / detail::WaitMargin;
     verdict.admitted_ = verdict.expectedWait_ <= allowed;
     if (!verdict.admitted_)
         verdict.retryAfter_ = std::max(detail::MinRetryAfter, verdict.expectedWait_ - allowed);
