--- /dev/null
+++ b/src/agent/tests/tst_traffic.cpp
@@ -0,0 +1,178 @@
+//! The agent's traffic core: which steps run, and what a refusal says.
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "agent/traffic.h"
+
+using namespace gypsumcroft;
+
+namespace {
+
+constexpr TimePoint Start {std::chrono::seconds(100)};
+
+AgentView readyView(EndpointState state = EndpointState::Ready)
+{
+    AgentView view;
+    view.state_ = state;
+    view.endpointLife_ = 1;
+    view.report_.kind_ = EndpointKind::Stage;
+    view.report_.layers_ = {{0}, {4}};
+    view.report_.slots_ = {2};
+    return view;
+}
+
+StepMessage step(std::uint32_t epoch, std::uint32_t position, const char *request = "r")
+{
+    StepMessage message;
+    message.plan_.request_ = {request};
+    message.plan_.epoch_ = {epoch};
+    message.plan_.entry_ = {"entry", 1};
+    message.plan_.route_ = {{{"a"}, {"a", 1}, {{0}, {4}}}, {{"b"}, {"b", 1}, {{4}, {8}}}};
+    message.plan_.maxTokens_ = {8};
+    message.firstPosition_ = {position};
+    message.inputs_ = {"x"};
+    return message;
+}
+
+template <typename Effect>
+std::size_t countEffects(const AgentTraffic &state)
+{
+    std::size_t count = 0;
+    for (const AgentEffect &effect : state.effects_)
+        count += std::holds_alternative<Effect>(effect) ? 1 : 0;
+    return count;
+}
+
+std::size_t countRefusals(const AgentTraffic &state, RunState run)
+{
+    std::size_t count = 0;
+    for (const AgentEffect &effect : state.effects_) {
+        const auto *send = std::get_if<SendMessage>(&effect);
+        const auto *failed
+                = send == nullptr ? nullptr : std::get_if<StreamFailedMessage>(&send->message_);
+        count += failed != nullptr && failed->run_ == run ? 1 : 0;
+    }
+    return count;
+}
+
+AgentTraffic newState()
+{
+    AgentTraffic state;
+    state.self_ = {"a"};
+    state.address_ = {"a", 1};
+    return state;
+}
+
+void answer(AgentTraffic &state, const AgentView &view, std::uint32_t epoch, std::uint32_t position)
+{
+    onStepResult(state, view, {{"r"}, {epoch}, {position}, {"y"}, false, {}, false, false}, Start);
+}
+
+//! A step that arrives after epoch 1 ran position 0 and was answered.
+struct StepCase
+{
+    const char *name_;
+    std::uint32_t epoch_;
+    std::uint32_t position_;
+    std::size_t runs_;
+    std::size_t forwards_;
+};
+
+const StepCase StepCases[] = {
+        {"the next position runs", 1, 1, 1, 0},
+        {"a repeated step gets the kept answer", 1, 0, 0, 1},
+        {"a gap is dropped", 1, 2, 0, 0},
+        {"an older epoch is dropped", 0, 0, 0, 0},
+        {"a newer epoch begins anew", 2, 0, 1, 0},
+        {"a newer epoch without its prefill is dropped", 2, 1, 0, 0},
+};
+
+std::ostream &operator<<(std::ostream &out, const StepCase &test)
+{
+    return out << test.name_;
+}
+
+struct OpenCase
+{
+    const char *name_;
+    EndpointState state_;
+    std::uint64_t endedLife_;
+    std::size_t runs_;
+    std::size_t notRun_;
+};
+
+const OpenCase OpenCases[] = {
+        {"ready", EndpointState::Ready, 0, 1, 0},
+        {"leaving", EndpointState::Leaving, 0, 0, 1},
+        {"down", EndpointState::Down, 0, 0, 1},
+        {"starting", EndpointState::Starting, 0, 0, 1},
+        {"its endpoint died under traffic", EndpointState::Ready, 1, 0, 1},
+};
+
+std::ostream &operator<<(std::ostream &out, const OpenCase &test)
+{
+    return out << test.name_;
+}
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(eachStepRunsOnce, StepCases)
+{
+    AgentTraffic state = newState();
+    const AgentView view = readyView();
+    onStep(state, view, step(1, 0), Start);
+    answer(state, view, 1, 0);
+    state.effects_.clear();
+    onStep(state, view, step(sample.epoch_, sample.position_), Start);
+    BOOST_TEST(countEffects<RunStep>(state) == sample.runs_);
+    BOOST_TEST(countEffects<SendMessage>(state) == sample.forwards_);
+}
+
+BOOST_DATA_TEST_CASE(onlyAReadyEndpointOpensStreams, OpenCases)
+{
+    AgentTraffic state = newState();
+    state.endedLife_ = sample.endedLife_;
+    onStep(state, readyView(sample.state_), step(1, 0), Start);
+    BOOST_TEST(countEffects<RunStep>(state) == sample.runs_);
+    BOOST_TEST(countRefusals(state, RunState::NotRun) == sample.notRun_);
+    //! A late repeat of a refused step must not run: the refusal said so.
+    onStep(state, readyView(), step(1, 0), Start);
+    BOOST_TEST(countEffects<RunStep>(state) == sample.runs_);
+}
+
+BOOST_AUTO_TEST_CASE(aLeavingAgentGoesOnWithItsStreams)
+{
+    AgentTraffic state = newState();
+    onStep(state, readyView(), step(1, 0), Start);
+    answer(state, readyView(), 1, 0);
+    state.effects_.clear();
+    onStep(state, readyView(EndpointState::Leaving), step(1, 1), Start);
+    BOOST_TEST(countEffects<RunStep>(state) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(waitingStepsAreRefusedWhenNoSlotComesFree)
+{
+    AgentTraffic state = newState();
+    const AgentView view = readyView();
+    for (const char *name : {"r1", "r2", "r3"})
+        onStep(state, view, step(1, 0, name), Start);
+    BOOST_TEST(countEffects<RunStep>(state) == 2U);
+    BOOST_TEST(state.backlog_.size() == 1U);
+    onTick(state, view, Start + std::chrono::seconds(1));
+    BOOST_TEST(countRefusals(state, RunState::NotRun) == 1U);
+    BOOST_TEST(state.backlog_.empty());
+}
+
+BOOST_AUTO_TEST_CASE(endedStreamsAreForgottenInTheEnd)
+{
+    AgentTraffic state = newState();
+    const AgentView view = readyView();
+    onStep(state, view, step(1, 0), Start);
+    onEndStream(state, view, {{"r"}, {1}}, Start);
+    BOOST_TEST(countEffects<CancelEngineStream>(state) == 1U);
+    BOOST_TEST(isIdle(state));
+    BOOST_TEST(state.ended_.size() == 1U);
+    onTick(state, view, Start + std::chrono::minutes(2));
+    BOOST_TEST(state.ended_.empty());
+    BOOST_TEST(state.endedOrder_.empty());
+}
--- a/src/policy/internal/admission.cpp
+++ b/src/policy/internal/admission.cpp
@@ -12,7 +12,7 @@
 constexpr double MicrosPerSecond = 1e6;
 constexpr int ServiceSmoothing = 16;
 constexpr int ServiceDeviations = 2;
-constexpr int WaitMargin = 2;
+constexpr Duration MaxWaitMargin = std::chrono::milliseconds(150);
 
 } // namespace detail
 
@@ -66,7 +66,7 @@
     verdict.expectedWait_ = expectedWait(rate, ahead);
     //! Waits spread about their expectation, so only a part of the spare time is promised away.
     const Duration spare = std::max(Duration::zero(), patience - usualService(service));
-    const Duration allowed = spare / detail::WaitMargin;
+    const Duration allowed = spare - std::min(spare / 2, detail::MaxWaitMargin);
     verdict.admitted_ = verdict.expectedWait_ <= allowed;
     if (!verdict.admitted_)
         verdict.retryAfter_ = std::max(detail::MinRetryAfter, verdict.expectedWait_ - allowed);
