--- a/lab/fleet.h
+++ b/lab/fleet.h
@@ -229,7 +229,7 @@
     void resetAgent(AgentNode &agent);
 
     void appendToLog(Node &node, const std::string &stream, const std::string &text,
-                     std::function<void(bool ok)> done);
+                     const std::function<void(bool ok)> &done);
     void wakeReaders();
     void pollConfig(EntryNode &entry);
     void pollClaims(AgentNode &agent);
--- a/lab/processdriver.cpp
+++ b/lab/processdriver.cpp
@@ -201,6 +201,7 @@
     std::vector<std::string> words = {fleet_.child("entry-1").command_[0], "publish", "--log",
                                       log.host_ + ":" + std::to_string(log.port_), file};
     std::vector<char *> arguments;
+    arguments.reserve(words.size() + 1);
     for (std::string &word : words)
         arguments.push_back(word.data());
     arguments.push_back(nullptr);
--- a/src/core/units.h
+++ b/src/core/units.h
@@ -18,7 +18,7 @@
     using rep = duration::rep;
     using period = duration::period;
     using time_point = std::chrono::time_point<DecisionClock>;
-    static constexpr bool is_steady = true;
+    static constexpr bool is_steady = true; // NOLINT(readability-identifier-naming): std's name
 };
 using TimePoint = DecisionClock::time_point;
 
--- /dev/null
+++ b/src/documents/tests/tst_documents.cpp
@@ -0,0 +1,105 @@
+//! Documents: every fault is found at once and with its place; what is written can be read.
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "documents/configdocuments.h"
+#include "documents/settings.h"
+
+using namespace gypsumcroft;
+
+namespace {
+
+struct DocumentCase
+{
+    const char *name_;
+    const char *text_;
+    //! Places of the findings, joined by spaces.
+    const char *places_;
+};
+
+const DocumentCase DocumentCases[] = {
+        {"good fleet", R"({"type":"fleet","floorsPerMille":{"standard":200}})", ""},
+        {"not JSON", R"({"type":)", "f:1"},
+        {"no type", "{}", "f/type"},
+        {"unknown type", R"({"type":"x"})", "f/type"},
+        {"all faults of a template",
+         R"({"type":"template","name":"x y","kind":"m","rank":"urgent","patienceMs":"1",)"
+         R"("repeat":"safe","zzz":1})",
+         "f/kind f/target f/patienceMs f/zzz f/name"},
+        {"parameter out of bounds",
+         R"({"type":"template","name":"q","kind":"model","target":"m","rank":"urgent",)"
+         R"("patienceMs":5,"repeat":"safe","parameters":{"maxTokens":)"
+         R"({"default":9,"minimum":1,"maximum":8}}})",
+         "f/parameters/maxTokens/default"},
+        {"floors above the whole",
+         R"({"type":"fleet","floorsPerMille":{"urgent":600,"standard":600}})", "f/floorsPerMille"},
+        {"bad key hash", R"({"type":"organisation","organisation":"o","apiKeyHashes":["ab",1]})",
+         "f/apiKeyHashes/1 f/apiKeyHashes/0"},
+};
+
+std::ostream &operator<<(std::ostream &out, const DocumentCase &test)
+{
+    return out << test.name_;
+}
+
+const DocumentCase SettingsCases[] = {
+        {"everything missing", "{}",
+         "s/role s/instance s/failureDomain s/mesh s/operators s/platform s/callers"},
+        {"wrong types",
+         R"({"role":"entry","instance":1,"failureDomain":"a","mesh":"localhost:1",)"
+         R"("callers":"127.0.0.1","operators":{"address":"127.0.0.1:1","token":""},)"
+         R"("platform":{"log":"127.0.0.1:2"},"trafficThreads":0})",
+         "s/instance s/mesh s/operators/token s/trafficThreads s/callers"},
+};
+
+std::string placesOf(const Findings &findings)
+{
+    std::string places;
+    for (const Finding &finding : findings)
+        places += (places.empty() ? "" : " ") + finding.place_;
+    return places;
+}
+
+const ClaimBatch AllRecords
+        = {Claim {{1, 2}, {3}, {0xffffffffffffffff}, {"e"}, {5}, std::chrono::hours(1)},
+           ClaimOutcome {{1, 2}, {3}, {200, "{\"a\":\"b\"}"}}, ClaimRelease {{1, 2}, {3}},
+           AttemptCancel {{1, 2}, {4}}};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(allFindingsOfADocument, DocumentCases)
+{
+    Findings findings;
+    const auto document = decodeDocument(sample.text_, "f", findings);
+    BOOST_TEST(placesOf(findings) == sample.places_);
+    BOOST_TEST(document.has_value() == findings.empty());
+    if (!document)
+        return;
+    Findings again;
+    const auto copy = decodeDocument(encodeDocument(*document), "f", again);
+    BOOST_TEST((copy == document));
+}
+
+BOOST_DATA_TEST_CASE(allFindingsOfSettings, SettingsCases)
+{
+    Findings findings;
+    decodeSettings(sample.text_, "s", findings);
+    BOOST_TEST(placesOf(findings) == sample.places_);
+}
+
+BOOST_AUTO_TEST_CASE(claimRecordsSurviveTheirEncoding)
+{
+    const auto read = decodeClaimBatch(encodeClaimBatch(AllRecords));
+    BOOST_REQUIRE(read.has_value());
+    BOOST_TEST(encodeClaimBatch(*read) == encodeClaimBatch(AllRecords));
+    BOOST_TEST(read->size() == AllRecords.size());
+    BOOST_TEST((std::get<Claim>(read->front()).attempt_ == AttemptId {0xffffffffffffffff}));
+    for (const char *bad : {"", "{}", "[1]", "[{}]", R"([{"claim":"12"}])"})
+        BOOST_TEST(!decodeClaimBatch(bad).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(malformedConfigRecordsAreSkippedNotThrown)
+{
+    for (const char *bad : {"", "[]", "{}", R"({"record":"publish"})", R"({"record":"x"})"})
+        BOOST_TEST(std::holds_alternative<MalformedRecord>(decodeConfigRecord(bad)));
+}
--- a/src/http/internal/server.cpp
+++ b/src/http/internal/server.cpp
@@ -230,10 +230,23 @@
                 co_return false;
             buffer.commit(size);
         }
-        connection.stream_.expires_after(self.options_.readTimeout_);
+        //! The stream's own timeout would close it before the sender is told.
+        connection.stream_.expires_never();
+        const auto limit = std::make_shared<asio::steady_timer>(connection.stream_.get_executor(),
+                                                                self.options_.readTimeout_);
+        const auto timedOut = std::make_shared<bool>(false);
+        limit->async_wait([limit, timedOut, self = connection.shared_from_this()](
+                                  boost::system::error_code cancelled) {
+            boost::system::error_code ignored;
+            *timedOut = !cancelled;
+            if (!cancelled)
+                self->stream_.socket().cancel(ignored);
+        });
         co_await beast::http::async_read(connection.stream_, buffer, parser,
                                          asio::redirect_error(asio::use_awaitable, error));
-        connection.stream_.expires_never();
+        limit->cancel();
+        if (*timedOut)
+            error = beast::error::timeout;
         if (!error)
             co_return true;
         co_await refuseUnread(connection, error);
