--- a/lab/bench.cpp
+++ b/lab/bench.cpp
@@ -103,6 +103,7 @@
                                            },
                                            1000));
     std::vector<SubsetMember> all;
+    all.reserve(static_cast<std::size_t>(members));
     for (int i = 0; i < members; ++i)
         all.push_back({{"stage-" + std::to_string(i)}, {"d" + std::to_string(i % 9)}});
     print("subset_us" + suffix, microseconds([&] { pickSubset({"entry"}, all, 48); }, rounds));
