Measure configuration and recovery of booking on processes

Change: measure-processes publishes twenty times and polls every entry; it kills an agent and takes the log away and books until it works again. Measured: not run yet.

--- a/lab/measureprocesses.cpp
+++ b/lab/measureprocesses.cpp
@@ -1,5 +1,7 @@
 //! Measures the path over real processes on this machine. Prints a line a figure; no bounds, for
 //! absolute times depend on the machine.
+#include <signal.h>
+
 #include <algorithm>
 #include <iostream>
 
@@ -167,6 +169,86 @@
     print(name + ".latency_ms.p99", percentile(times, 0.99));
 }
 
+std::uint64_t configThrough(ProcessFleet &fleet, ProcessDriver &driver, const std::string &entry)
+{
+    http::HttpRequest request;
+    request.path_ = "/v1/config";
+    request.headers_["Authorization"] = "Bearer " + fleet.token();
+    const auto result = driver.ask(fleet.child(entry).operators_, request);
+    if (!result.response_ || result.response_->status_ != 200)
+        return 0;
+    const auto value = boost::json::parse(result.response_->body_);
+    return value.at("through").to_number<std::uint64_t>();
+}
+
+//! Time from the start of 'publish' until every entry shows the new offset.
+void measureConfiguration(ProcessFleet &fleet, ProcessDriver &driver)
+{
+    constexpr std::uint32_t Publications = 20;
+    std::vector<double> times;
+    for (std::uint32_t i = 0; i < Publications; ++i) {
+        const std::uint64_t before = configThrough(fleet, driver, "entry-1");
+        const TimePoint begin = driver.now();
+        driver.publishAsync(quoteDocument(100 + i), "measure-" + std::to_string(i));
+        const bool everywhere = driver.runUntil(
+                [&] {
+                    const auto names = fleet.names("entry-");
+                    return std::all_of(names.begin(), names.end(), [&](const std::string &name) {
+                        return configThrough(fleet, driver, name) > before;
+                    });
+                },
+                std::chrono::seconds(10));
+        if (everywhere)
+            times.push_back(toMilliseconds(driver.now() - begin));
+        driver.runUntil(
+                [&] {
+                    driver.reapPublishers();
+                    return driver.publishers_.empty();
+                },
+                std::chrono::seconds(10));
+    }
+    print("configuration.in_force_everywhere", static_cast<double>(times.size()));
+    if (times.empty())
+        return;
+    print("configuration.in_force_ms.median", percentile(times, 0.5));
+    print("configuration.in_force_ms.worst", percentile(times, 1.0));
+}
+
+//! Time from a fault until a booking with a fresh key is done again.
+double bookingBackAfter(ProcessDriver &driver, const std::string &name)
+{
+    const TimePoint begin = driver.now();
+    for (int i = 0; i < 400; ++i) {
+        CallerRecord record;
+        record.template_ = "booking";
+        record.body_ = name + std::to_string(i);
+        record.key_ = record.body_;
+        const std::size_t index = driver.send("entry-1", record, false);
+        driver.runUntil([&] { return driver.records_[index].ending_ != Ending::None; },
+                        std::chrono::seconds(20));
+        if (driver.records_[index].ending_ == Ending::Done)
+            break;
+    }
+    return toMilliseconds(driver.now() - begin);
+}
+
+void measureRecoveryOfBooking(const ProgramPaths &paths)
+{
+    ProcessFleetOptions options;
+    options.services_ = 2;
+    ProcessFleet fleet(paths, options);
+    ProcessDriver driver(fleet);
+    fleet.startAll();
+    if (!driver.waitReady())
+        return;
+    fleet.signal("booking-1", SIGKILL);
+    print("recovery.booking_after_agent_kill_ms", bookingBackAfter(driver, "kill"));
+    constexpr int OutageMs = 6000;
+    driver.fault("log", R"({"outageMs":)" + std::to_string(OutageMs) + "}");
+    driver.runUntil([] { return false; }, std::chrono::milliseconds(OutageMs));
+    print("recovery.booking_after_log_outage_ms", bookingBackAfter(driver, "outage"));
+}
+
 int measureAll()
 {
     const ProgramPaths paths {FLAGS_gypsumcroft, FLAGS_standins};
@@ -184,7 +266,9 @@
         measureLatency(fleet, driver);
         measureTokens(fleet, driver, 8);
         measureTokens(fleet, driver, 64);
+        measureConfiguration(fleet, driver);
     }
+    measureRecoveryOfBooking(paths);
     measureClaims(paths, 1);
     measureClaims(paths, 256);
     return 0;
