Urgent work passes over speed classes that bring first tokens too late

Change: the time to the first token is kept by speed class as well; a class whose usual time is above the patience less the wait's margin is passed over until there has been no news of it for 4 s. The fastest class never is.

--- a/src/entry/internal/traffic.cpp
+++ b/src/entry/internal/traffic.cpp
@@ -150,12 +150,12 @@
             context->belowFloor_ = isBelowFloor(state.queue_, context->work_.rank_);
             const bool shared = !context->scope_ && context->avoid_.empty();
             if (!shared)
-                return canRoute(*context, view, state);
+                return canRoute(*context, view, state, now);
             const std::pair kind(context->work_.target_, context->work_.rank_);
             const auto known = routable.find(kind);
             if (known != routable.end())
                 return known->second;
-            const bool can = canRoute(*context, view, state);
+            const bool can = canRoute(*context, view, state, now);
             routable.emplace(kind, can);
             return can;
         };
@@ -207,13 +207,22 @@
                now);
 }
 
+void countFirstToken(EntryTraffic &state, const RequestContext &context, TimePoint now)
+{
+    const auto rank = static_cast<std::size_t>(context.work_.rank_);
+    const Duration took = now - context.progressAt_;
+    countService(state.serviceTimes_[rank], took);
+    ClassService &service = state.classServices_[rank][context.speed_.least_];
+    countService(service.time_, took);
+    service.countedAt_ = now;
+}
+
 void tickStreaming(EntryTraffic &state, RequestContext &context, TimePoint now)
 {
     const bool begun = !context.tokens_.empty();
     if (!begun && now >= context.deadline_) {
         //! A service time that was cut short counts too; leaving it out would flatter the rest.
-        countService(state.serviceTimes_[static_cast<std::size_t>(context.work_.rank_)],
-                     now - context.progressAt_);
+        countFirstToken(state, context, now);
         endWithRefusal(state, context,
                        {RefusalCode::Expired, RunState::Unknown,
                         "no token within the template's patience", std::chrono::seconds(1)},
@@ -431,8 +440,7 @@
         || context->epoch_ != token.epoch_ || context->tokens_.size() != token.index_.value_)
         return;
     if (context->tokens_.empty())
-        countService(state.serviceTimes_[static_cast<std::size_t>(context->work_.rank_)],
-                     now - context->progressAt_);
+        detail::countFirstToken(state, *context, now);
     context->tokens_.push_back(token.text_);
     context->progressAt_ = now;
     ++state.counters_.tokens_;
--- a/src/filters/entryfilters.h
+++ b/src/filters/entryfilters.h
@@ -18,7 +18,8 @@
 std::size_t routeFilterIndex();
 
 //! Whether the request could be routed now; asked before it leaves the queue.
-bool canRoute(const RequestContext &context, const RoutingView &view, EntryTraffic &state);
+bool canRoute(const RequestContext &context, const RoutingView &view, EntryTraffic &state,
+              TimePoint now);
 
 //! Gives back the windows that the request holds.
 void releaseWindows(RequestContext &context, EntryTraffic &state);
--- a/src/filters/entrystate.h
+++ b/src/filters/entrystate.h
@@ -3,6 +3,7 @@
 
 #include <array>
 #include <deque>
+#include <map>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -74,6 +75,7 @@
     Tokens cost_;
     Epoch epoch_;
     Route route_;
+    SpeedClass speed_;
     std::vector<std::string> tokens_;
     AttemptId attempt_;
     LogOffset claimsFrom_;
@@ -176,6 +178,13 @@
     bool started_ = false;
 };
 
+//! Time to the first token over one speed class, as it was lately.
+struct ClassService
+{
+    ServiceTime time_;
+    TimePoint countedAt_;
+};
+
 struct EntryCounters
 {
     std::uint64_t received_ = 0;
@@ -198,6 +207,8 @@
     std::unordered_map<EndpointId, DispatchWindow> windows_;
     DrainRate drain_;
     std::array<ServiceTime, RankCount> serviceTimes_;
+    //! The same by rank and by the least token cost of the route's speed class.
+    std::array<std::map<Duration, ClassService>, RankCount> classServices_;
     RetryBudget retryBudget_;
     std::unordered_map<std::string, RateBucket> buckets_;
     //! Requests since the last report to control, per organisation.
--- a/src/filters/internal/entryfilters.cpp
+++ b/src/filters/internal/entryfilters.cpp
@@ -211,23 +211,43 @@
     return candidates;
 }
 
+//! A class that lately brought first tokens later than this request can wait is passed over; after
+//! a while without news it is tried again.
+bool isTooSlow(const RequestContext &context, const EntryTraffic &state, const SpeedClass &speed,
+               TimePoint now)
+{
+    constexpr Duration NewsLast = std::chrono::seconds(4);
+    const auto &services = state.classServices_[static_cast<std::size_t>(context.work_.rank_)];
+    const auto found = services.find(speed.least_);
+    if (!context.tokens_.empty() || found == services.end()
+        || now - found->second.countedAt_ > NewsLast)
+        return false;
+    return usualService(found->second.time_) > patienceForService(context.work_.patience_);
+}
+
 //! The cheapest route within one speed class.
 std::optional<PlannedRoute> planStream(const std::vector<StageCandidate> &candidates,
-                                       const RequestContext &context, const RoutingView &view)
+                                       const RequestContext &context, const RoutingView &view,
+                                       const EntryTraffic &state, TimePoint now)
 {
     std::optional<PlannedRoute> best;
     const auto classes = view.classes_.find(context.work_.target_);
     if (classes == view.classes_.end())
         return best;
     for (const SpeedClass &speed : classes->second) {
+        //! The fastest class is never passed over.
+        if (speed != classes->second.front() && isTooSlow(context, state, speed, now))
+            continue;
         std::vector<StageCandidate> members;
         for (const StageCandidate &candidate : candidates) {
             if (isInClass(speed, candidate.tokenCost_))
                 members.push_back(candidate);
         }
         auto plan = planRoute(members, view.links_);
-        if (plan && (!best || plan->cost_ < best->cost_))
-            best = std::move(plan);
+        if (!plan || (best && plan->cost_ >= best->cost_))
+            continue;
+        best = std::move(plan);
+        best->speed_ = speed;
     }
     return best;
 }
@@ -252,13 +272,15 @@
     return text;
 }
 
-FilterVerdict routeStream(RequestContext &context, const RoutingView &view, EntryTraffic &state)
+FilterVerdict routeStream(RequestContext &context, const RoutingView &view, EntryTraffic &state,
+                          TimePoint now)
 {
     const auto candidates = stageCandidates(context, view, state);
-    const auto plan = planStream(candidates, context, view);
+    const auto plan = planStream(candidates, context, view, state, now);
     if (!plan)
         return hold();
     context.route_ = plan->route_;
+    context.speed_ = plan->speed_;
     emit(state,
          logEvent(LogLevel::Info,
                   LogLine("route")
@@ -340,7 +362,7 @@
 {
     if (quarantine(context, view, state, now).action_ == FilterAction::Refuse)
         return refuse(RefusalCode::Quarantined, "endpoints died while they ran this request");
-    return context.work_.kind_ == TemplateKind::Model ? routeStream(context, view, state)
+    return context.work_.kind_ == TemplateKind::Model ? routeStream(context, view, state, now)
                                                       : routeCall(context, view, state);
 }
 
@@ -422,10 +444,12 @@
     return detail::RouteIndex;
 }
 
-bool canRoute(const RequestContext &context, const RoutingView &view, EntryTraffic &state)
+bool canRoute(const RequestContext &context, const RoutingView &view, EntryTraffic &state,
+              TimePoint now)
 {
     if (context.work_.kind_ == TemplateKind::Model)
-        return detail::planStream(detail::stageCandidates(context, view, state), context, view)
+        return detail::planStream(detail::stageCandidates(context, view, state), context, view,
+                                  state, now)
                 .has_value();
     if (context.scope_) {
         const EndpointView *home = detail::homeEndpoint(context, view);
--- a/src/http/internal/client.cpp
+++ b/src/http/internal/client.cpp
@@ -28,7 +28,8 @@
     std::string target = request.path_;
     char separator = '?';
     for (const auto &[name, value] : request.query_) {
-        target += separator + name + "=" + value;
+        target += separator;
+        target.append(name).append("=").append(value);
         separator = '&';
     }
     message.target(target);
--- a/src/policy/admission.h
+++ b/src/policy/admission.h
@@ -35,6 +35,9 @@
 //! Time that nearly all dispatched requests need to their first token; zero while not known.
 Duration usualService(const ServiceTime &service);
 
+//! The part of a patience that the service may take, the rest being for the wait.
+Duration patienceForService(Duration patience);
+
 //! Verdict on a new request.
 struct AdmissionVerdict
 {
--- a/src/policy/internal/admission.cpp
+++ b/src/policy/internal/admission.cpp
@@ -59,6 +59,11 @@
     return service.mean_ + detail::ServiceDeviations * service.deviation_;
 }
 
+Duration patienceForService(Duration patience)
+{
+    return patience - std::min(patience / 2, detail::MaxWaitMargin);
+}
+
 AdmissionVerdict admit(const DrainRate &rate, Tokens ahead, const ServiceTime &service,
                        Duration patience)
 {
--- a/src/policy/routeplan.h
+++ b/src/policy/routeplan.h
@@ -34,12 +34,22 @@
 
 Duration linkDelay(const LinkTable &links, const EndpointId &from, const EndpointId &to);
 
+//! Endpoints of similar speed: token costs in [least_, most_].
+struct SpeedClass
+{
+    Duration least_ {};
+    Duration most_ {};
+    auto operator<=>(const SpeedClass &) const = default;
+};
+
 //! A route with its expected time for one token.
 struct PlannedRoute
 {
     Route route_;
     ModelVersion version_;
     Duration cost_ {};
+    //! The class that its endpoints belong to; set by whoever plans within one.
+    SpeedClass speed_;
 };
 
 //! The cheapest contiguous cover of all layers by endpoints of one version; nothing if there is
@@ -47,14 +57,6 @@
 std::optional<PlannedRoute> planRoute(const std::vector<StageCandidate> &candidates,
                                       const LinkTable &links);
 
-//! Endpoints of similar speed: token costs in [least_, most_].
-struct SpeedClass
-{
-    Duration least_ {};
-    Duration most_ {};
-    auto operator<=>(const SpeedClass &) const = default;
-};
-
 bool isInClass(const SpeedClass &speed, Duration tokenCost);
 
 //! The classes whose endpoints alone cover all layers. A slow stage keeps the slots of a route's
