The linter's findings mended

Cause: scripts/lint failed in a fresh clone (14 findings: copies, widenings, a name, concatenations); earlier looks at its output had missed some. Change: the findings, no check switched off. Measured: scripts/lint ends with 0; format and imports clean.

--- a/src/app/internal/entryprocess.cpp
+++ b/src/app/internal/entryprocess.cpp
@@ -300,7 +300,7 @@
 void EntryProcess::acceptCaller(const http::HttpRequest &request, CallerBody body,
                                 const std::shared_ptr<http::Exchange> &exchange)
 {
-    static const std::string Bearer = "Bearer ";
+    static constexpr std::string_view Bearer = "Bearer ";
     const std::string authorization = http::headerOf(request, "authorization");
     CallerRequest caller;
     caller.id_ = {settings_.instance_.value_ + "-" + std::to_string(incarnation_ % 1000000) + "-"
--- a/src/app/internal/logclient.cpp
+++ b/src/app/internal/logclient.cpp
@@ -72,8 +72,8 @@
                  });
 }
 
-void LogClient::tail(const std::string &stream, std::function<LogOffset()> next,
-                     std::function<void(const LogPage &)> callback)
+void LogClient::tail(const std::string &stream, const std::function<LogOffset()> &next,
+                     const std::function<void(const LogPage &)> &callback)
 {
     tailOnce(stream, next, callback);
 }
--- a/src/app/internal/logclient.h
+++ b/src/app/internal/logclient.h
@@ -35,8 +35,8 @@
     void read(const std::string &stream, LogOffset from, std::chrono::milliseconds wait,
               std::function<void(std::optional<LogPage>)> callback);
     //! Reads on for ever: next says from where, each page is handed to the callback.
-    void tail(const std::string &stream, std::function<LogOffset()> next,
-              std::function<void(const LogPage &)> callback);
+    void tail(const std::string &stream, const std::function<LogOffset()> &next,
+              const std::function<void(const LogPage &)> &callback);
 
 private:
     void tailOnce(const std::string &stream, const std::function<LogOffset()> &next,
--- a/src/core/internal/template.cpp
+++ b/src/core/internal/template.cpp
@@ -49,7 +49,8 @@
         && (work.repeatWindow_ <= Duration::zero() || work.repeatWindow_ > MaxRepeatWindow))
         addFinding(findings, place + "/repeatWindowS", "must be above 0 and at most 30 days");
     for (const auto &[name, spec] : work.parameters_)
-        validateParameter(name, spec, place + "/parameters/" + name, findings);
+        validateParameter(name, spec, std::string(place).append("/parameters/").append(name),
+                          findings);
 }
 
 void validate(const ParameterSet &set, const std::string &place, Findings &findings)
--- a/src/http/internal/client.cpp
+++ b/src/http/internal/client.cpp
@@ -16,7 +16,7 @@
 namespace detail {
 
 constexpr std::size_t MaxIdlePerAddress = 64;
-constexpr std::uint64_t MaxAnswerBytes = 64 * 1024 * 1024;
+constexpr std::uint64_t MaxAnswerBytes = 64UL * 1024 * 1024;
 
 using StreamPtr = std::unique_ptr<beast::tcp_stream>;
 using Message = beast::http::request<beast::http::string_body>;
--- a/src/http/internal/server.cpp
+++ b/src/http/internal/server.cpp
@@ -16,7 +16,7 @@
 namespace detail {
 
 //! A caller that reads slower than this many waiting bytes allow is given up on.
-constexpr std::size_t MaxWaitingBytes = 8 * 1024 * 1024;
+constexpr std::size_t MaxWaitingBytes = 8UL * 1024 * 1024;
 
 enum class AnswerState { Waiting, Whole, Events, EventsDone };
 
@@ -343,7 +343,7 @@
     });
 }
 
-void Exchange::sendEvent(std::string event, std::string data)
+void Exchange::sendEvent(const std::string &event, const std::string &data)
 {
     std::string text = "event: " + event + "\ndata: " + data + "\n\n";
     connection_->post([text = std::move(text)](detail::Connection &connection) mutable {
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -29,7 +29,7 @@
     void respond(HttpResponse response);
     //! Begins an answer of server-sent events.
     void startEvents();
-    void sendEvent(std::string event, std::string data);
+    void sendEvent(const std::string &event, const std::string &data);
     void finishEvents();
     //! Called at most once, on the connection's thread, if the caller closes before the end.
     void onGone(std::function<void()> handler);
--- a/src/policy/internal/routeplan.cpp
+++ b/src/policy/internal/routeplan.cpp
@@ -79,6 +79,7 @@
 std::vector<SpeedClass> speedClasses(const std::vector<StageCandidate> &candidates)
 {
     std::vector<Duration> costs;
+    costs.reserve(candidates.size());
     for (const StageCandidate &candidate : candidates)
         costs.push_back(candidate.tokenCost_);
     std::sort(costs.begin(), costs.end());
--- a/src/policy/tests/tst_limits.cpp
+++ b/src/policy/tests/tst_limits.cpp
@@ -183,6 +183,7 @@
 BOOST_AUTO_TEST_CASE(rendezvousMovesOnlyTheKeysOfALostMember)
 {
     std::vector<EndpointId> members;
+    members.reserve(10);
     for (int i = 0; i < 10; ++i)
         members.push_back({"m" + std::to_string(i)});
     std::vector<EndpointId> fewer(members.begin(), members.end() - 1);
@@ -203,6 +204,7 @@
 BOOST_AUTO_TEST_CASE(subsetsSpreadOverFailureDomains)
 {
     std::vector<SubsetMember> members;
+    members.reserve(300);
     for (int i = 0; i < 300; ++i)
         members.push_back({{"e" + std::to_string(i)}, {"d" + std::to_string(i % 9)}});
     const auto subset = pickSubset({"entry-1"}, members, 27);
--- a/src/wire/internal/mesh.cpp
+++ b/src/wire/internal/mesh.cpp
@@ -16,7 +16,7 @@
 
 namespace detail {
 
-constexpr std::size_t MaxQueuedBytes = 64 * 1024 * 1024;
+constexpr std::size_t MaxQueuedBytes = 64UL * 1024 * 1024;
 
 //! An outgoing connection. All members are used on its io_context's single thread.
 struct PeerConnection : std::enable_shared_from_this<PeerConnection>
--- a/standins/common/program.cpp
+++ b/standins/common/program.cpp
@@ -56,10 +56,11 @@
     const Address bind {address.substr(0, colon),
                         static_cast<std::uint16_t>(std::stoul(address.substr(colon + 1)))};
     http::ServerOptions options;
-    options.maxBodyBytes_ = 64 * 1024 * 1024;
+    options.maxBodyBytes_ = 64UL * 1024 * 1024;
     impl_->server_ = std::make_unique<http::Server>(
             std::vector<asio::io_context *> {&impl_->context_},
-            [this](const http::HttpRequest &request, std::shared_ptr<http::Exchange> exchange) {
+            [this](const http::HttpRequest &request,
+                   const std::shared_ptr<http::Exchange> &exchange) {
                 impl_->handle(request, exchange);
             },
             options);
