--- a/lab/processscenario.cpp
+++ b/lab/processscenario.cpp
@@ -173,7 +173,8 @@
         if (!fleet_.hasEnded(name))
             return restartWhenGone(name, pid, std::chrono::milliseconds(50), graceful);
         if (graceful && fleet_.child(name).exitCode_ != 0)
-            badExits_.push_back(name);
+            badExits_.push_back(name + " (exit code " + std::to_string(fleet_.child(name).exitCode_)
+                                + ")");
         draining_.erase(name);
         fleet_.restart(name);
     });
