Listeners end before the contexts that they belong to

Mesh and http::Server are kept alive by the coroutines of their open connections until the last io_context is destroyed.

Ruled out: an exception in a traffic thread (no message of terminate), logging torn down too early (the trace names the acceptor).

--- a/src/http/internal/server.cpp
+++ b/src/http/internal/server.cpp
@@ -382,7 +382,12 @@
     impl_->options_ = options;
 }
 
-Server::~Server() = default;
+//! Open connections keep the implementation until the last context is destroyed; the acceptor must
+//! be gone before its own.
+Server::~Server()
+{
+    impl_->acceptor_.reset();
+}
 
 Result<Address> Server::listen(const Address &address)
 {
--- a/src/wire/internal/mesh.cpp
+++ b/src/wire/internal/mesh.cpp
@@ -197,7 +197,13 @@
     impl_->handlers_ = std::move(handlers);
 }
 
-Mesh::~Mesh() = default;
+//! Coroutines keep the implementation until the last context is destroyed; what belongs to the
+//! other contexts must be gone before them.
+Mesh::~Mesh()
+{
+    impl_->acceptor_.reset();
+    impl_->peers_.clear();
+}
 
 Result<Address> Mesh::listen(const Address &address)
 {
--- /dev/null
+++ b/src/wire/tests/tst_meshend.cpp
@@ -0,0 +1,79 @@
+#include <atomic>
+#include <memory>
+#include <thread>
+#include <vector>
+
+#include <boost/asio.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "wire/mesh.h"
+
+using namespace gypsumcroft;
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+struct MeshEndCase
+{
+    const char *name_;
+    std::size_t contexts_;
+    std::size_t peers_;
+    std::size_t sends_;
+};
+
+std::ostream &operator<<(std::ostream &out, const MeshEndCase &test)
+{
+    return out << test.name_;
+}
+
+const MeshEndCase MeshEndCases[] = {
+        {"no peer", 2, 0, 0},
+        {"a peer on the listener's context", 1, 1, 1},
+        {"peers on contexts that outlive the listener's", 2, 4, 0},
+        {"peers both ways on many contexts", 4, 16, 8},
+};
+
+} // namespace
+
+// The contexts are destroyed in their order, the listener's first, as in a process that ends.
+BOOST_DATA_TEST_CASE(MeshOutlivesNoContext, MeshEndCases, test)
+{
+    asio::io_context clients;
+    std::vector<std::unique_ptr<tcp::socket>> peers;
+    std::vector<std::unique_ptr<asio::io_context>> contexts;
+    std::vector<asio::io_context *> pointers;
+    for (std::size_t i = 0; i < test.contexts_; ++i) {
+        contexts.push_back(std::make_unique<asio::io_context>(1));
+        pointers.push_back(contexts.back().get());
+    }
+    {
+        std::atomic<std::size_t> received {0};
+        Mesh mesh(pointers, {[&](Message) { ++received; }, [](const Address &) {},
+                             [](const std::string &) {}});
+        const auto address = mesh.listen({"127.0.0.1", 0});
+        BOOST_REQUIRE_MESSAGE(address, address.lastReason_);
+        {
+            std::vector<std::jthread> threads;
+            std::vector<asio::executor_work_guard<asio::io_context::executor_type>> guards;
+            for (const auto &context : contexts) {
+                guards.push_back(asio::make_work_guard(*context));
+                threads.emplace_back([&context] { context->run(); });
+            }
+            for (std::size_t i = 0; i < test.peers_; ++i) {
+                peers.push_back(std::make_unique<tcp::socket>(clients));
+                peers.back()->connect({asio::ip::make_address(address->host_), address->port_});
+            }
+            for (std::size_t i = 0; i < test.sends_; ++i)
+                mesh.send(*address, EndStreamMessage {});
+            while (received < test.sends_)
+                std::this_thread::sleep_for(std::chrono::milliseconds(1));
+            for (const auto &context : contexts)
+                context->stop();
+        }
+    }
+    for (auto &context : contexts)
+        context.reset();
+    BOOST_TEST(peers.size() == test.peers_);
+}
