--- /dev/null
+++ b/src/app/internal/gatewaycontrol.cpp
@@ -0,0 +1,211 @@
+#include "gatewaycontrol.h"
+
+#include <algorithm>
+
+#include "app/log.h"
+#include "platform/documents.h"
+
+namespace gypsumcroft::detail {
+
+namespace {
+
+const std::string LeaseTopic = "placement";
+//! Partition whose holder places layers.
+constexpr std::uint32_t LeasePartition = 0;
+//! Wait of a read for a newer desired state; each answer confirms the one in force.
+constexpr Duration ConfigWait = std::chrono::milliseconds(1000);
+//! Time between two readings of the endpoint list; leaving endpoints are known within it.
+constexpr Duration EndpointInterval = std::chrono::milliseconds(1000);
+constexpr Duration RetryDelay = std::chrono::milliseconds(150);
+
+} // namespace
+
+GatewayControlLoop::GatewayControlLoop(asio::io_context &context, const GatewaySettings &settings,
+                                       std::uint64_t incarnation, Publish publish)
+    : context_(context), member_(settings.instance_.value_ + "/" + std::to_string(incarnation)),
+      topicPartitions_(settings.topicPartitions_), publish_(std::move(publish)),
+      store_(context, settings.store_), endpoints_(context)
+{
+    control_.self_ = settings.instance_;
+    control_.domain_ = settings.domain_;
+    control_.bounds_ = settings.bounds_;
+    control_.lease_.limits_ = settings.lease_;
+}
+
+void GatewayControlLoop::start()
+{
+    readNewestConfig();
+    readEndpoints();
+    ticker_.emplace(context_, [this] { return tick(); });
+}
+
+void GatewayControlLoop::note(const ReachabilityNote &note)
+{
+    onReachability(control_, note.endpoint_, note.reachable_, monotonicNow());
+    perform();
+}
+
+Duration GatewayControlLoop::tick()
+{
+    onGatewayControlTick(control_, monotonicNow());
+    perform();
+    return GatewayControlInterval;
+}
+
+void GatewayControlLoop::later(Duration delay, std::function<void()> action)
+{
+    auto timer = std::make_shared<asio::steady_timer>(context_, delay);
+    timer->async_wait([timer, action = std::move(action)](boost::system::error_code error) {
+        if (!error)
+            action();
+    });
+}
+
+void GatewayControlLoop::readNewestConfig()
+{
+    const TimePoint asked = monotonicNow();
+    store_.newest(platform::ConfigTopic, [this, asked](const Result<platform::KeyedTopic> &topic) {
+        if (!topic) {
+            onPlatformSilent(control_, "config", topic.lastReason_, monotonicNow());
+            perform();
+            return later(RetryDelay, [this] { readNewestConfig(); });
+        }
+        configNext_ = topic->end_;
+        takeConfig(topic->records_, asked);
+        tailConfig();
+    });
+}
+
+void GatewayControlLoop::tailConfig()
+{
+    const TimePoint asked = monotonicNow();
+    store_.read(platform::ConfigTopic, configNext_, ConfigWait,
+                [this, asked](const Result<platform::KeyedSpan> &span) {
+                    const TimePoint now = monotonicNow();
+                    if (!span) {
+                        onPlatformSilent(control_, "config", span.lastReason_, now);
+                        perform();
+                        return later(RetryDelay, [this] { tailConfig(); });
+                    }
+                    if (span->expired_)
+                        return readNewestConfig();
+                    configNext_ = span->next_;
+                    // Nothing came for the whole wait, so nothing was newer at its end.
+                    if (span->records_.empty() && now - asked >= ConfigWait)
+                        onNothingNewer(control_, asked + ConfigWait, now);
+                    takeConfig(span->records_, asked);
+                    tailConfig();
+                });
+}
+
+void GatewayControlLoop::takeConfig(const std::vector<platform::KeyedRecord> &records,
+                                    TimePoint asked)
+{
+    const TimePoint now = monotonicNow();
+    for (const platform::KeyedRecord &record : records) {
+        if (record.key_ != platform::ConfigKey || !record.value_)
+            continue;
+        auto desired = platform::decodeDesiredState(*record.value_);
+        if (desired)
+            onDesiredState(control_, std::move(*desired), asked, now);
+        else
+            GC_LOG_WARNING(LogLine("config-unreadable").add("reason", desired.lastReason_));
+    }
+    perform();
+}
+
+void GatewayControlLoop::readEndpoints()
+{
+    const TimePoint asked = monotonicNow();
+    store_.newest(platform::EndpointTopic, [this,
+                                            asked](const Result<platform::KeyedTopic> &topic) {
+        const TimePoint now = monotonicNow();
+        if (!topic) {
+            onPlatformSilent(control_, "endpoints", topic.lastReason_, now);
+            perform();
+            return later(RetryDelay, [this] { readEndpoints(); });
+        }
+        std::vector<ListedEndpoint> listed;
+        for (const platform::KeyedRecord &record : topic->records_) {
+            auto endpoint = platform::decodeServerEntry(record.key_, record.value_.value_or(""));
+            if (endpoint)
+                listed.push_back(std::move(*endpoint));
+            else
+                GC_LOG_WARNING(LogLine("endpoint-unreadable")
+                                       .add("endpoint", record.key_)
+                                       .add("reason", endpoint.lastReason_));
+        }
+        onEndpointList(control_, listed, asked, now);
+        perform();
+        later(EndpointInterval, [this] { readEndpoints(); });
+    });
+}
+
+void GatewayControlLoop::perform()
+{
+    std::vector<GatewayControlEffect> effects = std::move(control_.effects_);
+    control_.effects_.clear();
+    bool changed = false;
+    for (GatewayControlEffect &effect : effects) {
+        changed = changed || std::holds_alternative<GatewayViewChanged>(effect);
+        perform(effect);
+    }
+    if (changed)
+        publish_(std::make_shared<const GatewayView>(gatewayViewOf(control_)));
+}
+
+void GatewayControlLoop::perform(GatewayControlEffect &effect)
+{
+    if (const auto *group = std::get_if<JoinGroup>(&effect))
+        join(*group);
+    else if (const auto *question = std::get_if<AskEndpoint>(&effect))
+        ask(*question);
+    else if (const auto *layers = std::get_if<OrderLayers>(&effect))
+        order(*layers);
+    else if (const auto *event = std::get_if<LogEvent>(&effect))
+        writeLog(event->level_, event->text_);
+}
+
+void GatewayControlLoop::join(const JoinGroup &join)
+{
+    const TimePoint sent = monotonicNow();
+    const platform::JoinRequest request {LeaseTopic, member_, LeaseTopic,
+                                         control_.lease_.limits_.lifetime_,
+                                         join.generation_.value_};
+    store_.join(request, [this, sent](const Result<platform::Membership> &membership) {
+        const TimePoint now = monotonicNow();
+        if (!membership) {
+            onJoinFailed(control_, now);
+            onPlatformSilent(control_, "join", membership.lastReason_, now);
+            return perform();
+        }
+        const auto &held = membership->partitions_;
+        const bool granted = std::find(held.begin(), held.end(), LeasePartition) != held.end();
+        onJoined(control_, {membership->generation_}, granted, sent, now);
+        // Partitions are dealt evenly, so one's own share tells how many members there are.
+        const auto share = static_cast<std::uint32_t>(held.size());
+        onEntryCount(control_,
+                     share == 0 ? 2 * topicPartitions_ : (topicPartitions_ + share - 1) / share);
+        perform();
+    });
+}
+
+void GatewayControlLoop::ask(const AskEndpoint &ask)
+{
+    const TimePoint asked = monotonicNow();
+    endpoints_.ask(ask, [this, asked, endpoint = ask.endpoint_](
+                                const std::optional<EndpointReportFacts> &report) {
+        onReport(control_, endpoint, report, asked, monotonicNow());
+        perform();
+    });
+}
+
+void GatewayControlLoop::order(const OrderLayers &order)
+{
+    endpoints_.order(order, [this, endpoint = order.endpoint_](OrderOutcome outcome) {
+        onOrderAnswered(control_, endpoint, outcome, monotonicNow());
+        perform();
+    });
+}
+
+} // namespace gypsumcroft::detail
--- /dev/null
+++ b/src/app/internal/gatewaycontrol.h
@@ -0,0 +1,55 @@
+//! Carries out the gateway's control core: the platform's store and endpoints' orders on the
+//! control thread.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "documents/gatewaysettings.h"
+#include "gateway/control.h"
+#include "platform/endpointclient.h"
+#include "platform/storeclient.h"
+#include "runtime.h"
+
+namespace gypsumcroft::detail {
+
+class GatewayControlLoop
+{
+public:
+    using Publish = std::function<void(std::shared_ptr<const GatewayView>)>;
+    GatewayControlLoop(asio::io_context &context, const GatewaySettings &settings,
+                       std::uint64_t incarnation, Publish publish);
+
+    void start();
+    void note(const ReachabilityNote &note);
+    bool isReady() const { return isGatewayReady(control_, monotonicNow()); }
+    const GatewayControl &state() const { return control_; }
+
+private:
+    void readConfig();
+    void readNewestConfig();
+    void tailConfig();
+    void takeConfig(const std::vector<platform::KeyedRecord> &records, TimePoint asked);
+    void readEndpoints();
+    void later(Duration delay, std::function<void()> action);
+    Duration tick();
+
+    void perform();
+    void perform(GatewayControlEffect &effect);
+    void join(const JoinGroup &join);
+    void ask(const AskEndpoint &ask);
+    void order(const OrderLayers &order);
+
+    asio::io_context &context_;
+    GatewayControl control_;
+    std::string member_;
+    std::uint32_t topicPartitions_;
+    Publish publish_;
+    std::uint64_t configNext_ = 0;
+    platform::StoreClient store_;
+    platform::EndpointClient endpoints_;
+    std::optional<Ticker> ticker_;
+};
+
+} // namespace gypsumcroft::detail
--- /dev/null
+++ b/src/app/internal/gatewayprocess.cpp
@@ -0,0 +1,185 @@
+#include "app/processes.h"
+
+#include "app/log.h"
+#include "gatewaycontrol.h"
+#include "gatewaytraffic.h"
+#include "http/server.h"
+#include "operators.h"
+#include "runtime.h"
+
+namespace gypsumcroft {
+
+namespace detail {
+
+//! Time between readiness going off and the last new connection: two probes of the balancer, one a
+//! second, and some spare.
+constexpr Duration StopNotice = std::chrono::milliseconds(3200);
+//! Requests in hand are finished until so long before the kill.
+constexpr Duration KillMargin = std::chrono::milliseconds(500);
+constexpr Duration StopPoll = std::chrono::milliseconds(20);
+//! Time for the last answers to leave the sockets.
+constexpr Duration FlushTime = std::chrono::milliseconds(100);
+
+class GatewayProcess
+{
+public:
+    explicit GatewayProcess(const GatewaySettings &settings);
+    int run();
+
+private:
+    void setUpMetrics();
+    void waitForSignal();
+    void requestStop();
+    void onTraffic(Duration delay, std::function<void()> action);
+    void finishWhenIdle();
+    void end();
+
+    GatewaySettings settings_;
+    Runtime runtime_;
+    std::uint64_t incarnation_;
+    Mailbox<ReachabilityNote> mailbox_;
+    GatewayTrafficLoop traffic_;
+    GatewayControlLoop control_;
+    http::Server ready_;
+    OperatorServer metrics_;
+    asio::signal_set signals_;
+    bool stopping_ = false;
+    TimePoint stopAt_;
+};
+
+GatewayProcess::GatewayProcess(const GatewaySettings &settings)
+    : settings_(settings), runtime_(1),
+      incarnation_(static_cast<std::uint64_t>(
+              std::chrono::system_clock::now().time_since_epoch().count())),
+      mailbox_(runtime_.control(), [this](ReachabilityNote note) { control_.note(note); }),
+      traffic_(*runtime_.traffic().front(), incarnation_,
+               [this](ReachabilityNote note) { mailbox_.push(std::move(note)); }),
+      control_(runtime_.control(), settings, incarnation_,
+               [this](std::shared_ptr<const GatewayView> view) {
+                   traffic_.publish(std::move(view));
+               }),
+      ready_({&runtime_.control()},
+             [this](const http::HttpRequest &, const std::shared_ptr<http::Exchange> &exchange) {
+                 const bool ready = !stopping_ && control_.isReady();
+                 exchange->respond(ready ? plainAnswer(200, "ready\n")
+                                         : plainAnswer(503, "not ready\n"));
+             }),
+      metrics_(runtime_.control(), ""), signals_(runtime_.control(), SIGTERM, SIGINT, SIGHUP)
+{
+    setUpMetrics();
+}
+
+void GatewayProcess::setUpMetrics()
+{
+    auto &received = metrics_.gauge("requests_received", "Requests that callers sent");
+    auto &answered = metrics_.gauge("requests_answered", "Requests answered by an endpoint");
+    auto &refused = metrics_.gauge("requests_refused_not_run", "Requests refused, not run");
+    auto &failed = metrics_.gauge("requests_failed", "Requests that ended without a whole answer");
+    auto &gone = metrics_.gauge("callers_gone", "Requests whose caller left");
+    auto &sends = metrics_.gauge("sends", "Requests sent to endpoints, repeats included");
+    auto &retries = metrics_.gauge("retries", "Repeats that the budget allowed");
+    auto &spent = metrics_.gauge("retries_without_budget", "Repeats that the budget forbade");
+    auto &version = metrics_.gauge("config_version", "Version of the desired state in force");
+    auto &age = metrics_.gauge("config_age_ms", "Time since the state in force was confirmed");
+    auto &lease = metrics_.gauge("placement_lease", "1 while this process places layers");
+    metrics_.setReady([this] { return !stopping_ && control_.isReady(); });
+    metrics_.setRefresh([&, this] {
+        const TimePoint now = monotonicNow();
+        const auto counters = traffic_.counters();
+        received.Set(static_cast<double>(counters->received_));
+        answered.Set(static_cast<double>(counters->answered_));
+        refused.Set(static_cast<double>(counters->refused_));
+        failed.Set(static_cast<double>(counters->failed_));
+        gone.Set(static_cast<double>(counters->callersGone_));
+        sends.Set(static_cast<double>(counters->sends_));
+        retries.Set(static_cast<double>(counters->retries_));
+        spent.Set(static_cast<double>(counters->retriesWithoutBudget_));
+        const RouteTableState &routes = control_.state().routes_;
+        version.Set(routes.table_ ? static_cast<double>(routes.table_->state_.version_.value_) : 0);
+        age.Set(toMilliseconds(ageOf(routes, now).value_or(Duration())));
+        lease.Set(holdsLease(control_.state().lease_, now) ? 1 : 0);
+    });
+}
+
+void GatewayProcess::waitForSignal()
+{
+    signals_.async_wait([this](boost::system::error_code error, int signal) {
+        if (error)
+            return;
+        if (signal == SIGHUP)
+            GC_LOG_INFO(LogLine("reload").add("changed", "nothing"));
+        else
+            requestStop();
+        waitForSignal();
+    });
+}
+
+void GatewayProcess::onTraffic(Duration delay, std::function<void()> action)
+{
+    auto timer = std::make_shared<asio::steady_timer>(*runtime_.traffic().front(), delay);
+    timer->async_wait([timer, action = std::move(action)](boost::system::error_code error) {
+        if (!error)
+            action();
+    });
+}
+
+//! Readiness goes off at once; new connections are served until the balancer has noticed.
+void GatewayProcess::requestStop()
+{
+    if (stopping_)
+        return runtime_.stop();
+    stopping_ = true;
+    stopAt_ = monotonicNow() + settings_.grace_ - KillMargin;
+    GC_LOG_INFO(LogLine("draining").add("instance", settings_.instance_));
+    onTraffic(Duration(), [this] { traffic_.beginStop(); });
+    onTraffic(std::min(StopNotice, settings_.grace_ / 2), [this] {
+        traffic_.stopAccepting();
+        finishWhenIdle();
+    });
+}
+
+void GatewayProcess::finishWhenIdle()
+{
+    if (traffic_.isIdle() || monotonicNow() >= stopAt_)
+        return onTraffic(FlushTime, [this] { end(); });
+    onTraffic(StopPoll, [this] { finishWhenIdle(); });
+}
+
+void GatewayProcess::end()
+{
+    GC_LOG_INFO(LogLine("stopped")
+                        .add("instance", settings_.instance_)
+                        .add("cut", std::uint64_t {traffic_.requestsInHand()}));
+    runtime_.stop();
+}
+
+int GatewayProcess::run()
+{
+    const auto callers = traffic_.listen(settings_.callers_);
+    const auto ready
+            = callers ? ready_.listen(settings_.ready_) : failure<Address>(callers.lastReason_);
+    const auto metrics = ready && settings_.metrics_ ? metrics_.listen(*settings_.metrics_) : ready;
+    if (!metrics) {
+        GC_LOG_ERROR(LogLine("start-failed").add("reason", metrics.lastReason_));
+        return 1;
+    }
+    GC_LOG_INFO(LogLine("started")
+                        .add("role", "gateway")
+                        .add("instance", settings_.instance_)
+                        .add("domain", settings_.domain_)
+                        .add("callers", formatAddress(*callers)));
+    control_.start();
+    waitForSignal();
+    runtime_.run();
+    return 0;
+}
+
+} // namespace detail
+
+int runGateway(const GatewaySettings &settings)
+{
+    detail::GatewayProcess process(settings);
+    return process.run();
+}
+
+} // namespace gypsumcroft
--- /dev/null
+++ b/src/app/internal/gatewaytraffic.cpp
@@ -0,0 +1,215 @@
+#include "gatewaytraffic.h"
+
+#include "app/log.h"
+#include "platform/forwarding.h"
+
+namespace gypsumcroft::detail {
+
+namespace {
+
+//! Largest answer that is held back until it is whole.
+constexpr std::size_t MaxWholeAnswer = 8UL * 1024 * 1024;
+
+SendFailure failureOf(http::RelayFailure failure)
+{
+    switch (failure) {
+    case http::RelayFailure::NotSent:
+        return SendFailure::NotSent;
+    case http::RelayFailure::Broken:
+        return SendFailure::Broken;
+    case http::RelayFailure::Garbled:
+        return SendFailure::Garbled;
+    }
+    return SendFailure::Broken;
+}
+
+} // namespace
+
+GatewayTrafficLoop::GatewayTrafficLoop(asio::io_context &context, std::uint64_t seed, Note note)
+    : context_(context), note_(std::move(note)), view_(std::make_shared<const GatewayView>()),
+      counters_(std::make_shared<const GatewayCounters>()), client_(context),
+      server_(context,
+              [this](http::RelayRequest request, std::shared_ptr<http::RelayExchange> exchange) {
+                  onRequest(std::move(request), std::move(exchange));
+              }),
+      ticker_(context, [this] { return tick(); })
+{
+    traffic_.random_ = {seed};
+}
+
+Result<Address> GatewayTrafficLoop::listen(const Address &callers)
+{
+    return server_.listen(callers);
+}
+
+void GatewayTrafficLoop::publish(std::shared_ptr<const GatewayView> view)
+{
+    view_ = std::move(view);
+}
+
+void GatewayTrafficLoop::beginStop()
+{
+    server_.closeAfterAnswers();
+}
+
+void GatewayTrafficLoop::stopAccepting()
+{
+    server_.stopAccepting();
+}
+
+Duration GatewayTrafficLoop::tick()
+{
+    takeLimits(*view_.load());
+    counters_ = std::make_shared<const GatewayCounters>(traffic_.counters_);
+    if (!isGatewayIdle(traffic_))
+        withTraffic([this](const GatewayView &view, TimePoint now) {
+            onGatewayTick(traffic_, view, now);
+        });
+    return GatewayTickInterval;
+}
+
+void GatewayTrafficLoop::takeLimits(const GatewayView &view)
+{
+    if (!view.table_ || view.table_ == limitsOf_)
+        return;
+    limitsOf_ = view.table_;
+    const CallerLimits &limits = view.table_->state_.limits_;
+    http::RelayServerLimits taken;
+    taken.maxHeaderBytes_ = limits.maxHeaderBytes_;
+    taken.maxBodyBytes_ = limits.maxBodyBytes_;
+    taken.headerTimeout_ = limits.headerTimeout_;
+    taken.idleTimeout_ = limits.idleTimeout_;
+    server_.setLimits(taken);
+}
+
+template <typename Event>
+void GatewayTrafficLoop::withTraffic(const Event &event)
+{
+    const auto view = view_.load();
+    event(*view, monotonicNow());
+    std::vector<GatewayEffect> effects = std::move(traffic_.effects_);
+    traffic_.effects_.clear();
+    for (GatewayEffect &effect : effects)
+        perform(effect);
+}
+
+void GatewayTrafficLoop::onRequest(http::RelayRequest request,
+                                   std::shared_ptr<http::RelayExchange> exchange)
+{
+    const ExchangeId id {nextExchange_++};
+    GatewayRequest decoded = platform::decodeCallerRequest(request, id);
+    exchange->onGone([this, id] {
+        exchanges_.erase(id);
+        withTraffic([&](const GatewayView &view, TimePoint now) {
+            onGatewayCallerGone(traffic_, view, id, now);
+        });
+    });
+    exchanges_[id] = {std::move(request), decoded, std::move(exchange)};
+    withTraffic([&](const GatewayView &view, TimePoint now) {
+        onGatewayRequest(traffic_, view, std::move(decoded), now);
+    });
+}
+
+void GatewayTrafficLoop::onBody(SendId send, std::string_view bytes)
+{
+    const auto found = calls_.find(send);
+    if (found == calls_.end())
+        return;
+    OpenCall &call = found->second;
+    if (!call.facts_.success_ || !call.facts_.eventStream_) {
+        call.bytes_ += bytes;
+        if (call.bytes_.size() <= MaxWholeAnswer)
+            return;
+        call.call_.cancel();
+        withTraffic([&](const GatewayView &view, TimePoint now) {
+            onSendFailed(traffic_, view, send, SendFailure::Garbled, "answer too large", now);
+        });
+        calls_.erase(send);
+        return;
+    }
+    http::WholeEvents events = http::splitEvents(call.splitter_, bytes);
+    if (events.bytes_.empty())
+        return;
+    call.bytes_ += events.bytes_;
+    const auto last = events.lastId_ ? std::optional(EventId {*events.lastId_}) : std::nullopt;
+    withTraffic([&](const GatewayView &view, TimePoint now) {
+        onSendEvents(traffic_, view, send, last, now);
+    });
+}
+
+void GatewayTrafficLoop::perform(GatewayEffect &effect)
+{
+    if (const auto *send = std::get_if<SendRequest>(&effect)) {
+        startSend(*send);
+    } else if (const auto *cancel = std::get_if<CancelSend>(&effect)) {
+        calls_[cancel->send_].call_.cancel();
+        calls_.erase(cancel->send_);
+    } else if (const auto *whole = std::get_if<DeliverAnswer>(&effect)) {
+        deliver(*whole);
+    } else if (const auto *begin = std::get_if<BeginStream>(&effect)) {
+        exchanges_.at(begin->exchange_).exchange_->begin(calls_.at(begin->send_).head_);
+    } else if (const auto *pass = std::get_if<PassEvents>(&effect)) {
+        exchanges_.at(pass->exchange_)
+                .exchange_->write(std::exchange(calls_.at(pass->send_).bytes_, {}));
+    } else if (const auto *finish = std::get_if<FinishStream>(&effect)) {
+        exchanges_.at(finish->exchange_).exchange_->finish();
+        exchanges_.erase(finish->exchange_);
+    } else if (const auto *broken = std::get_if<BreakOffAnswer>(&effect)) {
+        exchanges_.at(broken->exchange_).exchange_->breakOff();
+        exchanges_.erase(broken->exchange_);
+    } else if (const auto *refusal = std::get_if<RefuseRequest>(&effect)) {
+        refuse(*refusal);
+    } else if (const auto *note = std::get_if<ReachabilityNote>(&effect)) {
+        note_(*note);
+    } else if (const auto *event = std::get_if<LogEvent>(&effect)) {
+        writeLog(event->level_, event->text_);
+    }
+}
+
+void GatewayTrafficLoop::startSend(const SendRequest &send)
+{
+    const SendId id = send.send_;
+    http::RelayCallHandlers handlers;
+    handlers.onHead_ = [this, id](http::RelayHead head) {
+        const auto found = calls_.find(id);
+        if (found == calls_.end())
+            return;
+        found->second.facts_ = platform::decodeAnswerHead(head);
+        found->second.head_ = std::move(head);
+        withTraffic([&](const GatewayView &view, TimePoint now) {
+            onSendHead(traffic_, view, id, found->second.facts_, now);
+        });
+    };
+    handlers.onBody_ = [this, id](std::string_view bytes) { onBody(id, bytes); };
+    handlers.onDone_ = [this, id] {
+        withTraffic([&](const GatewayView &view, TimePoint now) {
+            onSendDone(traffic_, view, id, now);
+        });
+        calls_.erase(id);
+    };
+    handlers.onFailed_ = [this, id](http::RelayFailure failure, const std::string &reason) {
+        withTraffic([&](const GatewayView &view, TimePoint now) {
+            onSendFailed(traffic_, view, id, failureOf(failure), reason, now);
+        });
+        calls_.erase(id);
+    };
+    const OpenExchange &open = exchanges_.at(send.exchange_);
+    calls_[id].call_ = client_.send(platform::encodeSend(open.request_, send), std::move(handlers));
+}
+
+void GatewayTrafficLoop::deliver(const DeliverAnswer &deliver)
+{
+    const auto found = exchanges_.find(deliver.exchange_);
+    OpenCall &call = calls_.at(deliver.send_);
+    found->second.exchange_->answer(call.head_, std::move(call.bytes_));
+    exchanges_.erase(found);
+}
+
+void GatewayTrafficLoop::refuse(const RefuseRequest &refusal)
+{
+    const auto found = exchanges_.find(refusal.exchange_);
+    found->second.exchange_->answer(platform::encodeRefusal(found->second.decoded_, refusal), {});
+    exchanges_.erase(found);
+}
+
+} // namespace gypsumcroft::detail
--- /dev/null
+++ b/src/app/internal/gatewaytraffic.h
@@ -0,0 +1,81 @@
+//! Carries out the gateway's traffic core: callers' and endpoints' HTTP on the traffic thread.
+#pragma once
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <unordered_map>
+
+#include "controllers/gatewayview.h"
+#include "gateway/traffic.h"
+#include "http/eventsplitter.h"
+#include "http/relayclient.h"
+#include "http/relayserver.h"
+#include "runtime.h"
+
+namespace gypsumcroft::detail {
+
+//! Everything but publish() and counters() is used on the traffic thread.
+class GatewayTrafficLoop
+{
+public:
+    using Note = std::function<void(ReachabilityNote)>;
+    GatewayTrafficLoop(asio::io_context &context, std::uint64_t seed, Note note);
+
+    Result<Address> listen(const Address &callers);
+    //! Replaces the view; safe from any thread.
+    void publish(std::shared_ptr<const GatewayView> view);
+    //! Answers say that their connections close; new connections are still taken.
+    void beginStop();
+    //! Takes no connection any more.
+    void stopAccepting();
+    bool isIdle() const { return isGatewayIdle(traffic_) && exchanges_.empty(); }
+    std::size_t requestsInHand() const { return traffic_.requests_.size(); }
+    //! Counters as of the last tick; safe from any thread.
+    std::shared_ptr<const GatewayCounters> counters() const { return counters_.load(); }
+
+private:
+    struct OpenExchange
+    {
+        http::RelayRequest request_;
+        GatewayRequest decoded_;
+        std::shared_ptr<http::RelayExchange> exchange_;
+    };
+    struct OpenCall
+    {
+        http::RelayCall call_;
+        http::RelayHead head_;
+        AnswerHead facts_;
+        http::EventSplitter splitter_;
+        //! Answer, or whole events, that wait to be handed on.
+        std::string bytes_;
+    };
+
+    void onRequest(http::RelayRequest request, std::shared_ptr<http::RelayExchange> exchange);
+    void onBody(SendId send, std::string_view bytes);
+    Duration tick();
+    void takeLimits(const GatewayView &view);
+
+    //! Runs an event of the core and carries out its effects.
+    template <typename Event>
+    void withTraffic(const Event &event);
+    void perform(GatewayEffect &effect);
+    void startSend(const SendRequest &send);
+    void deliver(const DeliverAnswer &deliver);
+    void refuse(const RefuseRequest &refusal);
+
+    asio::io_context &context_;
+    Note note_;
+    GatewayTraffic traffic_;
+    std::atomic<std::shared_ptr<const GatewayView>> view_;
+    std::shared_ptr<const RouteTable> limitsOf_;
+    std::unordered_map<ExchangeId, OpenExchange> exchanges_;
+    std::unordered_map<SendId, OpenCall> calls_;
+    std::uint64_t nextExchange_ = 1;
+    std::atomic<std::shared_ptr<const GatewayCounters>> counters_;
+    http::RelayClient client_;
+    http::RelayServer server_;
+    Ticker ticker_;
+};
+
+} // namespace gypsumcroft::detail
--- a/src/app/internal/main.cpp
+++ b/src/app/internal/main.cpp
@@ -1,3 +1,4 @@
+#include <cstdlib>
 #include <fstream>
 #include <iostream>
 #include <map>
@@ -11,7 +12,7 @@
 #include "app/processes.h"
 #include "documents/settings.h"
 
-DEFINE_string(settings, "", "settings file of the process (entry, agent)");
+DEFINE_string(settings, "", "settings file of the process (entry, agent, gateway)");
 DEFINE_string(log, "", "address of the platform's log, HOST:PORT (publish)");
 DEFINE_string(address, "", "operators' address of a process, HOST:PORT (show, drain, quarantine)");
 DEFINE_string(token, "", "operators' token (show, drain, quarantine)");
@@ -24,6 +25,7 @@
 
 constexpr int ExitUsage = 2;
 constexpr const char *Version = "0.1.0";
+constexpr const char *SettingsVariable = "GYPSUMCROFT_SETTINGS";
 
 using Arguments = std::vector<std::string>;
 using Command = int (*)(const Arguments &);
@@ -45,19 +47,28 @@
     return found == levels.end() ? LogLevel::Info : found->second;
 }
 
-int runDaemon(ProcessRole role, int (*run)(const Settings &))
+//! --settings, or else the file that the environment names.
+std::string settingsFile()
 {
-    std::ifstream file(FLAGS_settings, std::ios::binary);
-    if (FLAGS_settings.empty() || !file) {
+    const char *named = std::getenv(SettingsVariable);
+    return FLAGS_settings.empty() && named != nullptr ? named : FLAGS_settings;
+}
+
+template <typename DaemonSettings>
+int runDaemon(std::optional<DaemonSettings> (*decode)(std::string_view, const std::string &,
+                                                      Findings &),
+              int (*run)(const DaemonSettings &))
+{
+    const std::string path = settingsFile();
+    std::ifstream file(path, std::ios::binary);
+    if (path.empty() || !file) {
         std::cerr << "--settings must name a file that can be read\n";
         return ExitUsage;
     }
     std::ostringstream text;
     text << file.rdbuf();
     Findings findings;
-    const auto settings = decodeSettings(text.str(), FLAGS_settings, findings);
-    if (settings && settings->role_ != role)
-        addFinding(findings, FLAGS_settings + "/role", "does not fit the sub-command");
+    const auto settings = decode(text.str(), path, findings);
     for (const Finding &finding : findings)
         std::cerr << finding.place_ << ": " << finding.message_ << "\n";
     if (!findings.empty())
@@ -68,14 +79,29 @@
     return code;
 }
 
+template <ProcessRole Role>
+std::optional<Settings> decodeFor(std::string_view text, const std::string &place,
+                                  Findings &findings)
+{
+    const auto settings = decodeSettings(text, place, findings);
+    if (settings && settings->role_ != Role)
+        addFinding(findings, place + "/role", "does not fit the sub-command");
+    return settings;
+}
+
 int entry(const Arguments &)
 {
-    return runDaemon(ProcessRole::Entry, runEntry);
+    return runDaemon<Settings>(decodeFor<ProcessRole::Entry>, runEntry);
 }
 
 int agent(const Arguments &)
 {
-    return runDaemon(ProcessRole::Agent, runAgent);
+    return runDaemon<Settings>(decodeFor<ProcessRole::Agent>, runAgent);
+}
+
+int gateway(const Arguments &)
+{
+    return runDaemon<GatewaySettings>(decodeGatewaySettings, runGateway);
 }
 
 int check(const Arguments &arguments)
@@ -138,6 +164,7 @@
 constexpr CommandEntry Commands[] = {
         {"entry", entry, "run an entry: --settings FILE"},
         {"agent", agent, "run an agent beside its endpoint: --settings FILE"},
+        {"gateway", gateway, "run a gateway before endpoints without agents: --settings FILE"},
         {"check", check, "check settings, templates and parameter sets: FILE..."},
         {"publish", publish, "put a document in force: --log HOST:PORT FILE"},
         {"show", show,
--- a/src/app/internal/runtime.h
+++ b/src/app/internal/runtime.h
@@ -1,6 +1,8 @@
 //! Threads of a process: one for control, some for traffic, each with an io_context of its own.
 #pragma once
 
+#include <time.h>
+
 #include <atomic>
 #include <chrono>
 #include <functional>
@@ -17,11 +19,14 @@
 
 namespace asio = boost::asio;
 
-//! The present time of the monotonic clock.
+//! The present time of a clock that never goes back and counts the time that the machine slept:
+//! leases and freshness run out meanwhile.
 inline TimePoint monotonicNow()
 {
-    const auto since = std::chrono::steady_clock::now().time_since_epoch();
-    return TimePoint(std::chrono::duration_cast<Duration>(since));
+    timespec time {};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return TimePoint(std::chrono::duration_cast<Duration>(
+            std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec)));
 }
 
 class Runtime
--- a/src/app/processes.h
+++ b/src/app/processes.h
@@ -1,6 +1,7 @@
-//! The two daemons.
+//! The daemons.
 #pragma once
 
+#include "documents/gatewaysettings.h"
 #include "documents/settings.h"
 
 namespace gypsumcroft {
@@ -11,4 +12,7 @@
 //! Runs an agent until it is told to stop; returns the process's exit code.
 int runAgent(const Settings &settings);
 
+//! Runs a gateway until it is told to stop; returns the process's exit code.
+int runGateway(const GatewaySettings &settings);
+
 } // namespace gypsumcroft
--- /dev/null
+++ b/src/controllers/gatewayview.h
@@ -0,0 +1,62 @@
+//! What a gateway's control publishes for traffic: one immutable picture, replaced as a whole.
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+#include "controllers/endpointlist.h"
+#include "controllers/routetable.h"
+
+namespace gypsumcroft {
+
+//! Bounds within which what a process knows may be used.
+struct FreshnessLimits
+{
+    //! A caller's key may have been taken away by a state that was accepted longer ago than this;
+    //! zero when keys needn't be checked so strictly.
+    Duration revokeAfter_ {};
+    //! A state must be in force so long after it was accepted.
+    Duration applyAfter_ = std::chrono::milliseconds(2000);
+};
+
+struct EndpointIndex
+{
+    std::vector<ListedEndpoint> endpoints_;
+    std::unordered_map<TargetName, std::vector<std::size_t>> byTarget_;
+    std::unordered_map<EndpointId, std::size_t> byId_;
+    std::unordered_map<Address, std::size_t> byAddress_;
+};
+
+std::shared_ptr<const EndpointIndex> buildEndpointIndex(const EndpointListState &list);
+
+struct GatewayView
+{
+    //! Nothing before the first desired state is known.
+    std::shared_ptr<const RouteTable> table_;
+    std::shared_ptr<const EndpointIndex> endpoints_ = std::make_shared<EndpointIndex>();
+    std::optional<TimePoint> confirmedAt_;
+    FreshnessLimits freshness_;
+    FailureDomainId domain_;
+    //! Entries that share the retry budget and the endpoints, this one included.
+    std::uint32_t entries_ = 1;
+    double retryRatio_ = 0.2;
+    double retrySlack_ = 0;
+    Duration retryWindow_ = std::chrono::seconds(10);
+};
+
+//! What traffic tells control: an endpoint could or could not be reached.
+struct ReachabilityNote
+{
+    EndpointId endpoint_;
+    bool reachable_ = false;
+};
+
+//! True while keys that were taken away are certainly known.
+bool keysAreFresh(const GatewayView &view, TimePoint now);
+
+//! True while the state in force is one that may still be in force.
+bool stateIsFresh(const GatewayView &view, TimePoint now);
+
+} // namespace gypsumcroft
--- /dev/null
+++ b/src/controllers/internal/endpointlist.cpp
@@ -0,0 +1,115 @@
+#include "controllers/endpointlist.h"
+
+#include <set>
+
+namespace gypsumcroft {
+
+namespace detail {
+namespace {
+
+std::string rangeText(const std::optional<LayerRange> &layers)
+{
+    if (!layers)
+        return "none";
+    return std::to_string(layers->first_.value_) + "-" + std::to_string(layers->end_.value_);
+}
+
+void logEndpoint(EndpointListState &state, const char *event, const ListedEndpoint &endpoint)
+{
+    state.log_.push_back(logEvent(
+            LogLevel::Info,
+            LogLine(event)
+                    .add("endpoint", endpoint.id_)
+                    .add("target", endpoint.target_)
+                    .add("domain", endpoint.domain_)
+                    .add("state", endpoint.state_ == ListedState::Ready ? "ready" : "draining")
+                    .add("layers", rangeText(endpoint.layers_))));
+}
+
+bool sameListing(const ListedEndpoint &left, const ListedEndpoint &right)
+{
+    return left.target_ == right.target_ && left.address_ == right.address_
+           && left.state_ == right.state_ && left.layers_ == right.layers_
+           && left.slots_ == right.slots_ && left.born_ == right.born_
+           && left.modelVersion_ == right.modelVersion_;
+}
+
+bool applyOne(EndpointListState &state, ListedEndpoint listed, TimePoint asked, TimePoint now)
+{
+    const auto [found, isNew] = state.endpoints_.try_emplace(listed.id_);
+    KnownEndpoint &known = found->second;
+    known.missingSince_.reset();
+    if (isNew) {
+        known.firstSeen_ = now;
+    } else if (listed.born_ < known.listed_.born_) {
+        return false;
+    } else if (known.reportedAt_ && asked - *known.reportedAt_ < state.limits_.listLag_
+               && known.listed_.born_ == listed.born_) {
+        listed.layers_ = known.listed_.layers_;
+    }
+    if (!isNew && sameListing(known.listed_, listed))
+        return false;
+    known.listed_ = std::move(listed);
+    logEndpoint(state, isNew ? "endpoint-new" : "endpoint-changed", known.listed_);
+    return true;
+}
+
+//! True while entries that lapsed in an absence of the list may still come back.
+bool mayReturn(const EndpointListState &state, TimePoint now)
+{
+    return state.returnedAt_ && now - *state.returnedAt_ < state.limits_.returnTime_;
+}
+
+} // namespace
+} // namespace detail
+
+bool applyEndpointList(EndpointListState &state, const std::vector<ListedEndpoint> &listed,
+                       TimePoint asked, TimePoint now)
+{
+    if (state.answeredAt_ && asked - *state.answeredAt_ > state.limits_.awayAfter_)
+        state.returnedAt_ = now;
+    state.answeredAt_ = now;
+    bool changed = false;
+    std::set<EndpointId> seen;
+    for (const ListedEndpoint &endpoint : listed) {
+        seen.insert(endpoint.id_);
+        changed = detail::applyOne(state, endpoint, asked, now) || changed;
+    }
+    for (auto it = state.endpoints_.begin(); it != state.endpoints_.end();) {
+        if (seen.contains(it->first)) {
+            ++it;
+            continue;
+        }
+        if (!it->second.missingSince_)
+            it->second.missingSince_ = now;
+        if (detail::mayReturn(state, now)) {
+            ++it;
+            continue;
+        }
+        detail::logEndpoint(state, "endpoint-gone", it->second.listed_);
+        it = state.endpoints_.erase(it);
+        changed = true;
+    }
+    return changed;
+}
+
+bool applyHeldLayers(EndpointListState &state, const EndpointId &endpoint,
+                     const std::optional<LayerRange> &layers, std::uint64_t born, TimePoint asked)
+{
+    const auto found = state.endpoints_.find(endpoint);
+    if (found == state.endpoints_.end())
+        return false;
+    KnownEndpoint &known = found->second;
+    if (born != 0 && born < known.listed_.born_)
+        return false;
+    known.reportedAt_ = asked;
+    const bool changed = known.listed_.layers_ != layers;
+    known.listed_.layers_ = layers;
+    if (born != 0)
+        known.listed_.born_ = born;
+    if (changed)
+        detail::logEndpoint(state, "endpoint-reported", known.listed_);
+    return changed;
+}
+
+} // namespace gypsumcroft
--- /dev/null
+++ b/src/controllers/internal/gatewayview.cpp
@@ -0,0 +1,46 @@
+#include "controllers/gatewayview.h"
+
+namespace gypsumcroft {
+
+namespace detail {
+namespace {
+
+//! Part of a freshness bound that is used; the rest covers the request's way to its endpoint.
+constexpr double UsedPart = 0.9;
+
+bool isWithin(const GatewayView &view, Duration bound, TimePoint now)
+{
+    if (!view.confirmedAt_)
+        return false;
+    const auto used = static_cast<std::int64_t>(UsedPart * static_cast<double>(bound.count()));
+    return now - *view.confirmedAt_ <= Duration(used);
+}
+
+} // namespace
+} // namespace detail
+
+std::shared_ptr<const EndpointIndex> buildEndpointIndex(const EndpointListState &list)
+{
+    auto index = std::make_shared<EndpointIndex>();
+    for (const auto &[id, known] : list.endpoints_) {
+        const std::size_t at = index->endpoints_.size();
+        index->endpoints_.push_back(known.listed_);
+        index->byTarget_[known.listed_.target_].push_back(at);
+        index->byId_.emplace(id, at);
+        index->byAddress_.insert_or_assign(known.listed_.address_, at);
+    }
+    return index;
+}
+
+bool keysAreFresh(const GatewayView &view, TimePoint now)
+{
+    return view.freshness_.revokeAfter_ == Duration::zero()
+           || detail::isWithin(view, view.freshness_.revokeAfter_, now);
+}
+
+bool stateIsFresh(const GatewayView &view, TimePoint now)
+{
+    return detail::isWithin(view, view.freshness_.applyAfter_, now);
+}
+
+} // namespace gypsumcroft
--- /dev/null
+++ b/src/controllers/placing.h
@@ -0,0 +1,109 @@
+//! Controller of who holds which layers: plans moves and carries them out order by order.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <variant>
+#include <vector>
+
+#include "controllers/endpointlist.h"
+#include "core/logline.h"
+#include "core/routes.h"
+
+namespace gypsumcroft {
+
+//! Number of orders that an endpoint has accepted in this life; an order names it, so that one
+//! that is carried out late changes nothing.
+using OrderCount = StrongType<struct OrderCountTag, std::uint64_t>;
+
+//! Ask an endpoint what it holds and how many orders it has accepted.
+struct AskEndpoint
+{
+    EndpointId endpoint_;
+    Address address_;
+};
+
+struct OrderLayers
+{
+    EndpointId endpoint_;
+    Address address_;
+    LayerRange layers_;
+    OrderCount expected_;
+};
+
+using PlacingEffect = std::variant<AskEndpoint, OrderLayers, LogEvent>;
+
+//! What an endpoint says of itself.
+struct EndpointReportFacts
+{
+    OrderCount orders_;
+    bool busy_ = false;
+    std::optional<LayerRange> layers_;
+    std::uint64_t born_ = 0;
+};
+
+enum class OrderOutcome : std::uint8_t {
+    Begun,
+    //! It holds already what the order says.
+    Holds,
+    //! The endpoint's state is another than expected.
+    Conflict,
+    Refused,
+    //! No answer: it may be carried out, also later.
+    Unknown,
+};
+
+struct PlacingLimits
+{
+    //! An endpoint is asked again after this time without news.
+    Duration askAgainAfter_ = std::chrono::milliseconds(500);
+    //! Plans are made at least this far apart.
+    Duration planEvery_ = std::chrono::milliseconds(100);
+    //! An endpoint that failed a question or an order is left alone for this time.
+    Duration restAfterFailure_ = std::chrono::milliseconds(1500);
+    //! Endpoints that traffic can't reach count as gone after this time.
+    Duration unreachableFor_ = std::chrono::milliseconds(700);
+};
+
+enum class PlacingPhase : std::uint8_t { Idle, Asking, Ready, Ordering, Loading };
+
+//! The way of one endpoint to the layers that the plan gives it.
+struct PlacingStep
+{
+    PlacingPhase phase_ = PlacingPhase::Idle;
+    LayerRange goal_;
+    std::string reason_;
+    OrderCount orders_;
+    TimePoint since_;
+    //! When the load should be over.
+    TimePoint dueAt_;
+    TimePoint restUntil_;
+};
+
+struct PlacingState
+{
+    PlacingLimits limits_;
+    std::map<EndpointId, PlacingStep> steps_;
+    //! Endpoints that traffic could not reach, since when.
+    std::map<EndpointId, TimePoint> unreachable_;
+    TimePoint plannedAt_;
+    std::vector<PlacingEffect> effects_;
+};
+
+//! Plans and goes on with steps; only while this process holds the lease.
+void tickPlacing(PlacingState &state, const EngineSpec &engine, const TargetName &target,
+                 const EndpointListState &list, TimePoint now);
+
+//! Forgets all steps: another process holds the lease now.
+void stopPlacing(PlacingState &state);
+
+void onEndpointReport(PlacingState &state, const EndpointId &endpoint,
+                      const std::optional<EndpointReportFacts> &report, TimePoint now);
+
+void onOrderOutcome(PlacingState &state, const EngineSpec &engine, const EndpointId &endpoint,
+                    OrderOutcome outcome, TimePoint now);
+
+//! Traffic could or could not reach an endpoint.
+void noteReachable(PlacingState &state, const EndpointId &endpoint, bool reachable, TimePoint now);
+
+} // namespace gypsumcroft
--- /dev/null
+++ b/src/documents/internal/gatewaysettings.cpp
@@ -0,0 +1,127 @@
+#include "documents/gatewaysettings.h"
+
+#include <algorithm>
+
+#include "documents/settings.h"
+#include "objectreader.h"
+
+namespace gypsumcroft {
+
+namespace detail {
+namespace {
+
+constexpr std::int64_t LongestMs = 600000;
+constexpr std::uint32_t MaxPartitions = 10000;
+
+std::optional<Address> addressIn(ObjectReader &reader, std::string_view name, bool required)
+{
+    const auto text = reader.text(name, required);
+    if (!text)
+        return std::nullopt;
+    auto address = parseAddress(*text);
+    if (!address)
+        reader.fault(name, "must be an IP number and a port, such as 127.0.0.1:8080");
+    return address;
+}
+
+Duration millisecondsIn(ObjectReader &reader, std::string_view name, Duration fallback)
+{
+    const auto value = reader.integer(name, false, 0, LongestMs);
+    return value ? Duration(std::chrono::milliseconds(*value)) : fallback;
+}
+
+double fractionIn(ObjectReader &reader, std::string_view name, double fallback)
+{
+    const boost::json::value *value = reader.member(name, false);
+    if (value == nullptr)
+        return fallback;
+    if (!value->is_number() || value->to_number<double>() < 0) {
+        reader.fault(name, "must be a number that isn't negative");
+        return fallback;
+    }
+    return value->to_number<double>();
+}
+
+bool flagIn(ObjectReader &reader, std::string_view name, bool fallback)
+{
+    const boost::json::value *value = reader.member(name, false);
+    if (value == nullptr)
+        return fallback;
+    if (!value->is_bool()) {
+        reader.fault(name, "must be true or false");
+        return fallback;
+    }
+    return value->as_bool();
+}
+
+void readBounds(ObjectReader &reader, GatewaySettings &settings, Findings &findings)
+{
+    const boost::json::value *value = reader.member("bounds", false);
+    if (value == nullptr)
+        return;
+    ObjectReader bounds(*value, reader.placeOf("bounds"), findings);
+    GatewayBounds &read = settings.bounds_;
+    const Duration revoke = millisecondsIn(bounds, "revokeMs", {});
+    read.freshness_.revokeAfter_ = flagIn(bounds, "strictRevoke", true) ? revoke : Duration();
+    read.freshness_.applyAfter_ = millisecondsIn(bounds, "applyMs", read.freshness_.applyAfter_);
+    read.retryRatio_ = fractionIn(bounds, "retryRatio", read.retryRatio_);
+    read.retrySlack_ = fractionIn(bounds, "retrySlack", read.retrySlack_);
+    read.retryWindow_ = std::chrono::microseconds(
+            static_cast<std::int64_t>(fractionIn(bounds, "retryWindowS", 10) * 1e6));
+    settings.grace_ = std::chrono::microseconds(
+            static_cast<std::int64_t>(fractionIn(bounds, "graceS", 8) * 1e6));
+    bounds.finish();
+}
+
+void readStore(ObjectReader &reader, GatewaySettings &settings, Findings &findings)
+{
+    const boost::json::value *value = reader.member("store", true);
+    if (value == nullptr)
+        return;
+    ObjectReader store(*value, reader.placeOf("store"), findings);
+    settings.store_ = addressIn(store, "address", true).value_or(Address {});
+    settings.topicPartitions_ = static_cast<std::uint32_t>(
+            store.integer("partitions", false, 1, MaxPartitions).value_or(1));
+    const Duration shortest = millisecondsIn(store, "shortestLifetimeMs", {});
+    settings.lease_.lifetime_ = std::max(settings.lease_.lifetime_, shortest);
+    store.finish();
+}
+
+} // namespace
+} // namespace detail
+
+std::optional<GatewaySettings> decodeGatewaySettings(std::string_view text,
+                                                     const std::string &place, Findings &findings)
+{
+    const std::size_t before = findings.size();
+    const auto value = detail::parseJson(text, place, findings);
+    if (!value)
+        return std::nullopt;
+    detail::ObjectReader reader(*value, place, findings);
+    GatewaySettings settings;
+    const auto role = reader.text("role", true);
+    if (role && *role != "gateway")
+        reader.fault("role", "must be 'gateway'");
+    settings.instance_ = {reader.text("instance", true).value_or("")};
+    settings.domain_ = {reader.text("failureDomain", true).value_or("")};
+    settings.callers_ = detail::addressIn(reader, "callers", true).value_or(Address {});
+    settings.ready_ = detail::addressIn(reader, "ready", true).value_or(Address {});
+    settings.metrics_ = detail::addressIn(reader, "metrics", false);
+    detail::readStore(reader, settings, findings);
+    detail::readBounds(reader, settings, findings);
+    reader.finish();
+    if (findings.size() != before)
+        return std::nullopt;
+    return settings;
+}
+
+bool isGatewaySettings(std::string_view text)
+{
+    boost::system::error_code error;
+    const boost::json::value value = boost::json::parse(text, error);
+    const boost::json::object *object = error ? nullptr : value.if_object();
+    const boost::json::value *role = object == nullptr ? nullptr : object->if_contains("role");
+    return role != nullptr && role->is_string() && role->as_string() == "gateway";
+}
+
+} // namespace gypsumcroft
--- a/src/filters/chain.h
+++ b/src/filters/chain.h
@@ -47,28 +47,29 @@
     return {FilterAction::Refuse, {code, RunState::NotRun, std::move(reason), retryAfter}};
 }
 
-//! One filter: it sees the request, control's picture, traffic's own state and the time.
-template <typename Context, typename View, typename State>
+//! One filter: it sees the request, control's picture, traffic's own state and the time. A verdict
+//! is a struct with an action_ and what a refusal needs.
+template <typename Context, typename View, typename State, typename Verdict = FilterVerdict>
 struct Filter
 {
     std::string_view name_;
-    FilterVerdict (*run_)(Context &, const View &, State &, TimePoint);
+    Verdict (*run_)(Context &, const View &, State &, TimePoint);
 };
 
 //! Runs filters from next on; next is left where the chain is to be resumed.
-template <typename Context, typename View, typename State>
-FilterVerdict runChain(std::span<const Filter<Context, View, State>> chain, std::size_t &next,
-                       Context &context, const View &view, State &state, TimePoint now)
+template <typename Context, typename View, typename State, typename Verdict>
+Verdict runChain(std::span<const Filter<Context, View, State, Verdict>> chain, std::size_t &next,
+                 Context &context, const View &view, State &state, TimePoint now)
 {
     while (next < chain.size()) {
-        FilterVerdict verdict = chain[next].run_(context, view, state, now);
+        Verdict verdict = chain[next].run_(context, view, state, now);
         if (verdict.action_ == FilterAction::Hold || verdict.action_ == FilterAction::Refuse)
             return verdict;
         ++next;
         if (verdict.action_ == FilterAction::Done)
             return verdict;
     }
-    return done();
+    return {FilterAction::Done, {}};
 }
 
 } // namespace gypsumcroft
--- /dev/null
+++ b/src/filters/internal/gatewayfilters.cpp
@@ -0,0 +1,374 @@
+#include "filters/gatewayfilters.h"
+
+#include <algorithm>
+#include <array>
+
+#include "core/hash.h"
+#include "policy/leastload.h"
+
+namespace gypsumcroft {
+
+namespace detail {
+namespace {
+
+//! Cost of an endpoint that failed lately, or failed this request before.
+constexpr Duration AvoidedPenalty = std::chrono::milliseconds(400);
+constexpr Duration FailedPenalty = std::chrono::milliseconds(5000);
+//! Requests that may wait at a plain service beyond its slots.
+constexpr std::int64_t WaitingAtService = 2;
+//! Part of a model's work that the less urgent ranks keep in a flood.
+constexpr std::array<PerMille, RankCount> RankFloors = {PerMille {0}, PerMille {80}, PerMille {80}};
+
+GatewayVerdict proceedGateway()
+{
+    return {};
+}
+
+GatewayVerdict refuseGateway(GatewayRefusal refusal)
+{
+    return {FilterAction::Refuse, refusal};
+}
+
+GatewayVerdict checkState(GatewayContext &, const GatewayView &view, GatewayTraffic &, TimePoint)
+{
+    return view.table_ ? proceedGateway() : refuseGateway(GatewayRefusal::Unready);
+}
+
+//! A state that is too old to go by must not say no to a request that a later one may allow.
+GatewayRefusal denial(const GatewayView &view, GatewayRefusal refusal, TimePoint now)
+{
+    return stateIsFresh(view, now) ? refusal : GatewayRefusal::Unready;
+}
+
+GatewayVerdict identifyRoute(GatewayContext &context, const GatewayView &view, GatewayTraffic &,
+                             TimePoint now)
+{
+    const RouteRule *route
+            = findRoute(*view.table_, context.request_.host_, context.request_.path_);
+    if (route == nullptr)
+        return refuseGateway(denial(view, GatewayRefusal::UnknownRoute, now));
+    context.route_ = *route;
+    context.priority_ = route->priority_;
+    const Duration patience = context.request_.patience_.value_or(GatewayLimits().defaultPatience_);
+    context.deadline_ = context.arrivedAt_ + std::min(patience, route->timeout_);
+    return proceedGateway();
+}
+
+GatewayVerdict authorise(GatewayContext &context, const GatewayView &view, GatewayTraffic &,
+                         TimePoint now)
+{
+    if (view.table_->state_.organisations_.empty() || context.route_.anonymous_)
+        return proceedGateway();
+    if (!keysAreFresh(view, now))
+        return refuseGateway(GatewayRefusal::Unready);
+    const OrganisationRule *organisation
+            = context.request_.apiKey_ ? findOrganisation(*view.table_, *context.request_.apiKey_)
+                                       : nullptr;
+    if (organisation == nullptr)
+        return refuseGateway(denial(view, GatewayRefusal::Unauthorised, now));
+    context.organisation_ = organisation->organisation_;
+    context.priority_ = organisation->priority_.value_or(context.priority_);
+    return proceedGateway();
+}
+
+//! Splits a route's traffic by a hash of the request's name, so that a repeat goes the same way.
+GatewayVerdict chooseTarget(GatewayContext &context, const GatewayView &view, GatewayTraffic &state,
+                            TimePoint now)
+{
+    std::uint64_t total = 0;
+    for (const WeightedTarget &target : context.route_.targets_)
+        total += target.weight_;
+    if (total == 0)
+        return refuseGateway(GatewayRefusal::NoEndpoint);
+    std::uint64_t point = hashText(context.request_.id_.value_) % total;
+    for (const WeightedTarget &target : context.route_.targets_) {
+        if (point < target.weight_) {
+            context.target_ = target.target_;
+            break;
+        }
+        point -= target.weight_;
+    }
+    const RetryShareLimits limits {view.retryRatio_, view.retrySlack_, view.retryWindow_};
+    countRequest(state.retryShares_[context.target_], limits, now);
+    return proceedGateway();
+}
+
+GatewayVerdict queueRequest(GatewayContext &context, const GatewayView &, GatewayTraffic &state,
+                            TimePoint)
+{
+    const auto [queue, isNew] = state.queues_.try_emplace(context.target_);
+    if (isNew)
+        queue->second.floors_ = RankFloors;
+    context.queued_ = true;
+    pushRequest(queue->second, queuedForm(context));
+    return {FilterAction::Done, {}};
+}
+
+const EngineSpec *engineOf(const GatewayContext &context, const GatewayView &view)
+{
+    const TargetSpec *target = findTarget(*view.table_, context.target_);
+    return target == nullptr || !target->engine_ ? nullptr : &*target->engine_;
+}
+
+Duration penaltyOf(const GatewayContext &context, const EndpointId &id, const EndpointUse &use,
+                   TimePoint now)
+{
+    if (context.failed_.contains(id))
+        return FailedPenalty;
+    return isAvoided(use.health_, now) ? AvoidedPenalty * use.health_.failuresInRow_ : Duration();
+}
+
+std::vector<PathNode> pathNodes(const GatewayContext &context, const GatewayView &view,
+                                const EngineSpec &engine, GatewayTraffic &state, TimePoint now)
+{
+    std::vector<PathNode> nodes;
+    const auto found = view.endpoints_->byTarget_.find(context.target_);
+    if (found == view.endpoints_->byTarget_.end())
+        return nodes;
+    for (const std::size_t index : found->second) {
+        const ListedEndpoint &listed = view.endpoints_->endpoints_[index];
+        const auto kind = engine.kinds_.find(listed.kind_);
+        if (listed.state_ != ListedState::Ready || !listed.layers_ || kind == engine.kinds_.end())
+            continue;
+        const EndpointUse &use = state.uses_[listed.id_];
+        PathNode node {listed.id_, listed.address_, listed.domain_, *listed.layers_};
+        node.stepFactor_ = kind->second.stepFactor_;
+        node.readFactor_ = kind->second.readFactor_;
+        node.readingAhead_ = use.readingAhead_;
+        node.streams_ = use.streams_;
+        node.room_ = requestRoom(engine, kind->second,
+                                 listed.layers_->end_.value_ - listed.layers_->first_.value_);
+        node.taken_ = use.tokenLayers_;
+        node.penalty_ = penaltyOf(context, listed.id_, use, now);
+        nodes.push_back(std::move(node));
+    }
+    return nodes;
+}
+
+std::optional<PlannedPath> planFor(const GatewayContext &context, const GatewayView &view,
+                                   const EngineSpec &engine, GatewayTraffic &state, TimePoint now)
+{
+    const PathDemand demand {view.domain_, context.request_.prompt_, context.request_.answer_};
+    return planPath(engine, pathNodes(context, view, engine, state, now), demand);
+}
+
+std::optional<ServiceChoice> chooseService(const GatewayContext &context, const GatewayView &view,
+                                           GatewayTraffic &state, TimePoint now)
+{
+    const auto found = view.endpoints_->byTarget_.find(context.target_);
+    if (found == view.endpoints_->byTarget_.end())
+        return std::nullopt;
+    std::vector<ServiceNode> nodes;
+    for (const std::size_t index : found->second) {
+        const ListedEndpoint &listed = view.endpoints_->endpoints_[index];
+        if (listed.state_ != ListedState::Ready)
+            continue;
+        const EndpointUse &use = state.uses_[listed.id_];
+        const bool believed = now - use.toldAt_ < state.limits_.toldLoadAge_;
+        const std::uint32_t load = std::max(use.calls_, believed ? use.toldLoad_ : 0);
+        nodes.push_back({index, load, std::max(1U, listed.slots_), listed.domain_ == view.domain_,
+                         context.failed_.contains(listed.id_) || isAvoided(use.health_, now)});
+    }
+    return chooseLeastLoaded(nodes);
+}
+
+GatewayVerdict choosePath(GatewayContext &context, const GatewayView &view, GatewayTraffic &state,
+                          TimePoint now)
+{
+    if (const EngineSpec *engine = engineOf(context, view)) {
+        context.plan_ = planFor(context, view, *engine, state, now);
+        return context.plan_ ? proceedGateway() : refuseGateway(GatewayRefusal::NoEndpoint);
+    }
+    const auto choice = chooseService(context, view, state, now);
+    if (!choice)
+        return refuseGateway(GatewayRefusal::NoEndpoint);
+    const ListedEndpoint &listed = view.endpoints_->endpoints_[choice->index_];
+    context.plan_ = PlannedPath {{{listed.id_, listed.address_, {}}}, {}, 0};
+    return proceedGateway();
+}
+
+//! Adds (sign 1) or gives back (sign -1) what a send holds of its endpoints.
+void holdEndpoints(const OpenSend &send, GatewayTraffic &state, int sign)
+{
+    if (send.path_.size() == 1 && send.path_.front().layers_.end_.value_ == 0) {
+        state.uses_[send.endpoint_].calls_ += static_cast<std::uint32_t>(sign);
+        return;
+    }
+    for (const PathPart &part : send.path_) {
+        EndpointUse &use = state.uses_[part.endpoint_];
+        const auto count
+                = static_cast<double>(part.layers_.end_.value_ - part.layers_.first_.value_);
+        use.tokenLayers_ += sign * count * static_cast<double>(send.tokens_.value_);
+        use.streams_ += static_cast<std::uint32_t>(sign);
+    }
+}
+
+//! Counts the time that each endpoint of the path needs for the prompt.
+void holdReading(const GatewayContext &context, OpenSend &send, const GatewayView &view,
+                 const EngineSpec &engine, GatewayTraffic &state)
+{
+    for (const PathPart &part : send.path_) {
+        const ListedEndpoint &listed
+                = view.endpoints_->endpoints_[view.endpoints_->byId_.at(part.endpoint_)];
+        const std::uint32_t count = part.layers_.end_.value_ - part.layers_.first_.value_;
+        send.reading_.push_back(readTime(engine, engine.kinds_.at(listed.kind_).readFactor_, count,
+                                         context.request_.prompt_));
+        state.uses_[part.endpoint_].readingAhead_ += send.reading_.back();
+    }
+}
+
+std::string pathText(const LayerPath &path)
+{
+    std::string text;
+    for (const PathPart &part : path) {
+        text += (text.empty() ? "" : ",") + part.endpoint_.value_;
+        if (part.layers_.end_.value_ > 0)
+            text += "=" + std::to_string(part.layers_.first_.value_) + "-"
+                    + std::to_string(part.layers_.end_.value_);
+    }
+    return text;
+}
+
+void logRouted(const GatewayContext &context, const GatewayView &view, GatewayTraffic &state,
+               TimePoint now)
+{
+    state.effects_.push_back(
+            logEvent(LogLevel::Info,
+                     LogLine("routed")
+                             .add("request", context.request_.id_)
+                             .add("route", context.route_.name_)
+                             .add("target", context.target_)
+                             .add("organisation",
+                                  context.organisation_ ? context.organisation_->value_ : "-")
+                             .add("attempt", std::uint64_t {context.sends_})
+                             .add("path", pathText(context.plan_->path_))
+                             .add("cost_ms", context.plan_->cost_)
+                             .add("fill", context.plan_->fill_)
+                             .add("waited_ms", now - context.arrivedAt_)
+                             .add("config", view.table_->state_.version_)
+                             .add("config_age_ms", now - view.confirmedAt_.value_or(now))));
+}
+
+GatewayVerdict dispatch(GatewayContext &context, const GatewayView &view, GatewayTraffic &state,
+                        TimePoint now)
+{
+    const EngineSpec *engine = engineOf(context, view);
+    OpenSend send;
+    send.id_ = {state.nextSend_++};
+    send.endpoint_ = context.plan_->path_.front().endpoint_;
+    send.path_ = context.plan_->path_;
+    send.sentAt_ = send.lastNews_ = now;
+    send.tokens_ = {context.request_.prompt_.value_ + context.request_.answer_.value_};
+    holdEndpoints(send, state, 1);
+    if (engine != nullptr)
+        holdReading(context, send, view, *engine, state);
+    ++context.sends_;
+    ++state.counters_.sends_;
+    state.sends_[send.id_] = context.request_.exchange_;
+    logRouted(context, view, state, now);
+    SendRequest effect;
+    effect.exchange_ = context.request_.exchange_;
+    effect.send_ = send.id_;
+    effect.endpoint_ = send.endpoint_;
+    effect.address_ = send.path_.front().address_;
+    if (engine != nullptr)
+        effect.path_ = send.path_;
+    effect.patience_ = context.deadline_ - now;
+    effect.organisation_ = context.organisation_;
+    effect.priority_ = context.priority_;
+    effect.resumeAfter_ = context.lastEvent_ ? context.lastEvent_ : context.request_.resumeAfter_;
+    effect.freshConnection_ = context.route_.repeat_ == RepeatRule::Never;
+    effect.stream_ = context.route_.stream_;
+    state.effects_.push_back(std::move(effect));
+    context.send_ = std::move(send);
+    return {FilterAction::Done, {}};
+}
+
+constexpr std::array<GatewayFilter, 7> Chain = {{
+        {"state", checkState},
+        {"route", identifyRoute},
+        {"authorise", authorise},
+        {"target", chooseTarget},
+        {"queue", queueRequest},
+        {"endpoint", choosePath},
+        {"dispatch", dispatch},
+}};
+constexpr std::size_t EndpointFilter = 5;
+
+Rank rankOf(Priority priority)
+{
+    return AllRanks.at(std::min<std::size_t>(priority.value_, RankCount - 1));
+}
+
+} // namespace
+} // namespace detail
+
+std::string_view gatewayRefusalName(GatewayRefusal refusal)
+{
+    static constexpr std::array<std::string_view, 7> Names
+            = {"unready",     "unknown-route", "unauthorised", "overloaded",
+               "no-endpoint", "timed-out",     "failed"};
+    return Names.at(static_cast<std::size_t>(refusal));
+}
+
+std::span<const GatewayFilter> gatewayChain()
+{
+    return detail::Chain;
+}
+
+std::size_t endpointFilterIndex()
+{
+    return detail::EndpointFilter;
+}
+
+bool hasRoom(GatewayContext &context, const GatewayView &view, GatewayTraffic &state, TimePoint now)
+{
+    if (!view.table_)
+        return false;
+    if (const EngineSpec *engine = detail::engineOf(context, view)) {
+        const auto plan = detail::planFor(context, view, *engine, state, now);
+        return plan && plan->fill_ <= state.limits_.maxFill_;
+    }
+    const auto choice = detail::chooseService(context, view, state, now);
+    return choice && choice->free_ + detail::WaitingAtService > 0;
+}
+
+void releaseReading(GatewayContext &context, GatewayTraffic &state)
+{
+    if (!context.send_)
+        return;
+    OpenSend &send = *context.send_;
+    for (std::size_t i = 0; i < send.reading_.size(); ++i)
+        state.uses_[send.path_[i].endpoint_].readingAhead_ -= send.reading_[i];
+    send.reading_.clear();
+}
+
+void releaseSend(GatewayContext &context, GatewayTraffic &state)
+{
+    if (!context.send_)
+        return;
+    releaseReading(context, state);
+    detail::holdEndpoints(*context.send_, state, -1);
+    state.sends_.erase(context.send_->id_);
+    context.send_.reset();
+}
+
+RequestId queueName(ExchangeId exchange)
+{
+    return {std::to_string(exchange.value_)};
+}
+
+QueuedRequest queuedForm(const GatewayContext &context)
+{
+    QueuedRequest queued;
+    queued.request_ = queueName(context.request_.exchange_);
+    queued.organisation_ = context.organisation_.value_or(OrganisationId {});
+    queued.caller_ = {queued.organisation_.value_};
+    queued.rank_ = detail::rankOf(context.priority_);
+    queued.work_ = {std::max<std::int64_t>(1, context.request_.prompt_.value_
+                                                      + context.request_.answer_.value_)};
+    queued.deadline_ = context.deadline_;
+    return queued;
+}
+
+} // namespace gypsumcroft
--- /dev/null
+++ b/src/gateway/control.h
@@ -0,0 +1,93 @@
+//! The gateway's control core: desired state, endpoints, lease and placement. No I/O.
+#pragma once
+
+#include <map>
+#include <variant>
+#include <vector>
+
+#include "controllers/endpointlist.h"
+#include "controllers/gatewayview.h"
+#include "controllers/lease.h"
+#include "controllers/placing.h"
+#include "controllers/routetable.h"
+
+namespace gypsumcroft {
+
+//! Renew the membership that the lease depends on.
+struct JoinGroup
+{
+    GroupGeneration generation_;
+};
+
+//! The view is out of date; build it with gatewayViewOf().
+struct GatewayViewChanged
+{ };
+
+using GatewayControlEffect
+        = std::variant<JoinGroup, AskEndpoint, OrderLayers, GatewayViewChanged, LogEvent>;
+
+//! Bounds that the platform sets for this installation.
+struct GatewayBounds
+{
+    FreshnessLimits freshness_;
+    double retryRatio_ = 0.2;
+    double retrySlack_ = 0;
+    Duration retryWindow_ = std::chrono::seconds(10);
+    //! A process that has had no answer from the platform for so long is not ready.
+    Duration readyWithin_ = std::chrono::seconds(3);
+};
+
+struct GatewayControl
+{
+    InstanceId self_;
+    FailureDomainId domain_;
+    GatewayBounds bounds_;
+    RouteTableState routes_;
+    EndpointListState endpoints_;
+    LeaseState lease_;
+    std::map<TargetName, PlacingState> placing_;
+    std::uint32_t entries_ = 1;
+    bool platformAnswers_ = true;
+    std::vector<GatewayControlEffect> effects_;
+};
+
+//! The platform's newest desired state, as it was when it was asked for.
+void onDesiredState(GatewayControl &state, DesiredState desired, TimePoint asked, TimePoint now);
+
+//! The platform has nothing newer than what is known, as of asked.
+void onNothingNewer(GatewayControl &state, TimePoint asked, TimePoint now);
+
+void onEndpointList(GatewayControl &state, const std::vector<ListedEndpoint> &listed,
+                    TimePoint asked, TimePoint now);
+
+//! A question to the platform had no answer; logged once until it answers again.
+void onPlatformSilent(GatewayControl &state, const std::string &question, const std::string &reason,
+                      TimePoint now);
+
+//! Answer to a join: whether this process holds the lease.
+void onJoined(GatewayControl &state, GroupGeneration generation, bool granted, TimePoint sent,
+              TimePoint now);
+void onJoinFailed(GatewayControl &state, TimePoint now);
+
+//! How many entries there are, as the platform says.
+void onEntryCount(GatewayControl &state, std::uint32_t entries);
+
+void onReport(GatewayControl &state, const EndpointId &endpoint,
+              const std::optional<EndpointReportFacts> &report, TimePoint asked, TimePoint now);
+void onOrderAnswered(GatewayControl &state, const EndpointId &endpoint, OrderOutcome outcome,
+                     TimePoint now);
+
+//! Traffic could or could not reach an endpoint.
+void onReachability(GatewayControl &state, const EndpointId &endpoint, bool reachable,
+                    TimePoint now);
+
+//! Lease, placement; to be called every GatewayControlInterval.
+void onGatewayControlTick(GatewayControl &state, TimePoint now);
+inline constexpr Duration GatewayControlInterval = std::chrono::milliseconds(100);
+
+GatewayView gatewayViewOf(const GatewayControl &state);
+
+//! True when the process can serve: it knows a state that is fresh enough.
+bool isGatewayReady(const GatewayControl &state, TimePoint now);
+
+} // namespace gypsumcroft
--- /dev/null
+++ b/src/gateway/internal/control.cpp
@@ -0,0 +1,202 @@
+#include "gateway/control.h"
+
+namespace gypsumcroft {
+
+namespace detail {
+namespace {
+
+void viewChanged(GatewayControl &state)
+{
+    state.effects_.emplace_back(GatewayViewChanged {});
+}
+
+void takeLog(GatewayControl &state)
+{
+    for (LogEvent &event : state.endpoints_.log_)
+        state.effects_.emplace_back(std::move(event));
+    state.endpoints_.log_.clear();
+}
+
+void platformAnswered(GatewayControl &state, TimePoint now)
+{
+    if (state.platformAnswers_)
+        return;
+    state.platformAnswers_ = true;
+    state.effects_.emplace_back(
+            logEvent(LogLevel::Info, LogLine("dependency-regained")
+                                             .add("dependency", "platform-store")
+                                             .add("config_age_ms",
+                                                  ageOf(state.routes_, now).value_or(Duration()))));
+}
+
+//! The model target that an endpoint belongs to; nothing for plain services.
+const TargetSpec *modelOf(const GatewayControl &state, const EndpointId &endpoint)
+{
+    const auto known = state.endpoints_.endpoints_.find(endpoint);
+    if (known == state.endpoints_.endpoints_.end() || !state.routes_.table_)
+        return nullptr;
+    const TargetSpec *target = findTarget(*state.routes_.table_, known->second.listed_.target_);
+    return target == nullptr || !target->engine_ ? nullptr : target;
+}
+
+void takePlacingEffects(GatewayControl &state, PlacingState &placing)
+{
+    for (PlacingEffect &effect : placing.effects_)
+        std::visit([&](auto &value) { state.effects_.emplace_back(std::move(value)); }, effect);
+    placing.effects_.clear();
+}
+
+void tickTargets(GatewayControl &state, TimePoint now)
+{
+    for (const TargetSpec &target : state.routes_.table_->state_.targets_) {
+        if (!target.engine_)
+            continue;
+        PlacingState &placing = state.placing_[target.name_];
+        tickPlacing(placing, *target.engine_, target.name_, state.endpoints_, now);
+        takePlacingEffects(state, placing);
+    }
+}
+
+} // namespace
+} // namespace detail
+
+void onDesiredState(GatewayControl &state, DesiredState desired, TimePoint asked, TimePoint now)
+{
+    detail::platformAnswered(state, now);
+    confirmDesiredState(state.routes_, asked);
+    const ConfigVersion version = desired.version_;
+    const std::size_t routes = desired.routes_.size();
+    const bool taken = applyDesiredState(state.routes_, std::move(desired), now);
+    if (taken)
+        state.effects_.emplace_back(
+                logEvent(LogLevel::Info, LogLine("config-in-force")
+                                                 .add("version", version)
+                                                 .add("routes", std::uint64_t {routes})
+                                                 .add("asked_ms_ago", now - asked)));
+    detail::viewChanged(state);
+}
+
+void onNothingNewer(GatewayControl &state, TimePoint asked, TimePoint now)
+{
+    detail::platformAnswered(state, now);
+    confirmDesiredState(state.routes_, asked);
+    detail::viewChanged(state);
+}
+
+void onEndpointList(GatewayControl &state, const std::vector<ListedEndpoint> &listed,
+                    TimePoint asked, TimePoint now)
+{
+    detail::platformAnswered(state, now);
+    const bool changed = applyEndpointList(state.endpoints_, listed, asked, now);
+    detail::takeLog(state);
+    if (changed)
+        detail::viewChanged(state);
+}
+
+void onPlatformSilent(GatewayControl &state, const std::string &question, const std::string &reason,
+                      TimePoint now)
+{
+    if (!state.platformAnswers_)
+        return;
+    state.platformAnswers_ = false;
+    state.effects_.emplace_back(logEvent(
+            LogLevel::Warning,
+            LogLine("dependency-lost")
+                    .add("dependency", "platform-store")
+                    .add("question", question)
+                    .add("reason", reason)
+                    .add("config_age_ms", ageOf(state.routes_, now).value_or(Duration()))));
+}
+
+void onJoined(GatewayControl &state, GroupGeneration generation, bool granted, TimePoint sent,
+              TimePoint now)
+{
+    if (!applyJoin(state.lease_, generation, granted, sent))
+        return;
+    state.effects_.emplace_back(
+            logEvent(LogLevel::Info, LogLine(granted ? "lease-gained" : "lease-lost")
+                                             .add("generation", generation)
+                                             .add("answer_ms", now - sent)));
+    if (!granted) {
+        for (auto &[target, placing] : state.placing_)
+            stopPlacing(placing);
+    }
+}
+
+void onJoinFailed(GatewayControl &state, TimePoint now)
+{
+    applyJoinFailure(state.lease_, now);
+}
+
+void onEntryCount(GatewayControl &state, std::uint32_t entries)
+{
+    if (entries == 0 || entries == state.entries_)
+        return;
+    state.entries_ = entries;
+    state.effects_.emplace_back(
+            logEvent(LogLevel::Info, LogLine("entries").add("count", std::uint64_t {entries})));
+    detail::viewChanged(state);
+}
+
+void onReport(GatewayControl &state, const EndpointId &endpoint,
+              const std::optional<EndpointReportFacts> &report, TimePoint asked, TimePoint now)
+{
+    const TargetSpec *target = detail::modelOf(state, endpoint);
+    if (target == nullptr)
+        return;
+    if (report
+        && applyHeldLayers(state.endpoints_, endpoint, report->layers_, report->born_, asked))
+        detail::viewChanged(state);
+    detail::takeLog(state);
+    onEndpointReport(state.placing_[target->name_], endpoint, report, now);
+}
+
+void onOrderAnswered(GatewayControl &state, const EndpointId &endpoint, OrderOutcome outcome,
+                     TimePoint now)
+{
+    const TargetSpec *target = detail::modelOf(state, endpoint);
+    if (target == nullptr)
+        return;
+    PlacingState &placing = state.placing_[target->name_];
+    onOrderOutcome(placing, *target->engine_, endpoint, outcome, now);
+    detail::takePlacingEffects(state, placing);
+}
+
+void onReachability(GatewayControl &state, const EndpointId &endpoint, bool reachable,
+                    TimePoint now)
+{
+    if (const TargetSpec *target = detail::modelOf(state, endpoint))
+        noteReachable(state.placing_[target->name_], endpoint, reachable, now);
+}
+
+void onGatewayControlTick(GatewayControl &state, TimePoint now)
+{
+    if (takeJoinDue(state.lease_, now))
+        state.effects_.emplace_back(JoinGroup {state.lease_.generation_});
+    if (!state.routes_.table_ || !holdsLease(state.lease_, now))
+        return;
+    detail::tickTargets(state, now);
+}
+
+GatewayView gatewayViewOf(const GatewayControl &state)
+{
+    GatewayView view;
+    view.table_ = state.routes_.table_;
+    view.endpoints_ = buildEndpointIndex(state.endpoints_);
+    view.confirmedAt_ = state.routes_.confirmedAt_;
+    view.freshness_ = state.bounds_.freshness_;
+    view.domain_ = state.domain_;
+    view.entries_ = state.entries_;
+    view.retryRatio_ = state.bounds_.retryRatio_;
+    view.retrySlack_ = state.bounds_.retrySlack_;
+    view.retryWindow_ = state.bounds_.retryWindow_;
+    return view;
+}
+
+bool isGatewayReady(const GatewayControl &state, TimePoint now)
+{
+    const auto age = ageOf(state.routes_, now);
+    return age && *age <= state.bounds_.readyWithin_;
+}
+
+} // namespace gypsumcroft
--- /dev/null
+++ b/src/gateway/internal/traffic.cpp
@@ -0,0 +1,392 @@
+#include "gateway/traffic.h"
+
+#include <algorithm>
+#include <charconv>
+
+#include "filters/gatewayfilters.h"
+
+namespace gypsumcroft {
+
+namespace detail {
+namespace {
+
+using Context = GatewayContext;
+
+void emit(GatewayTraffic &state, GatewayEffect effect)
+{
+    state.effects_.push_back(std::move(effect));
+}
+
+LogLine requestLine(const char *event, const Context &context, TimePoint now)
+{
+    LogLine line(event);
+    line.add("request", context.request_.id_)
+            .add("route", context.route_.name_)
+            .add("sends", std::uint64_t {context.sends_})
+            .add("ms", now - context.arrivedAt_);
+    return line;
+}
+
+//! Takes a request out of everything. References to its context end here.
+void forget(GatewayTraffic &state, Context &context)
+{
+    if (context.queued_)
+        removeRequest(state.queues_.at(context.target_), queuedForm(context));
+    releaseSend(context, state);
+    state.requests_.erase(context.request_.exchange_);
+}
+
+void cancelSend(GatewayTraffic &state, Context &context)
+{
+    if (context.send_)
+        emit(state, CancelSend {context.send_->id_});
+    releaseSend(context, state);
+}
+
+void refuse(GatewayTraffic &state, Context &context, GatewayRefusal refusal,
+            const std::string &reason, TimePoint now)
+{
+    const bool unknown = refusal == GatewayRefusal::TimedOut || refusal == GatewayRefusal::Failed;
+    ++(unknown ? state.counters_.failed_ : state.counters_.refused_);
+    emit(state, logEvent(LogLevel::Info, requestLine("refused", context, now)
+                                                 .add("refusal", gatewayRefusalName(refusal))
+                                                 .add("run", unknown ? "unknown" : "not-run")
+                                                 .add("reason", reason)));
+    const bool comeBack
+            = refusal != GatewayRefusal::UnknownRoute && refusal != GatewayRefusal::Unauthorised;
+    emit(state, RefuseRequest {context.request_.exchange_, refusal,
+                               comeBack ? state.limits_.retryAfter_ : Duration()});
+    forget(state, context);
+}
+
+void breakOff(GatewayTraffic &state, Context &context, const std::string &reason, TimePoint now)
+{
+    ++state.counters_.failed_;
+    emit(state, logEvent(LogLevel::Warning,
+                         requestLine("broken-off", context, now).add("reason", reason)));
+    emit(state, BreakOffAnswer {context.request_.exchange_});
+    forget(state, context);
+}
+
+void runFrom(GatewayTraffic &state, const GatewayView &view, Context &context, TimePoint now)
+{
+    const GatewayVerdict verdict
+            = runChain(gatewayChain(), context.nextFilter_, context, view, state, now);
+    if (verdict.action_ != FilterAction::Refuse)
+        return;
+    const bool mayHaveRun = context.mayHaveRun_;
+    if (context.streamBegun_)
+        return breakOff(state, context, "no endpoint to go on with", now);
+    refuse(state, context, mayHaveRun ? GatewayRefusal::Failed : verdict.refusal_,
+           mayHaveRun ? "no endpoint for another attempt" : "filter", now);
+}
+
+ExchangeId exchangeOf(const QueuedRequest &queued)
+{
+    ExchangeId exchange;
+    const std::string &name = queued.request_.value_;
+    std::from_chars(name.data(), name.data() + name.size(), exchange.value_);
+    return exchange;
+}
+
+//! Sends what the queues hold as far as endpoints have room.
+void pump(GatewayTraffic &state, const GatewayView &view, TimePoint now)
+{
+    for (auto &[target, queue] : state.queues_) {
+        const auto mayTake = [&](const QueuedRequest &queued) {
+            return hasRoom(state.requests_.at(exchangeOf(queued)), view, state, now);
+        };
+        while (queue.size_ > 0) {
+            const auto next = popRequest(queue, mayTake);
+            if (!next)
+                break;
+            Context &context = state.requests_.at(exchangeOf(*next));
+            context.queued_ = false;
+            context.nextFilter_ = endpointFilterIndex();
+            runFrom(state, view, context, now);
+        }
+    }
+}
+
+bool takeBudget(GatewayTraffic &state, const GatewayView &view, const Context &context,
+                TimePoint now)
+{
+    const RetryShareLimits limits {view.retryRatio_, view.retrySlack_, view.retryWindow_};
+    const bool taken = takeRetry(state.retryShares_[context.target_], limits, view.entries_, now);
+    ++(taken ? state.counters_.retries_ : state.counters_.retriesWithoutBudget_);
+    return taken;
+}
+
+//! Decides how a request goes on after its send has ended, and does it.
+void afterSend(GatewayTraffic &state, const GatewayView &view, Context &context,
+               AttemptEnding ending, const std::string &reason, TimePoint now)
+{
+    const SendId send = context.send_ ? context.send_->id_ : SendId {};
+    AttemptFacts facts;
+    facts.repeat_ = context.route_.repeat_;
+    facts.ending_ = ending;
+    facts.answerBegun_ = context.streamBegun_;
+    facts.earlierMayHaveRun_ = context.mayHaveRun_;
+    if (ending != AttemptEnding::NotRun) {
+        ++context.runs_;
+        context.mayHaveRun_ = true;
+    }
+    facts.runs_ = context.runs_;
+    facts.maxAttempts_ = context.route_.maxAttempts_;
+    facts.timeLeft_ = now < context.deadline_;
+    facts.sends_ = context.sends_;
+    if (nextStep(facts) == NextStep::SendAgain)
+        facts.budgetLeft_ = takeBudget(state, view, context, now);
+    const NextStep next = nextStep(facts);
+    emit(state,
+         logEvent(LogLevel::Info,
+                  requestLine("send-ended", context, now)
+                          .add("send", send)
+                          .add("endpoint", context.send_ ? context.send_->endpoint_.value_ : "-")
+                          .add("reason", reason)
+                          .add("runs", std::uint64_t {context.runs_})
+                          .add("budget", facts.budgetLeft_ ? "left" : "spent")
+                          .add("next", static_cast<std::uint64_t>(next))));
+    if (next == NextStep::PassFailure) {
+        emit(state, DeliverAnswer {context.request_.exchange_, send});
+        ++state.counters_.failed_;
+        return forget(state, context);
+    }
+    releaseSend(context, state);
+    switch (next) {
+    case NextStep::SendAgain:
+        context.queued_ = true;
+        pushRequestFront(state.queues_.at(context.target_), queuedForm(context));
+        return;
+    case NextStep::RefuseNotRun:
+        return refuse(state, context, GatewayRefusal::Overloaded, reason, now);
+    case NextStep::FailUnknown:
+        return refuse(state, context,
+                      facts.timeLeft_ ? GatewayRefusal::Failed : GatewayRefusal::TimedOut, reason,
+                      now);
+    case NextStep::BreakOff:
+        return breakOff(state, context, reason, now);
+    case NextStep::PassFailure:
+        return;
+    }
+}
+
+//! The endpoint at fault for a failed send: the one that an answer names, else the first.
+EndpointId faultyEndpoint(const Context &context, const GatewayView &view)
+{
+    const OpenSend &send = *context.send_;
+    if (!send.head_.faulty_)
+        return send.endpoint_;
+    const auto found = view.endpoints_->byAddress_.find(*send.head_.faulty_);
+    return found == view.endpoints_->byAddress_.end()
+                   ? send.endpoint_
+                   : view.endpoints_->endpoints_[found->second].id_;
+}
+
+void blame(GatewayTraffic &state, Context &context, const EndpointId &endpoint, TimePoint now)
+{
+    context.failed_.insert(endpoint);
+    countFailure(state.uses_[endpoint].health_, state.limits_.health_, now);
+}
+
+void praise(GatewayTraffic &state, const Context &context)
+{
+    for (const PathPart &part : context.send_->path_) {
+        EndpointHealth &health = state.uses_[part.endpoint_].health_;
+        if (health.failuresInRow_ > 0)
+            emit(state, ReachabilityNote {part.endpoint_, true});
+        countSuccess(health);
+    }
+}
+
+Context *contextOf(GatewayTraffic &state, SendId send)
+{
+    const auto found = state.sends_.find(send);
+    if (found == state.sends_.end())
+        return nullptr;
+    return &state.requests_.at(found->second);
+}
+
+void onDeadline(GatewayTraffic &state, Context &context, TimePoint now)
+{
+    const bool sent = context.send_.has_value();
+    cancelSend(state, context);
+    if (context.streamBegun_)
+        return breakOff(state, context, "deadline", now);
+    const bool unknown = sent || context.mayHaveRun_;
+    refuse(state, context, unknown ? GatewayRefusal::TimedOut : GatewayRefusal::Overloaded,
+           "deadline", now);
+}
+
+//! A queued request waits no longer than it is worth; what was sent before has its deadline.
+bool waitedTooLong(const GatewayTraffic &state, const Context &context, TimePoint now)
+{
+    if (!context.queued_ || context.sends_ > 0)
+        return false;
+    const double patience = state.limits_.queuePatience_
+                            * static_cast<double>(context.route_.latencyTarget_.count());
+    return now - context.arrivedAt_ > Duration(static_cast<std::int64_t>(patience));
+}
+
+//! A stream that brings nothing, though it may go on elsewhere.
+bool isSilent(const GatewayTraffic &state, const Context &context, TimePoint now)
+{
+    if (!context.send_ || !context.route_.stream_ || context.route_.repeat_ == RepeatRule::Never)
+        return false;
+    if (context.runs_ + 1 >= context.route_.maxAttempts_)
+        return false;
+    const Duration quiet = now - context.send_->lastNews_;
+    if (context.send_->reading_.empty())
+        return quiet > state.limits_.silence_;
+    const double patience = state.limits_.firstEventPatience_
+                            * static_cast<double>(context.route_.latencyTarget_.count());
+    return quiet > Duration(static_cast<std::int64_t>(patience));
+}
+
+void onSilence(GatewayTraffic &state, const GatewayView &view, Context &context, TimePoint now)
+{
+    for (const PathPart &part : context.send_->path_)
+        context.failed_.insert(part.endpoint_);
+    emit(state, CancelSend {context.send_->id_});
+    afterSend(state, view, context, AttemptEnding::Unknown, "silent", now);
+}
+
+} // namespace
+} // namespace detail
+
+void onGatewayRequest(GatewayTraffic &state, const GatewayView &view, GatewayRequest request,
+                      TimePoint now)
+{
+    ++state.counters_.received_;
+    const ExchangeId exchange = request.exchange_;
+    GatewayContext &context = state.requests_[exchange];
+    context.request_ = std::move(request);
+    context.arrivedAt_ = now;
+    context.deadline_ = now + context.request_.patience_.value_or(state.limits_.defaultPatience_);
+    detail::runFrom(state, view, context, now);
+    detail::pump(state, view, now);
+}
+
+void onGatewayCallerGone(GatewayTraffic &state, const GatewayView &view, ExchangeId exchange,
+                         TimePoint now)
+{
+    const auto found = state.requests_.find(exchange);
+    if (found == state.requests_.end())
+        return;
+    ++state.counters_.callersGone_;
+    GatewayContext &context = found->second;
+    detail::emit(state, logEvent(LogLevel::Info, detail::requestLine("caller-gone", context, now)));
+    detail::cancelSend(state, context);
+    detail::forget(state, context);
+    detail::pump(state, view, now);
+}
+
+void onSendHead(GatewayTraffic &state, const GatewayView &, SendId send, const AnswerHead &head,
+                TimePoint now)
+{
+    GatewayContext *context = detail::contextOf(state, send);
+    if (context == nullptr)
+        return;
+    context->send_->head_ = head;
+    context->send_->answering_ = true;
+    if (!head.load_)
+        return;
+    EndpointUse &use = state.uses_[context->send_->endpoint_];
+    use.toldLoad_ = *head.load_;
+    use.toldAt_ = now;
+}
+
+void onSendEvents(GatewayTraffic &state, const GatewayView &, SendId send,
+                  std::optional<EventId> last, TimePoint now)
+{
+    GatewayContext *context = detail::contextOf(state, send);
+    if (context == nullptr)
+        return;
+    context->send_->lastNews_ = now;
+    if (!context->send_->reading_.empty()) {
+        releaseReading(*context, state);
+        detail::praise(state, *context);
+    }
+    if (last)
+        context->lastEvent_ = last;
+    if (!context->streamBegun_) {
+        context->streamBegun_ = true;
+        detail::emit(state, BeginStream {context->request_.exchange_, send});
+    }
+    detail::emit(state, PassEvents {context->request_.exchange_, send});
+}
+
+void onSendDone(GatewayTraffic &state, const GatewayView &view, SendId send, TimePoint now)
+{
+    GatewayContext *context = detail::contextOf(state, send);
+    if (context == nullptr)
+        return;
+    const AnswerHead &head = context->send_->head_;
+    if (head.notRun_) {
+        detail::blame(state, *context, detail::faultyEndpoint(*context, view), now);
+        detail::afterSend(state, view, *context, AttemptEnding::NotRun,
+                          "status " + std::to_string(head.status_) + ", not run", now);
+    } else if (!head.success_) {
+        const std::uint16_t status = head.status_;
+        detail::afterSend(state, view, *context,
+                          status < 500 ? AttemptEnding::FailureAnswer
+                                       : AttemptEnding::FailureAnswer,
+                          "status " + std::to_string(status), now);
+    } else {
+        detail::praise(state, *context);
+        ++state.counters_.answered_;
+        detail::emit(state,
+                     logEvent(LogLevel::Info, detail::requestLine("answered", *context, now)
+                                                      .add("endpoint", context->send_->endpoint_)));
+        if (context->streamBegun_)
+            detail::emit(state, FinishStream {context->request_.exchange_});
+        else
+            detail::emit(state, DeliverAnswer {context->request_.exchange_, send});
+        detail::forget(state, *context);
+    }
+    detail::pump(state, view, now);
+}
+
+void onSendFailed(GatewayTraffic &state, const GatewayView &view, SendId send, SendFailure failure,
+                  const std::string &reason, TimePoint now)
+{
+    GatewayContext *context = detail::contextOf(state, send);
+    if (context == nullptr)
+        return;
+    detail::blame(state, *context, context->send_->endpoint_, now);
+    if (failure == SendFailure::NotSent)
+        detail::emit(state, ReachabilityNote {context->send_->endpoint_, false});
+    detail::afterSend(state, view, *context,
+                      failure == SendFailure::NotSent ? AttemptEnding::NotRun
+                                                      : AttemptEnding::Unknown,
+                      reason, now);
+    detail::pump(state, view, now);
+}
+
+void onGatewayTick(GatewayTraffic &state, const GatewayView &view, TimePoint now)
+{
+    std::vector<ExchangeId> ids;
+    ids.reserve(state.requests_.size());
+    for (const auto &[id, context] : state.requests_)
+        ids.push_back(id);
+    for (const ExchangeId id : ids) {
+        const auto found = state.requests_.find(id);
+        if (found == state.requests_.end())
+            continue;
+        GatewayContext &context = found->second;
+        if (now >= context.deadline_)
+            detail::onDeadline(state, context, now);
+        else if (detail::waitedTooLong(state, context, now))
+            detail::refuse(state, context, GatewayRefusal::Overloaded, "queue", now);
+        else if (detail::isSilent(state, context, now))
+            detail::onSilence(state, view, context, now);
+    }
+    detail::pump(state, view, now);
+}
+
+bool isGatewayIdle(const GatewayTraffic &state)
+{
+    return state.requests_.empty();
+}
+
+} // namespace gypsumcroft
--- /dev/null
+++ b/src/http/internal/relayclient.cpp
@@ -0,0 +1,335 @@
+#include "http/relayclient.h"
+
+#include <charconv>
+#include <unordered_map>
+
+#include <boost/asio.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <netinet/tcp.h>
+
+namespace gypsumcroft::http {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using asio::ip::tcp;
+
+namespace detail {
+
+using Clock = asio::steady_timer::clock_type;
+using AnswerParser = beast::http::response_parser<beast::http::buffer_body>;
+
+constexpr std::size_t ReadBytes = 4096;
+constexpr std::uint32_t MaxHeaderBytes = 64 * 1024;
+//! Answers to other requests that are passed over before the connection is given up.
+constexpr int MaxStrayAnswers = 2;
+//! A kept connection is used for this part of the time that its server keeps it.
+constexpr double KeptPart = 0.7;
+//! For servers that don't say how long they keep a connection.
+constexpr std::chrono::milliseconds DefaultKept {2000};
+//! The kernel gives a connection up that has had no acknowledgement for so long.
+constexpr int UnacknowledgedMs = 4000;
+constexpr unsigned InformationalClass = 1;
+constexpr unsigned StatusClassSize = 100;
+
+struct KeptConnection
+{
+    explicit KeptConnection(asio::io_context &context) : socket_(context) { }
+    tcp::socket socket_;
+    beast::flat_buffer buffer_;
+    Clock::time_point until_;
+};
+using ConnectionPtr = std::unique_ptr<KeptConnection>;
+
+struct RelayCallState
+{
+    RelayCallRequest request_;
+    RelayCallHandlers handlers_;
+    ConnectionPtr connection_;
+    bool cancelled_ = false;
+};
+
+namespace {
+
+std::string requestText(const RelayCallRequest &call)
+{
+    const RelayRequest &request = call.request_;
+    std::string text = request.method_ + " " + request.target_ + " HTTP/1.1\r\n";
+    bool hasHost = false;
+    for (const auto &[name, value] : request.headers_) {
+        hasHost = hasHost || sameName(name, "Host");
+        text.append(name).append(": ").append(value).append("\r\n");
+    }
+    if (!hasHost)
+        text += "Host: " + call.to_.host_ + "\r\n";
+    const bool mayBeEmpty = request.method_ == "GET" || request.method_ == "HEAD";
+    if (!request.body_.empty() || !mayBeEmpty)
+        text += "Content-Length: " + std::to_string(request.body_.size()) + "\r\n";
+    return text + "\r\n" + request.body_;
+}
+
+HeaderList headersOf(const AnswerParser &parser)
+{
+    HeaderList headers;
+    for (const auto &field : parser.get())
+        headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
+    return headers;
+}
+
+//! How long the connection may be kept after this answer; nothing when it is to be closed.
+std::optional<Clock::duration> keptTime(const AnswerParser &parser)
+{
+    if (!parser.get().keep_alive() || parser.need_eof())
+        return std::nullopt;
+    const std::string_view text = parser.get()[beast::http::field::keep_alive];
+    const auto found = text.find("timeout=");
+    if (found == std::string_view::npos)
+        return DefaultKept;
+    int seconds = 0;
+    const std::string_view digits = text.substr(found + std::string_view("timeout=").size());
+    std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+    if (seconds <= 0)
+        return std::nullopt;
+    return std::chrono::milliseconds(static_cast<int>(KeptPart * 1000 * seconds));
+}
+
+//! A kept connection that is readable was closed by the server or carries a stray answer.
+bool isQuiet(tcp::socket &socket)
+{
+    char byte = 0;
+    boost::system::error_code error;
+    socket.non_blocking(true, error);
+    socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+    return error == asio::error::would_block;
+}
+
+} // namespace
+} // namespace detail
+
+struct RelayClient::Impl : std::enable_shared_from_this<RelayClient::Impl>
+{
+    Impl(asio::io_context &context, RelayClientOptions options)
+        : context_(context), options_(options)
+    { }
+
+    detail::ConnectionPtr takeIdle(const Address &to)
+    {
+        auto &idle = idle_[to];
+        while (!idle.empty()) {
+            detail::ConnectionPtr connection = std::move(idle.back());
+            idle.pop_back();
+            if (detail::Clock::now() < connection->until_ && detail::isQuiet(connection->socket_))
+                return connection;
+        }
+        return nullptr;
+    }
+
+    void keep(const Address &to, detail::ConnectionPtr connection)
+    {
+        auto &idle = idle_[to];
+        const auto now = detail::Clock::now();
+        std::erase_if(idle, [&](const auto &kept) { return kept->until_ <= now; });
+        if (idle.size() < options_.maxIdlePerServer_)
+            idle.push_back(std::move(connection));
+    }
+
+    //! Opens a connection; the reason when it fails.
+    asio::awaitable<std::string> connect(detail::RelayCallState &call)
+    {
+        call.connection_ = std::make_unique<detail::KeptConnection>(context_);
+        boost::system::error_code error;
+        const auto host = asio::ip::make_address(call.request_.to_.host_, error);
+        if (error)
+            co_return "not an address";
+        tcp::socket &socket = call.connection_->socket_;
+        auto expired = std::make_shared<bool>(false);
+        asio::steady_timer limit(context_, options_.connectTimeout_);
+        limit.async_wait([&socket, expired](boost::system::error_code cancelled) {
+            boost::system::error_code ignored;
+            if (cancelled || *expired)
+                return;
+            *expired = true;
+            socket.close(ignored);
+        });
+        co_await socket.async_connect({host, call.request_.to_.port_},
+                                      asio::redirect_error(asio::use_awaitable, error));
+        const bool timedOut = *expired;
+        *expired = true;
+        limit.cancel();
+        if (timedOut)
+            co_return "no connection in time";
+        if (error)
+            co_return "can't connect: " + error.message();
+        ++opened_;
+        boost::system::error_code ignored;
+        socket.set_option(tcp::no_delay(true), ignored);
+        const int limitMs = detail::UnacknowledgedMs;
+        setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &limitMs, sizeof limitMs);
+        co_return std::string();
+    }
+
+    static asio::awaitable<void> run(std::shared_ptr<Impl> self,
+                                     std::shared_ptr<detail::RelayCallState> call)
+    {
+        // The caller gets its handle before anything happens.
+        co_await asio::post(self->context_, asio::use_awaitable);
+        if (call->cancelled_)
+            co_return;
+        if (!call->request_.freshConnection_)
+            call->connection_ = self->takeIdle(call->request_.to_);
+        if (!call->connection_) {
+            const std::string reason = co_await self->connect(*call);
+            if (call->cancelled_)
+                co_return;
+            if (!reason.empty()) {
+                call->handlers_.onFailed_(RelayFailure::NotSent, reason);
+                co_return;
+            }
+        }
+        const std::string text = detail::requestText(call->request_);
+        boost::system::error_code error;
+        co_await asio::async_write(call->connection_->socket_, asio::buffer(text),
+                                   asio::redirect_error(asio::use_awaitable, error));
+        if (call->cancelled_)
+            co_return;
+        if (error) {
+            call->handlers_.onFailed_(RelayFailure::Broken, "write: " + error.message());
+            co_return;
+        }
+        co_await readAnswer(*self, *call);
+    }
+
+    static asio::awaitable<void> readAnswer(Impl &self, detail::RelayCallState &call)
+    {
+        for (int stray = 0; stray <= detail::MaxStrayAnswers;) {
+            detail::AnswerParser parser;
+            parser.header_limit(detail::MaxHeaderBytes);
+            parser.body_limit(boost::none);
+            if (call.request_.request_.method_ == "HEAD")
+                parser.skip(true);
+            boost::system::error_code error;
+            co_await beast::http::async_read_header(
+                    call.connection_->socket_, call.connection_->buffer_, parser,
+                    asio::redirect_error(asio::use_awaitable, error));
+            if (call.cancelled_)
+                co_return;
+            if (error)
+                co_return fail(call, error);
+            if (parser.get().result_int() / detail::StatusClassSize == detail::InformationalClass)
+                continue;
+            RelayHead head {static_cast<std::uint16_t>(parser.get().result_int()),
+                            detail::headersOf(parser)};
+            const bool own = isOwn(call, head);
+            if (own)
+                call.handlers_.onHead_(std::move(head));
+            if (call.cancelled_ || !co_await readBody(call, parser, own))
+                co_return;
+            if (!own) {
+                ++stray;
+                continue;
+            }
+            finish(self, call, parser);
+            co_return;
+        }
+        call.handlers_.onFailed_(RelayFailure::Garbled, "answers of other requests");
+    }
+
+    static bool isOwn(const detail::RelayCallState &call, const RelayHead &head)
+    {
+        if (call.request_.echoHeader_.empty())
+            return true;
+        const auto echo = findHeader(head.headers_, call.request_.echoHeader_);
+        return !echo || *echo == call.request_.echoValue_;
+    }
+
+    //! False when the call has ended on the way.
+    static asio::awaitable<bool> readBody(detail::RelayCallState &call,
+                                          detail::AnswerParser &parser, bool own)
+    {
+        char bytes[detail::ReadBytes];
+        while (!parser.is_done()) {
+            parser.get().body().data = bytes;
+            parser.get().body().size = sizeof bytes;
+            boost::system::error_code error;
+            co_await beast::http::async_read_some(call.connection_->socket_,
+                                                  call.connection_->buffer_, parser,
+                                                  asio::redirect_error(asio::use_awaitable, error));
+            if (call.cancelled_)
+                co_return false;
+            if (error == beast::http::error::need_buffer)
+                error = {};
+            const std::size_t size = sizeof bytes - parser.get().body().size;
+            if (own && size > 0)
+                call.handlers_.onBody_({bytes, size});
+            if (call.cancelled_)
+                co_return false;
+            if (error) {
+                fail(call, error);
+                co_return false;
+            }
+        }
+        co_return true;
+    }
+
+    static void finish(Impl &self, detail::RelayCallState &call, detail::AnswerParser &parser)
+    {
+        const auto kept = detail::keptTime(parser);
+        if (kept && call.connection_->buffer_.size() == 0) {
+            call.connection_->until_ = detail::Clock::now() + *kept;
+            self.keep(call.request_.to_, std::move(call.connection_));
+        }
+        call.connection_.reset();
+        call.handlers_.onDone_();
+    }
+
+    static void fail(detail::RelayCallState &call, boost::system::error_code error)
+    {
+        const bool broken = error == asio::error::connection_reset || error == asio::error::eof
+                            || error == asio::error::broken_pipe || error == asio::error::timed_out
+                            || error == beast::http::error::end_of_stream
+                            || error == beast::http::error::partial_message;
+        call.connection_.reset();
+        call.handlers_.onFailed_(broken ? RelayFailure::Broken : RelayFailure::Garbled,
+                                 error.message());
+    }
+
+    asio::io_context &context_;
+    RelayClientOptions options_;
+    std::unordered_map<Address, std::vector<detail::ConnectionPtr>> idle_;
+    std::uint64_t opened_ = 0;
+};
+
+RelayCall::RelayCall(std::shared_ptr<detail::RelayCallState> state) : state_(std::move(state)) { }
+
+void RelayCall::cancel()
+{
+    if (!state_ || state_->cancelled_)
+        return;
+    state_->cancelled_ = true;
+    if (!state_->connection_)
+        return;
+    boost::system::error_code ignored;
+    state_->connection_->socket_.close(ignored);
+}
+
+RelayClient::RelayClient(asio::io_context &context, RelayClientOptions options)
+    : impl_(std::make_shared<Impl>(context, options))
+{ }
+
+RelayClient::~RelayClient() = default;
+
+RelayCall RelayClient::send(RelayCallRequest request, RelayCallHandlers handlers)
+{
+    auto call = std::make_shared<detail::RelayCallState>();
+    call->request_ = std::move(request);
+    call->handlers_ = std::move(handlers);
+    asio::co_spawn(impl_->context_, Impl::run(impl_, call), asio::detached);
+    return RelayCall(call);
+}
+
+std::uint64_t RelayClient::opened() const
+{
+    return impl_->opened_;
+}
+
+} // namespace gypsumcroft::http
--- /dev/null
+++ b/src/http/internal/relayserver.cpp
@@ -0,0 +1,446 @@
+#include "http/relayserver.h"
+
+#include <cstdio>
+#include <unordered_set>
+
+#include <boost/asio.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+namespace gypsumcroft::http {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using asio::ip::tcp;
+
+namespace detail {
+
+constexpr std::size_t ReadBytes = 8192;
+//! Bytes of following requests that are kept while one is in hand.
+constexpr std::size_t MaxReadAhead = 64UL * 1024;
+//! A caller that reads slower than this many waiting bytes allow is given up on.
+constexpr std::size_t MaxWaitingBytes = 1024UL * 1024;
+//! Time for a caller to take a refusal of a request that was not read to its end.
+constexpr std::chrono::milliseconds LingerTime {500};
+constexpr std::uint16_t StatusTimeout = 408;
+constexpr std::uint16_t StatusTooLarge = 413;
+constexpr std::uint16_t StatusHeaderTooLarge = 431;
+constexpr std::uint16_t StatusBadRequest = 400;
+
+using Parser = beast::http::request_parser<beast::http::string_body>;
+
+enum class Answer { None, Begun, Whole };
+
+//! State that connections share with their server.
+struct RelayShared
+{
+    RelayHandler handler_;
+    RelayServerLimits limits_;
+    std::unordered_set<RelayConnection *> connections_;
+    bool closing_ = false;
+    bool stopped_ = false;
+};
+
+struct RelayConnection : std::enable_shared_from_this<RelayConnection>
+{
+    RelayConnection(tcp::socket socket, std::shared_ptr<RelayShared> shared)
+        : socket_(std::move(socket)), wake_(socket_.get_executor()), shared_(std::move(shared))
+    {
+        shared_->connections_.insert(this);
+    }
+
+    ~RelayConnection() { shared_->connections_.erase(this); }
+
+    void startRead()
+    {
+        if (reading_ || closed_)
+            return;
+        reading_ = true;
+        socket_.async_read_some(
+                buffer_.prepare(ReadBytes),
+                [self = shared_from_this()](boost::system::error_code error, std::size_t size) {
+                    self->reading_ = false;
+                    self->buffer_.commit(size);
+                    if (error)
+                        self->close();
+                    else if (self->inHand_ && self->buffer_.size() < MaxReadAhead)
+                        self->startRead();
+                    self->wake_.cancel();
+                });
+    }
+
+    void close()
+    {
+        if (closed_)
+            return;
+        closed_ = true;
+        boost::system::error_code ignored;
+        socket_.close(ignored);
+        wake_.cancel();
+        if (onGone_)
+            asio::post(socket_.get_executor(), std::exchange(onGone_, nullptr));
+    }
+
+    void send(std::string bytes)
+    {
+        if (closed_)
+            return;
+        waitingBytes_ += bytes.size();
+        if (waitingBytes_ > MaxWaitingBytes)
+            return close();
+        waiting_ += bytes;
+        if (!writing_)
+            writeNext();
+    }
+
+    void writeNext()
+    {
+        writing_ = true;
+        sending_ = std::move(waiting_);
+        waiting_.clear();
+        asio::async_write(
+                socket_, asio::buffer(sending_),
+                [self = shared_from_this()](boost::system::error_code error, std::size_t size) {
+                    self->writing_ = false;
+                    self->waitingBytes_ -= std::min(self->waitingBytes_, size);
+                    if (error)
+                        self->close();
+                    else if (!self->waiting_.empty())
+                        self->writeNext();
+                    self->wake_.cancel();
+                });
+    }
+
+    tcp::socket socket_;
+    asio::steady_timer wake_;
+    std::shared_ptr<RelayShared> shared_;
+    beast::flat_buffer buffer_;
+    std::string waiting_;
+    std::string sending_;
+    std::size_t waitingBytes_ = 0;
+    std::function<void()> onGone_;
+    Answer answer_ = Answer::None;
+    //! Counts requests, so that a late answer to an earlier one does nothing.
+    std::uint64_t exchange_ = 0;
+    bool headRequest_ = false;
+    bool keepAlive_ = true;
+    bool inHand_ = false;
+    bool reading_ = false;
+    bool writing_ = false;
+    bool closed_ = false;
+};
+
+namespace {
+
+std::string headText(const RelayConnection &connection, const RelayHead &head,
+                     const std::string &framing)
+{
+    std::string text = "HTTP/1.1 " + std::to_string(head.status_) + " ";
+    text += std::string_view(
+            beast::http::obsolete_reason(static_cast<beast::http::status>(head.status_)));
+    text += "\r\n";
+    for (const auto &[name, value] : head.headers_) {
+        if (!isHopByHop(head.headers_, name))
+            text.append(name).append(": ").append(value).append("\r\n");
+    }
+    text += framing;
+    if (!connection.keepAlive_)
+        text += "Connection: close\r\n";
+    return text + "\r\n";
+}
+
+std::string chunkOf(std::string_view bytes)
+{
+    char size[20];
+    std::snprintf(size, sizeof size, "%zx\r\n", bytes.size());
+    std::string text(size);
+    return text.append(bytes).append("\r\n");
+}
+
+RelayRequest requestOf(Parser &parser)
+{
+    auto &message = parser.get();
+    RelayRequest request;
+    request.method_ = std::string(message.method_string());
+    request.target_ = std::string(message.target());
+    for (const auto &field : message)
+        request.headers_.emplace_back(std::string(field.name_string()), std::string(field.value()));
+    request.body_ = std::move(message.body());
+    return request;
+}
+
+asio::awaitable<void> waitForWake(RelayConnection &connection, asio::steady_timer::time_point until)
+{
+    boost::system::error_code ignored;
+    connection.wake_.expires_at(until);
+    co_await connection.wake_.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+}
+
+//! Sends a refusal for a request that could not be read, and lets the caller take it.
+asio::awaitable<void> refuseUnread(RelayConnection &connection, std::uint16_t status)
+{
+    connection.keepAlive_ = false;
+    connection.send(headText(connection, {status, {}}, "Content-Length: 0\r\n"));
+    while (connection.writing_ && !connection.closed_)
+        co_await waitForWake(connection, asio::steady_timer::time_point::max());
+    if (connection.closed_)
+        co_return;
+    boost::system::error_code ignored;
+    connection.socket_.shutdown(tcp::socket::shutdown_send, ignored);
+    const auto until = asio::steady_timer::clock_type::now() + LingerTime;
+    while (!connection.closed_ && asio::steady_timer::clock_type::now() < until) {
+        connection.buffer_.clear();
+        connection.startRead();
+        co_await waitForWake(connection, until);
+    }
+}
+
+std::uint16_t refusalStatus(const boost::system::error_code &error)
+{
+    if (error == beast::http::error::body_limit)
+        return StatusTooLarge;
+    if (error == beast::http::error::header_limit || error == beast::http::error::buffer_overflow)
+        return StatusHeaderTooLarge;
+    return StatusBadRequest;
+}
+
+//! Feeds the parser until header or whole message is there. Returns 0, or the refusal's status, or
+//! nothing when the caller is gone or was idle for too long.
+asio::awaitable<std::optional<std::uint16_t>> readUntil(RelayConnection &connection, Parser &parser,
+                                                        bool headerOnly,
+                                                        asio::steady_timer::time_point until)
+{
+    while (headerOnly ? !parser.is_header_done() : !parser.is_done()) {
+        if (connection.buffer_.size() > 0) {
+            boost::system::error_code error;
+            const std::size_t used = parser.put(connection.buffer_.data(), error);
+            connection.buffer_.consume(used);
+            if (error && error != beast::http::error::need_more)
+                co_return refusalStatus(error);
+            if (used > 0)
+                continue;
+        }
+        if (connection.closed_)
+            co_return std::nullopt;
+        if (asio::steady_timer::clock_type::now() >= until)
+            co_return StatusTimeout;
+        connection.startRead();
+        co_await waitForWake(connection, until);
+    }
+    co_return 0;
+}
+
+//! Waits for the first byte of a request. False when the connection ends instead.
+asio::awaitable<bool> awaitRequest(RelayConnection &connection)
+{
+    const auto until
+            = asio::steady_timer::clock_type::now() + connection.shared_->limits_.idleTimeout_;
+    while (connection.buffer_.size() == 0) {
+        if (connection.closed_ || connection.shared_->stopped_
+            || asio::steady_timer::clock_type::now() >= until)
+            co_return false;
+        connection.startRead();
+        co_await waitForWake(connection, until);
+    }
+    co_return true;
+}
+
+asio::awaitable<bool> readRequest(RelayConnection &connection, Parser &parser)
+{
+    const RelayServerLimits limits = connection.shared_->limits_;
+    parser.header_limit(limits.maxHeaderBytes_);
+    parser.body_limit(limits.maxBodyBytes_);
+    const auto start = asio::steady_timer::clock_type::now();
+    auto status = co_await readUntil(connection, parser, true, start + limits.headerTimeout_);
+    if (status == 0) {
+        if (beast::iequals(parser.get()[beast::http::field::expect], "100-continue"))
+            connection.send("HTTP/1.1 100 Continue\r\n\r\n");
+        status = co_await readUntil(connection, parser, false,
+                                    asio::steady_timer::clock_type::now() + limits.bodyTimeout_);
+    }
+    if (status == 0)
+        co_return true;
+    if (status)
+        co_await refuseUnread(connection, *status);
+    co_return false;
+}
+
+asio::awaitable<void> serve(std::shared_ptr<RelayConnection> connection)
+{
+    boost::system::error_code ignored;
+    connection->socket_.set_option(tcp::no_delay(true), ignored);
+    while (!connection->closed_ && co_await awaitRequest(*connection)) {
+        Parser parser;
+        if (!co_await readRequest(*connection, parser))
+            break;
+        ++connection->exchange_;
+        connection->answer_ = Answer::None;
+        connection->headRequest_ = parser.get().method() == beast::http::verb::head;
+        connection->keepAlive_ = parser.get().keep_alive() && !connection->shared_->closing_;
+        connection->inHand_ = true;
+        connection->startRead();
+        connection->shared_->handler_(requestOf(parser),
+                                      std::make_shared<RelayExchange>(connection));
+        while (!connection->closed_
+               && (connection->answer_ != Answer::Whole || connection->writing_))
+            co_await waitForWake(*connection, asio::steady_timer::time_point::max());
+        connection->inHand_ = false;
+        connection->onGone_ = nullptr;
+        if (!connection->keepAlive_ || connection->shared_->closing_)
+            break;
+    }
+    if (!connection->closed_) {
+        connection->socket_.shutdown(tcp::socket::shutdown_send, ignored);
+        connection->close();
+    }
+}
+
+} // namespace
+} // namespace detail
+
+struct RelayServer::Impl : std::enable_shared_from_this<RelayServer::Impl>
+{
+    explicit Impl(asio::io_context &context)
+        : context_(context), acceptor_(context), shared_(std::make_shared<detail::RelayShared>())
+    { }
+
+    static asio::awaitable<void> accept(std::shared_ptr<Impl> self)
+    {
+        while (self->acceptor_.is_open()) {
+            tcp::socket socket(self->context_);
+            boost::system::error_code error;
+            co_await self->acceptor_.async_accept(socket,
+                                                  asio::redirect_error(asio::use_awaitable, error));
+            if (error == asio::error::operation_aborted)
+                co_return;
+            if (error) {
+                co_await pause(self->context_);
+                continue;
+            }
+            auto connection
+                    = std::make_shared<detail::RelayConnection>(std::move(socket), self->shared_);
+            asio::co_spawn(self->context_, detail::serve(std::move(connection)), asio::detached);
+        }
+    }
+
+    //! Accepting fails again at once while descriptors are short.
+    static asio::awaitable<void> pause(asio::io_context &context)
+    {
+        constexpr std::chrono::milliseconds AcceptRetryDelay {20};
+        asio::steady_timer timer(context, AcceptRetryDelay);
+        boost::system::error_code ignored;
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+
+    asio::io_context &context_;
+    tcp::acceptor acceptor_;
+    std::shared_ptr<detail::RelayShared> shared_;
+};
+
+RelayExchange::RelayExchange(std::shared_ptr<detail::RelayConnection> connection)
+    : connection_(std::move(connection)), exchange_(connection_->exchange_)
+{ }
+
+void RelayExchange::answer(const RelayHead &head, std::string body)
+{
+    if (connection_->exchange_ != exchange_ || connection_->answer_ != detail::Answer::None)
+        return;
+    connection_->answer_ = detail::Answer::Whole;
+    const std::string framing = "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    std::string text = detail::headText(*connection_, head, framing);
+    connection_->send(connection_->headRequest_ ? std::move(text) : text + body);
+    connection_->wake_.cancel();
+}
+
+void RelayExchange::begin(const RelayHead &head)
+{
+    if (connection_->exchange_ != exchange_ || connection_->answer_ != detail::Answer::None)
+        return;
+    connection_->answer_ = detail::Answer::Begun;
+    connection_->send(detail::headText(*connection_, head, "Transfer-Encoding: chunked\r\n"));
+}
+
+void RelayExchange::write(std::string bytes)
+{
+    if (connection_->exchange_ == exchange_ && connection_->answer_ == detail::Answer::Begun
+        && !bytes.empty())
+        connection_->send(detail::chunkOf(bytes));
+}
+
+void RelayExchange::finish()
+{
+    if (connection_->exchange_ != exchange_ || connection_->answer_ != detail::Answer::Begun)
+        return;
+    connection_->answer_ = detail::Answer::Whole;
+    connection_->send("0\r\n\r\n");
+    connection_->wake_.cancel();
+}
+
+void RelayExchange::breakOff()
+{
+    if (connection_->exchange_ != exchange_ || connection_->answer_ == detail::Answer::Whole)
+        return;
+    connection_->onGone_ = nullptr;
+    connection_->close();
+}
+
+void RelayExchange::onGone(std::function<void()> handler)
+{
+    if (connection_->exchange_ != exchange_)
+        return;
+    if (connection_->closed_)
+        asio::post(connection_->socket_.get_executor(), std::move(handler));
+    else
+        connection_->onGone_ = std::move(handler);
+}
+
+RelayServer::RelayServer(asio::io_context &context, RelayHandler handler)
+    : impl_(std::make_shared<Impl>(context))
+{
+    impl_->shared_->handler_ = std::move(handler);
+}
+
+RelayServer::~RelayServer()
+{
+    boost::system::error_code ignored;
+    impl_->acceptor_.close(ignored);
+}
+
+Result<Address> RelayServer::listen(const Address &address)
+{
+    try {
+        const tcp::endpoint endpoint(asio::ip::make_address(address.host_), address.port_);
+        impl_->acceptor_ = tcp::acceptor(impl_->context_, endpoint);
+        asio::co_spawn(impl_->context_, Impl::accept(impl_), asio::detached);
+        return success(Address {address.host_, impl_->acceptor_.local_endpoint().port()});
+    } catch (const boost::system::system_error &error) {
+        return failure<Address>("can't listen on " + address.host_ + ":"
+                                + std::to_string(address.port_) + ": " + error.code().message());
+    }
+}
+
+void RelayServer::setLimits(const RelayServerLimits &limits)
+{
+    impl_->shared_->limits_ = limits;
+}
+
+void RelayServer::closeAfterAnswers()
+{
+    impl_->shared_->closing_ = true;
+}
+
+void RelayServer::stopAccepting()
+{
+    boost::system::error_code ignored;
+    impl_->acceptor_.close(ignored);
+    impl_->shared_->stopped_ = true;
+    for (detail::RelayConnection *connection : impl_->shared_->connections_)
+        connection->wake_.cancel();
+}
+
+std::size_t RelayServer::connections() const
+{
+    return impl_->shared_->connections_.size();
+}
+
+} // namespace gypsumcroft::http
--- /dev/null
+++ b/src/platform/internal/documents.cpp
@@ -0,0 +1,342 @@
+#include "platform/documents.h"
+
+#include <stdexcept>
+
+#include <boost/json.hpp>
+
+#include "documents/settings.h"
+
+namespace gypsumcroft::platform {
+
+namespace json = boost::json;
+
+namespace detail {
+namespace {
+
+constexpr double BytesPerMegabyte = 1e6;
+constexpr double BitsPerByte = 8;
+constexpr double MicrosecondsPerMillisecond = 1000;
+constexpr double MicrosecondsPerSecond = 1e6;
+//! Part of an engine's token memory that its layers should leave room for.
+constexpr double ComfortPart = 0.6;
+
+//! A member that is missing or of another type.
+struct BadMember : std::runtime_error
+{
+    using std::runtime_error::runtime_error;
+};
+
+const json::value &member(const json::object &object, std::string_view name)
+{
+    const json::value *found = object.if_contains(name);
+    if (found == nullptr)
+        throw BadMember(std::string(name) + " is missing");
+    return *found;
+}
+
+std::string text(const json::object &object, std::string_view name)
+{
+    const json::string *found = member(object, name).if_string();
+    if (found == nullptr)
+        throw BadMember(std::string(name) + " is no text");
+    return {found->data(), found->size()};
+}
+
+double number(const json::object &object, std::string_view name)
+{
+    const json::value &found = member(object, name);
+    if (!found.is_number())
+        throw BadMember(std::string(name) + " is no number");
+    return found.to_number<double>();
+}
+
+double numberOr(const json::object &object, std::string_view name, double fallback)
+{
+    return object.contains(name) ? number(object, name) : fallback;
+}
+
+bool flag(const json::object &object, std::string_view name)
+{
+    const json::value *found = object.if_contains(name);
+    return found != nullptr && found->is_bool() && found->as_bool();
+}
+
+std::uint64_t wholeNumber(const json::object &object, std::string_view name)
+{
+    const double value = number(object, name);
+    if (value < 0 || value > 9e15)
+        throw BadMember(std::string(name) + " is out of range");
+    return static_cast<std::uint64_t>(value);
+}
+
+std::uint32_t count(const json::object &object, std::string_view name)
+{
+    return static_cast<std::uint32_t>(
+            std::min<std::uint64_t>(wholeNumber(object, name), 1U << 30U));
+}
+
+Duration milliseconds(double value)
+{
+    return Duration(static_cast<std::int64_t>(value * MicrosecondsPerMillisecond));
+}
+
+Bytes megabytes(double value)
+{
+    return {static_cast<std::uint64_t>(value * BytesPerMegabyte)};
+}
+
+const json::object &objectOf(const json::value &value)
+{
+    const json::object *object = value.if_object();
+    if (object == nullptr)
+        throw BadMember("an entry is no object");
+    return *object;
+}
+
+const json::array &list(const json::object &object, std::string_view name)
+{
+    static const json::array None;
+    const json::value *found = object.if_contains(name);
+    if (found == nullptr || found->is_null())
+        return None;
+    if (!found->is_array())
+        throw BadMember(std::string(name) + " is no list");
+    return found->as_array();
+}
+
+RepeatRule repeatOf(const std::string &kind, bool resumable)
+{
+    if (kind == "idempotent")
+        return RepeatRule::Again;
+    return kind == "stream" && resumable ? RepeatRule::Resume : RepeatRule::Never;
+}
+
+RouteRule routeOf(const json::object &object)
+{
+    RouteRule route;
+    route.name_ = {text(object, "Name")};
+    route.host_ = text(object, "Host");
+    route.pathPrefix_ = text(object, "PathPrefix");
+    const std::string kind = text(object, "Kind");
+    route.stream_ = kind == "stream";
+    route.repeat_ = repeatOf(kind, flag(object, "StreamResume"));
+    route.timeout_ = milliseconds(number(object, "TimeoutMs"));
+    route.latencyTarget_ = milliseconds(numberOr(object, "TargetLatencyMs", 1000));
+    route.gapTarget_ = milliseconds(numberOr(object, "TargetGapMs", 0));
+    route.priority_ = {static_cast<std::uint32_t>(numberOr(object, "Priority", 0))};
+    route.maxAttempts_
+            = static_cast<std::uint32_t>(std::max(1.0, numberOr(object, "MaxAttempts", 1)));
+    route.anonymous_ = flag(object, "AllowAnonymous");
+    if (object.contains("Service"))
+        route.targets_.push_back({{text(object, "Service")}, 1});
+    for (const json::value &part : list(object, "TrafficSplit")) {
+        const json::object &split = objectOf(part);
+        route.targets_.push_back({{text(split, "Service")}, count(split, "Weight")});
+    }
+    return route;
+}
+
+EngineSpec engineOf(const json::object &object)
+{
+    EngineSpec engine;
+    engine.layers_ = count(object, "Layers");
+    engine.layerBytes_ = megabytes(number(object, "LayerMb"));
+    engine.tokenBytes_ = {wholeNumber(object, "KvTokenBytes")};
+    engine.activationBytes_ = {static_cast<std::uint64_t>(numberOr(object, "ActivationBytes", 0))};
+    // Tokens that a server with the whole model would have room for.
+    engine.comfortTokens_
+            = {static_cast<std::int64_t>(ComfortPart * number(object, "KvCapacityTokens"))};
+    engine.stepTime_ = milliseconds(number(object, "step_ms"));
+    engine.stepTimePerSequence_ = milliseconds(numberOr(object, "per_seq_ms", 0));
+    engine.readTokensPerSecond_ = number(object, "read_per_s");
+    engine.loadsAtOnce_
+            = static_cast<std::uint32_t>(std::max(1.0, numberOr(object, "loads_at_once", 1)));
+    engine.linkBytesPerSecond_ = numberOr(object, "LinkMbps", 0) * BytesPerMegabyte / BitsPerByte;
+    engine.pipeBytesPerSecond_ = numberOr(object, "PipeMbps", 0) * BytesPerMegabyte / BitsPerByte;
+    for (const json::value &entry : list(object, "Models")) {
+        const double seconds = numberOr(objectOf(entry), "LoadS", 0);
+        engine.loadTime_
+                = std::max(engine.loadTime_,
+                           Duration(static_cast<std::int64_t>(seconds * MicrosecondsPerSecond)));
+    }
+    for (const json::value &entry : list(object, "Kinds")) {
+        const json::object &kind = objectOf(entry);
+        // "pace" here is the factor of the kind's steps, not a state of a server.
+        engine.kinds_[{text(kind, "Name")}]
+                = {megabytes(number(kind, "SizeMb")), numberOr(kind, "pace", 1),
+                   numberOr(kind, "ReadFactor", 1)};
+    }
+    for (const json::value &entry : list(object, "delays")) {
+        const json::object &delay = objectOf(entry);
+        engine.delays_[{{text(delay, "From")}, {text(delay, "Target")}}]
+                = milliseconds(number(delay, "delay_ms"));
+    }
+    if (const json::value *usual = object.if_contains("usual"); usual && usual->is_object()) {
+        engine.usualPrompt_
+                = {static_cast<std::int64_t>(numberOr(usual->as_object(), "prompt", 0))};
+        engine.usualAnswer_
+                = {static_cast<std::int64_t>(numberOr(usual->as_object(), "answer", 0))};
+    }
+    return engine;
+}
+
+TargetSpec targetOf(const json::object &object)
+{
+    TargetSpec target;
+    target.name_ = {text(object, "Name")};
+    target.healthPath_ = object.contains("HealthCheck") ? text(object, "HealthCheck") : "";
+    target.maxConnections_ = static_cast<std::uint32_t>(numberOr(object, "MaxConnections", 0));
+    const json::value *engine = object.if_contains("Engine");
+    if (engine != nullptr && engine->is_object() && engine->as_object().contains("Layers"))
+        target.engine_ = engineOf(engine->as_object());
+    return target;
+}
+
+OrganisationRule organisationOf(const json::object &object)
+{
+    OrganisationRule organisation;
+    organisation.organisation_ = {text(object, "Name")};
+    for (const json::value &key : list(object, "ApiKeys")) {
+        if (key.is_string())
+            organisation.apiKeys_.emplace_back(key.as_string().data(), key.as_string().size());
+    }
+    if (const json::value *priority = object.if_contains("Priority");
+        priority && priority->is_number())
+        organisation.priority_ = Priority {priority->to_number<std::uint32_t>()};
+    return organisation;
+}
+
+void readLimits(const json::object &object, CallerLimits &limits)
+{
+    limits.maxHeaderBytes_ = static_cast<std::uint32_t>(
+            numberOr(object, "MaxHeaderBytes", limits.maxHeaderBytes_));
+    limits.maxBodyBytes_ = static_cast<std::uint64_t>(
+            numberOr(object, "MaxBodyBytes", static_cast<double>(limits.maxBodyBytes_)));
+    limits.headerTimeout_ = milliseconds(
+            numberOr(object, "HeaderTimeoutMs", toMilliseconds(limits.headerTimeout_)));
+    limits.idleTimeout_
+            = milliseconds(numberOr(object, "IdleTimeoutMs", toMilliseconds(limits.idleTimeout_)));
+}
+
+DesiredState desiredStateOf(const json::object &object)
+{
+    DesiredState state;
+    state.version_ = {wholeNumber(object, "Version")};
+    for (const json::value &route : list(object, "Routes"))
+        state.routes_.push_back(routeOf(objectOf(route)));
+    for (const json::value &target : list(object, "Services"))
+        state.targets_.push_back(targetOf(objectOf(target)));
+    for (const json::value &organisation : list(object, "Tenants"))
+        state.organisations_.push_back(organisationOf(objectOf(organisation)));
+    if (const json::value *limits = object.if_contains("Limits"); limits && limits->is_object())
+        readLimits(limits->as_object(), state.limits_);
+    return state;
+}
+
+//! Layers of the first model that a server holds; "Target" is the end of the range here.
+void readModels(const json::object &object, ListedEndpoint &endpoint)
+{
+    for (const json::value &entry : list(object, "Models")) {
+        const json::object &model = objectOf(entry);
+        endpoint.model_ = text(model, "Name");
+        endpoint.modelVersion_ = static_cast<std::uint64_t>(numberOr(model, "Version", 0));
+    }
+    const json::value *layers = object.if_contains("Layers");
+    if (layers == nullptr || !layers->is_object())
+        return;
+    const json::object &range = layers->as_object();
+    const LayerRange held {{count(range, "From")}, {count(range, "Target")}};
+    if (held.first_ < held.end_)
+        endpoint.layers_ = held;
+}
+
+ListedEndpoint serverEntryOf(const std::string &id, const json::object &object)
+{
+    ListedEndpoint endpoint;
+    endpoint.id_ = {id};
+    endpoint.target_ = {text(object, "Service")};
+    const auto address = parseAddress(text(object, "Address"));
+    if (!address)
+        throw BadMember("Address is no address");
+    endpoint.address_ = *address;
+    endpoint.domain_ = {text(object, "Zone")};
+    const std::string state = text(object, "State");
+    if (state != "ready" && state != "draining")
+        throw BadMember("State is not known");
+    endpoint.state_ = state == "ready" ? ListedState::Ready : ListedState::Draining;
+    endpoint.slots_ = count(object, "Slots");
+    if (object.contains("Kind"))
+        endpoint.kind_ = {text(object, "Kind")};
+    endpoint.born_ = static_cast<std::uint64_t>(numberOr(object, "born", 0));
+    readModels(object, endpoint);
+    return endpoint;
+}
+
+template <typename T, typename Decode>
+Result<T> decode(std::string_view input, const Decode &decoder)
+{
+    boost::system::error_code error;
+    const json::value value = json::parse(input, error);
+    if (error || !value.is_object())
+        return failure<T>(error ? error.message() : "no object");
+    try {
+        return success(decoder(value.as_object()));
+    } catch (const std::exception &bad) {
+        return failure<T>(bad.what());
+    }
+}
+
+} // namespace
+} // namespace detail
+
+Result<DesiredState> decodeDesiredState(std::string_view text)
+{
+    return detail::decode<DesiredState>(text, detail::desiredStateOf);
+}
+
+Result<ListedEndpoint> decodeServerEntry(const std::string &id, std::string_view text)
+{
+    return detail::decode<ListedEndpoint>(
+            text, [&](const json::object &object) { return detail::serverEntryOf(id, object); });
+}
+
+Result<EndpointReportFacts> decodeServerReport(std::string_view text)
+{
+    return detail::decode<EndpointReportFacts>(text, [](const json::object &object) {
+        EndpointReportFacts facts;
+        // "Sequence" of a report counts orders; that of a list's entry counts heartbeats.
+        facts.orders_ = {detail::wholeNumber(object, "Sequence")};
+        facts.busy_ = detail::flag(object, "Busy");
+        facts.born_ = static_cast<std::uint64_t>(detail::numberOr(object, "born", 0));
+        ListedEndpoint held;
+        detail::readModels(object, held);
+        facts.layers_ = held.layers_;
+        return facts;
+    });
+}
+
+std::string encodePlaceOrder(const LayerRange &layers, OrderCount expected)
+{
+    // "wait" lets requests in the old layers finish.
+    return json::serialize(json::object {{"Operation", "place"},
+                                         {"From", layers.first_.value_},
+                                         {"Target", layers.end_.value_},
+                                         {"Method", "wait"},
+                                         {"Precondition", expected.value_}});
+}
+
+OrderOutcome orderOutcomeOf(std::uint16_t status)
+{
+    switch (status) {
+    case 200:
+        return OrderOutcome::Holds;
+    case 202:
+        return OrderOutcome::Begun;
+    case 409:
+        return OrderOutcome::Conflict;
+    default:
+        return OrderOutcome::Refused;
+    }
+}
+
+} // namespace gypsumcroft::platform
--- /dev/null
+++ b/src/platform/internal/endpointclient.cpp
@@ -0,0 +1,46 @@
+#include "platform/endpointclient.h"
+
+#include "platform/documents.h"
+
+namespace gypsumcroft::platform {
+
+namespace detail {
+namespace {
+
+constexpr std::chrono::milliseconds EndpointTimeout {450};
+constexpr std::uint16_t StatusOk = 200;
+
+} // namespace
+} // namespace detail
+
+EndpointClient::EndpointClient(boost::asio::io_context &context) : client_(context) { }
+
+void EndpointClient::ask(const AskEndpoint &question,
+                         std::function<void(std::optional<EndpointReportFacts>)> callback)
+{
+    http::HttpRequest request;
+    request.path_ = "/report";
+    client_.send(question.address_, std::move(request), {detail::EndpointTimeout, false},
+                 [callback = std::move(callback)](const http::ClientResult &answer) {
+                     if (!answer.response_ || answer.response_->status_ != detail::StatusOk)
+                         return callback(std::nullopt);
+                     callback(decodeServerReport(answer.response_->body_).value_);
+                 });
+}
+
+void EndpointClient::order(const OrderLayers &order, std::function<void(OrderOutcome)> callback)
+{
+    http::HttpRequest request;
+    request.method_ = "POST";
+    request.path_ = "/order";
+    request.headers_
+            = {{"Content-Type", "application/json"}, {"X-Expect-Instance", order.endpoint_.value_}};
+    request.body_ = encodePlaceOrder(order.layers_, order.expected_);
+    client_.send(order.address_, std::move(request), {detail::EndpointTimeout, false},
+                 [callback = std::move(callback)](const http::ClientResult &answer) {
+                     callback(answer.response_ ? orderOutcomeOf(answer.response_->status_)
+                                               : OrderOutcome::Unknown);
+                 });
+}
+
+} // namespace gypsumcroft::platform
--- /dev/null
+++ b/src/platform/internal/forwarding.cpp
@@ -0,0 +1,205 @@
+#include "platform/forwarding.h"
+
+#include <array>
+#include <charconv>
+#include <cstdio>
+
+#include "documents/settings.h"
+
+namespace gypsumcroft::platform {
+
+namespace detail {
+namespace {
+
+constexpr std::string_view RequestIdHeader = "X-Request-Id";
+constexpr std::string_view DeadlineHeader = "X-Deadline-Ms";
+//! Prompt tokens and the most answer tokens, joined by a comma.
+constexpr std::string_view TokensHeader = "X-Token-Count";
+constexpr std::string_view LastEventHeader = "Last-Event-Id";
+constexpr std::string_view TenantHeader = "X-Tenant";
+constexpr std::string_view ExpectHeader = "X-Expect-Instance";
+//! Not a count: the path over several servers, IP:PORT=FIRST-END each.
+constexpr std::string_view PathHeader = "X-Hop-Count";
+constexpr std::string_view PriorityHeader = "X-Request-Priority";
+constexpr std::string_view NotRunHeader = "X-Not-Executed";
+//! The server further on a path that is at fault.
+constexpr std::string_view FaultyHeader = "At-Server";
+//! Requests that run, requests that wait, and slots, joined by commas.
+constexpr std::string_view LoadHeader = "X-Server-Load";
+constexpr std::uint16_t StatusMisdirected = 421;
+constexpr std::uint16_t StatusClass = 100;
+constexpr std::uint16_t SuccessClass = 2;
+//! Servers know ten priorities; the project's ranks are spread over them.
+constexpr std::uint32_t PriorityStep = 3;
+constexpr std::uint32_t LastPriority = 9;
+
+constexpr std::array<std::string_view, 9> OwnHeaders
+        = {"Authorization", DeadlineHeader, TenantHeader,    ExpectHeader,      PathHeader,
+           PriorityHeader,  "Expect",       LastEventHeader, "X-Expect-Version"};
+
+std::optional<std::uint64_t> numberOf(std::optional<std::string_view> text)
+{
+    if (!text)
+        return std::nullopt;
+    std::uint64_t value = 0;
+    const auto parsed = std::from_chars(text->data(), text->data() + text->size(), value);
+    if (parsed.ec != std::errc())
+        return std::nullopt;
+    return value;
+}
+
+bool isOwn(std::string_view name)
+{
+    for (const std::string_view own : OwnHeaders) {
+        if (http::sameName(own, name))
+            return true;
+    }
+    return false;
+}
+
+std::optional<std::string> bearerKey(const http::HeaderList &headers)
+{
+    constexpr std::string_view Scheme = "Bearer ";
+    const auto value = http::findHeader(headers, "Authorization");
+    if (!value || value->size() <= Scheme.size()
+        || !http::sameName(value->substr(0, Scheme.size()), Scheme))
+        return std::nullopt;
+    return std::string(value->substr(Scheme.size()));
+}
+
+std::string hostName(std::string_view host)
+{
+    return std::string(host.substr(0, host.find(':')));
+}
+
+std::string pathText(const LayerPath &path)
+{
+    std::string text;
+    for (const PathPart &part : path)
+        text += (text.empty() ? "" : ",") + formatAddress(part.address_) + "="
+                + std::to_string(part.layers_.first_.value_) + "-"
+                + std::to_string(part.layers_.end_.value_);
+    return text;
+}
+
+std::uint16_t statusOf(GatewayRefusal refusal)
+{
+    switch (refusal) {
+    case GatewayRefusal::UnknownRoute:
+        return 404;
+    case GatewayRefusal::Unauthorised:
+        return 401;
+    case GatewayRefusal::Unready:
+    case GatewayRefusal::Overloaded:
+    case GatewayRefusal::NoEndpoint:
+        return 503;
+    case GatewayRefusal::TimedOut:
+        return 504;
+    case GatewayRefusal::Failed:
+        return 502;
+    }
+    return 502;
+}
+
+} // namespace
+} // namespace detail
+
+GatewayRequest decodeCallerRequest(const http::RelayRequest &request, ExchangeId exchange)
+{
+    GatewayRequest decoded;
+    decoded.exchange_ = exchange;
+    const http::HeaderList &headers = request.headers_;
+    decoded.id_ = {std::string(http::findHeader(headers, detail::RequestIdHeader).value_or(""))};
+    decoded.host_ = detail::hostName(http::findHeader(headers, "Host").value_or(""));
+    decoded.path_ = request.target_.substr(0, request.target_.find('?'));
+    decoded.apiKey_ = detail::bearerKey(headers);
+    if (const auto patience = detail::numberOf(http::findHeader(headers, detail::DeadlineHeader)))
+        decoded.patience_ = std::chrono::milliseconds(*patience);
+    if (const auto tokens = http::findHeader(headers, detail::TokensHeader)) {
+        decoded.prompt_ = {static_cast<std::int64_t>(detail::numberOf(tokens).value_or(0))};
+        const auto comma = tokens->find(',');
+        if (comma != std::string_view::npos)
+            decoded.answer_ = {static_cast<std::int64_t>(
+                    detail::numberOf(tokens->substr(comma + 1)).value_or(0))};
+    }
+    if (const auto last = detail::numberOf(http::findHeader(headers, detail::LastEventHeader)))
+        decoded.resumeAfter_ = EventId {*last};
+    return decoded;
+}
+
+http::RelayCallRequest encodeSend(const http::RelayRequest &request, const SendRequest &send)
+{
+    http::RelayCallRequest call;
+    call.to_ = send.address_;
+    call.freshConnection_ = send.freshConnection_;
+    call.request_.method_ = request.method_;
+    call.request_.target_ = request.target_;
+    call.request_.body_ = request.body_;
+    http::HeaderList &headers = call.request_.headers_;
+    for (const auto &[name, value] : request.headers_) {
+        if (detail::isOwn(name) || http::isHopByHop(request.headers_, name))
+            continue;
+        headers.emplace_back(name, value);
+        if (http::sameName(name, detail::RequestIdHeader)) {
+            call.echoHeader_ = name;
+            call.echoValue_ = value;
+        }
+    }
+    const auto patienceMs
+            = std::chrono::duration_cast<std::chrono::milliseconds>(send.patience_).count();
+    headers.emplace_back(detail::DeadlineHeader,
+                         std::to_string(std::max<std::int64_t>(1, patienceMs)));
+    headers.emplace_back(detail::ExpectHeader, send.endpoint_.value_);
+    if (send.organisation_)
+        headers.emplace_back(detail::TenantHeader, send.organisation_->value_);
+    if (send.resumeAfter_)
+        headers.emplace_back(detail::LastEventHeader, std::to_string(send.resumeAfter_->value_));
+    if (send.path_.empty())
+        return call;
+    headers.emplace_back(detail::PathHeader, detail::pathText(send.path_));
+    headers.emplace_back(detail::PriorityHeader,
+                         std::to_string(std::min(send.priority_.value_ * detail::PriorityStep,
+                                                 detail::LastPriority)));
+    return call;
+}
+
+AnswerHead decodeAnswerHead(const http::RelayHead &head)
+{
+    AnswerHead decoded;
+    decoded.status_ = head.status_;
+    decoded.success_ = head.status_ / detail::StatusClass == detail::SuccessClass;
+    decoded.notRun_ = head.status_ == detail::StatusMisdirected
+                      || http::findHeader(head.headers_, detail::NotRunHeader).has_value();
+    if (const auto faulty = http::findHeader(head.headers_, detail::FaultyHeader))
+        decoded.faulty_ = parseAddress(*faulty);
+    decoded.eventStream_ = http::findHeader(head.headers_, "Content-Type")
+                                   .value_or("")
+                                   .starts_with("text/event-stream");
+    if (const auto load = http::findHeader(head.headers_, detail::LoadHeader)) {
+        const auto comma = load->find(',');
+        const auto running = detail::numberOf(load);
+        const auto waiting = comma == std::string_view::npos
+                                     ? std::nullopt
+                                     : detail::numberOf(load->substr(comma + 1));
+        if (running && waiting)
+            decoded.load_ = static_cast<std::uint32_t>(*running + *waiting);
+    }
+    return decoded;
+}
+
+http::RelayHead encodeRefusal(const GatewayRequest &request, const RefuseRequest &refusal)
+{
+    http::RelayHead head;
+    head.status_ = detail::statusOf(refusal.refusal_);
+    if (!request.id_.value_.empty())
+        head.headers_.emplace_back(detail::RequestIdHeader, request.id_.value_);
+    if (refusal.retryAfter_ > Duration::zero()
+        && head.status_ == detail::statusOf(GatewayRefusal::Overloaded)) {
+        char seconds[32];
+        std::snprintf(seconds, sizeof seconds, "%.3f", toMilliseconds(refusal.retryAfter_) / 1000);
+        head.headers_.emplace_back("Retry-After", seconds);
+    }
+    return head;
+}
+
+} // namespace gypsumcroft::platform
--- /dev/null
+++ b/src/platform/internal/storeclient.cpp
@@ -0,0 +1,208 @@
+#include "platform/storeclient.h"
+
+#include <boost/json.hpp>
+#include <openssl/evp.h>
+
+namespace gypsumcroft::platform {
+
+namespace json = boost::json;
+
+namespace detail {
+namespace {
+
+//! Time for an answer beyond the wait that was asked for.
+constexpr std::chrono::milliseconds AnswerTimeout {700};
+constexpr std::uint16_t StatusOk = 200;
+constexpr std::uint16_t StatusGone = 410;
+constexpr std::size_t LengthBytes = 4;
+constexpr std::size_t OffsetBytes = 8;
+
+std::string decodeBase64(std::string_view text)
+{
+    constexpr std::size_t Quad = 4;
+    constexpr std::size_t BytesPerQuad = 3;
+    if (text.size() % Quad != 0)
+        return {};
+    std::string bytes(text.size() / Quad * BytesPerQuad, '\0');
+    const int size = EVP_DecodeBlock(reinterpret_cast<unsigned char *>(bytes.data()),
+                                     reinterpret_cast<const unsigned char *>(text.data()),
+                                     static_cast<int>(text.size()));
+    std::size_t padding = 0;
+    while (padding < 2 && padding < text.size() && text[text.size() - 1 - padding] == '=')
+        ++padding;
+    bytes.resize(size < 0 ? 0 : static_cast<std::size_t>(size) - padding);
+    return bytes;
+}
+
+std::uint64_t bigEndian(std::string_view bytes)
+{
+    std::uint64_t value = 0;
+    for (const char byte : bytes)
+        value = value << 8U | static_cast<unsigned char>(byte);
+    return value;
+}
+
+std::string reasonOf(const http::ClientResult &answer)
+{
+    if (answer.response_)
+        return "status " + std::to_string(answer.response_->status_);
+    return answer.reason_.empty() ? "no answer" : answer.reason_;
+}
+
+//! Adds a page of newest records; the key to go on after, empty at the end; nothing if malformed.
+std::optional<std::string> addPage(const std::string &body, KeyedTopic &topic)
+{
+    boost::system::error_code error;
+    const json::value value = json::parse(body, error);
+    const json::object *page = error ? nullptr : value.if_object();
+    const json::value *items = page == nullptr ? nullptr : page->if_contains("Items");
+    const json::value *end = page == nullptr ? nullptr : page->if_contains("EndOffset");
+    if (items == nullptr || !items->is_array() || end == nullptr || !end->is_number())
+        return std::nullopt;
+    std::string last;
+    for (const json::value &item : items->as_array()) {
+        const json::object *record = item.if_object();
+        const json::value *key = record == nullptr ? nullptr : record->if_contains("Key");
+        const json::value *data = record == nullptr ? nullptr : record->if_contains("Value");
+        if (key == nullptr || !key->is_string() || data == nullptr || !data->is_string())
+            return std::nullopt;
+        last.assign(key->as_string().data(), key->as_string().size());
+        topic.records_.push_back(
+                {last, decodeBase64({data->as_string().data(), data->as_string().size()})});
+    }
+    // Pages are not a snapshot: reading on from the first page's end misses nothing.
+    if (topic.end_ == 0)
+        topic.end_ = end->to_number<std::uint64_t>();
+    const json::value *more = page->if_contains("HasMore");
+    const bool goOn = more != nullptr && more->is_bool() && more->as_bool() && !last.empty();
+    return goOn ? last : std::string();
+}
+
+std::optional<KeyedSpan> decodeSpan(std::string_view bytes, std::uint64_t from)
+{
+    if (bytes.size() < 2 * OffsetBytes)
+        return std::nullopt;
+    KeyedSpan span;
+    span.next_ = from;
+    bytes.remove_prefix(2 * OffsetBytes);
+    while (bytes.size() >= LengthBytes) {
+        const std::uint64_t length = bigEndian(bytes.substr(0, LengthBytes));
+        bytes.remove_prefix(LengthBytes);
+        if (length > bytes.size())
+            return std::nullopt;
+        const std::string_view record = bytes.substr(0, length);
+        bytes.remove_prefix(length);
+        ++span.next_;
+        const std::size_t keySize = record.empty() ? 0 : static_cast<unsigned char>(record.front());
+        if (record.empty() || record.size() < 1 + keySize)
+            continue;
+        KeyedRecord keyed {std::string(record.substr(1, keySize)), std::nullopt};
+        if (record.size() > 1 + keySize)
+            keyed.value_ = std::string(record.substr(1 + keySize));
+        span.records_.push_back(std::move(keyed));
+    }
+    return span;
+}
+
+std::optional<Membership> decodeMembership(const std::string &body, const std::string &topic)
+{
+    boost::system::error_code error;
+    const json::value value = json::parse(body, error);
+    const json::object *object = error ? nullptr : value.if_object();
+    const json::value *generation = object == nullptr ? nullptr : object->if_contains("Generation");
+    const json::value *parts = object == nullptr ? nullptr : object->if_contains("parts");
+    if (generation == nullptr || !generation->is_number() || parts == nullptr || !parts->is_array())
+        return std::nullopt;
+    Membership membership;
+    membership.generation_ = generation->to_number<std::uint64_t>();
+    for (const json::value &entry : parts->as_array()) {
+        // Rows of topic, partition and committed offset.
+        const json::array *row = entry.if_array();
+        if (row == nullptr || row->size() < 2 || !(*row)[0].is_string() || !(*row)[1].is_number())
+            return std::nullopt;
+        if ((*row)[0].as_string() == topic)
+            membership.partitions_.push_back((*row)[1].to_number<std::uint32_t>());
+    }
+    return membership;
+}
+
+} // namespace
+} // namespace detail
+
+StoreClient::StoreClient(boost::asio::io_context &context, Address store)
+    : store_(std::move(store)), client_(context)
+{ }
+
+void StoreClient::newest(const std::string &topic, std::function<void(Result<KeyedTopic>)> callback)
+{
+    newestPage(topic, {}, {}, std::move(callback));
+}
+
+void StoreClient::newestPage(const std::string &topic, KeyedTopic gathered, std::string after,
+                             std::function<void(Result<KeyedTopic>)> callback)
+{
+    http::HttpRequest request;
+    request.path_ = "/log-newest";
+    request.query_ = {{"Topic", topic}, {"part", "0"}};
+    if (!after.empty())
+        request.query_["After"] = after;
+    client_.send(store_, std::move(request), {detail::AnswerTimeout, false},
+                 [this, topic, gathered = std::move(gathered),
+                  callback = std::move(callback)](const http::ClientResult &answer) mutable {
+                     if (!answer.response_ || answer.response_->status_ != detail::StatusOk)
+                         return callback(failure<KeyedTopic>(detail::reasonOf(answer)));
+                     const auto next = detail::addPage(answer.response_->body_, gathered);
+                     if (!next)
+                         return callback(failure<KeyedTopic>("malformed page"));
+                     if (next->empty())
+                         return callback(success(std::move(gathered)));
+                     newestPage(topic, std::move(gathered), *next, std::move(callback));
+                 });
+}
+
+void StoreClient::read(const std::string &topic, std::uint64_t from, Duration wait,
+                       std::function<void(Result<KeyedSpan>)> callback)
+{
+    const auto waitMs = std::chrono::duration_cast<std::chrono::milliseconds>(wait);
+    http::HttpRequest request;
+    request.path_ = "/log-read";
+    request.query_ = {{"Topic", topic},
+                      {"part", "0"},
+                      {"From", std::to_string(from)},
+                      {"WaitMs", std::to_string(waitMs.count())}};
+    client_.send(store_, std::move(request), {waitMs + detail::AnswerTimeout, false},
+                 [from, callback = std::move(callback)](const http::ClientResult &answer) {
+                     if (answer.response_ && answer.response_->status_ == detail::StatusGone)
+                         return callback(success(KeyedSpan {{}, from, true}));
+                     if (!answer.response_ || answer.response_->status_ != detail::StatusOk)
+                         return callback(failure<KeyedSpan>(detail::reasonOf(answer)));
+                     auto span = detail::decodeSpan(answer.response_->body_, from);
+                     callback(span ? success(std::move(*span))
+                                   : failure<KeyedSpan>("malformed records"));
+                 });
+}
+
+void StoreClient::join(const JoinRequest &join, std::function<void(Result<Membership>)> callback)
+{
+    const auto lifetime = std::chrono::duration_cast<std::chrono::milliseconds>(join.lifetime_);
+    http::HttpRequest request;
+    request.method_ = "POST";
+    request.path_ = "/log-join";
+    request.headers_["Content-Type"] = "application/json";
+    request.body_ = json::serialize(json::object {{"group", join.group_},
+                                                  {"Member", join.member_},
+                                                  {"Topics", json::array {join.topic_}},
+                                                  {"TtlMs", lifetime.count()},
+                                                  {"Generation", join.generation_}});
+    client_.send(store_, std::move(request), {detail::AnswerTimeout, false},
+                 [topic = join.topic_,
+                  callback = std::move(callback)](const http::ClientResult &answer) {
+                     if (!answer.response_ || answer.response_->status_ != detail::StatusOk)
+                         return callback(failure<Membership>(detail::reasonOf(answer)));
+                     auto membership = detail::decodeMembership(answer.response_->body_, topic);
+                     callback(membership ? success(std::move(*membership))
+                                         : failure<Membership>("malformed membership"));
+                 });
+}
+
+} // namespace gypsumcroft::platform
--- /dev/null
+++ b/src/policy/internal/endpointhealth.cpp
@@ -0,0 +1,26 @@
+#include "policy/endpointhealth.h"
+
+#include <algorithm>
+
+namespace gypsumcroft {
+
+void countFailure(EndpointHealth &health, const EndpointHealthLimits &limits, TimePoint now)
+{
+    constexpr std::uint32_t MaxDoublings = 8;
+    const std::uint32_t doublings = std::min(health.failuresInRow_, MaxDoublings);
+    const Duration avoidance = limits.firstAvoidance_ * (1U << doublings);
+    ++health.failuresInRow_;
+    health.avoidUntil_ = now + std::min(avoidance, limits.longestAvoidance_);
+}
+
+void countSuccess(EndpointHealth &health)
+{
+    health = {};
+}
+
+bool isAvoided(const EndpointHealth &health, TimePoint now)
+{
+    return health.failuresInRow_ > 0 && now < health.avoidUntil_;
+}
+
+} // namespace gypsumcroft
--- /dev/null
+++ b/src/policy/internal/pathplan.cpp
@@ -0,0 +1,207 @@
+#include "policy/pathplan.h"
+
+#include <algorithm>
+#include <limits>
+#include <map>
+
+namespace gypsumcroft {
+
+namespace detail {
+namespace {
+
+//! Longest path that endpoints accept.
+constexpr std::size_t MaxParts = 32;
+//! Steps whose time counts beside the reading: the first event and some after it.
+constexpr double WeighedSteps = 10;
+//! Fixed cost of one more hop, in ms.
+constexpr double HopMs = 0.3;
+//! Extra cost of handing activations to another failure domain, in ms: pipes are shared and priced.
+constexpr double CrossingMs = 25;
+//! Cost of a full endpoint in ms; it grows with the square of the fill and steeply beyond it.
+constexpr double FillMs = 60;
+constexpr double OverfillMs = 2000;
+constexpr double MsPerSecond = 1000;
+
+constexpr double Unreached = std::numeric_limits<double>::infinity();
+
+//! Best way to a layer boundary whose last endpoint stands in one failure domain.
+struct Arrival
+{
+    double cost_ = Unreached;
+    double fill_ = 0;
+    std::size_t node_ = 0;
+    std::uint32_t from_ = 0;
+    //! The arrival that this one goes on from; nothing at the first part.
+    const Arrival *before_ = nullptr;
+    std::size_t parts_ = 0;
+};
+
+using Arrivals = std::map<FailureDomainId, Arrival>;
+
+double delayMs(const EngineSpec &engine, const FailureDomainId &from, const FailureDomainId &to)
+{
+    if (from == to)
+        return 0;
+    auto found = engine.delays_.find({from, to});
+    if (found == engine.delays_.end())
+        found = engine.delays_.find({to, from});
+    return found == engine.delays_.end() ? 1.0 : toMilliseconds(found->second);
+}
+
+double fillAfter(const PathNode &node, std::uint32_t count, const PathDemand &demand)
+{
+    if (node.room_ <= 0)
+        return 1;
+    const double need = static_cast<double>(demand.prompt_.value_ + demand.answer_.value_) * count;
+    return (node.taken_ + need) / node.room_;
+}
+
+//! Fills are weighed as they are before the request's share of layers is known, so that the cost
+//! of a part only grows with its layers.
+double partMs(const EngineSpec &engine, const PathNode &node, std::uint32_t count, double fill,
+              const PathDemand &demand)
+{
+    const double share = static_cast<double>(count) / engine.layers_;
+    const double read = toMilliseconds(readTime(engine, node.readFactor_, count, demand.prompt_));
+    const double step = (toMilliseconds(engine.stepTime_)
+                         + toMilliseconds(engine.stepTimePerSequence_) * node.streams_)
+                        * node.stepFactor_ * share;
+    const double crowd = FillMs * fill * fill + (fill > 1 ? OverfillMs * (fill - 1) : 0);
+    return read + toMilliseconds(node.readingAhead_) + step * WeighedSteps + crowd
+           + toMilliseconds(node.penalty_);
+}
+
+double hopMs(const EngineSpec &engine, const FailureDomainId &from, const FailureDomainId &to,
+             const PathDemand &demand)
+{
+    const double bytes = static_cast<double>(demand.prompt_.value_)
+                         * static_cast<double>(engine.activationBytes_.value_);
+    double cost = HopMs;
+    if (engine.linkBytesPerSecond_ > 0)
+        cost += bytes / engine.linkBytesPerSecond_ * MsPerSecond;
+    if (from == to)
+        return cost;
+    if (engine.pipeBytesPerSecond_ > 0)
+        cost += bytes / engine.pipeBytesPerSecond_ * MsPerSecond;
+    return cost + CrossingMs + delayMs(engine, from, to) * WeighedSteps;
+}
+
+bool contains(const Arrival &arrival, std::size_t node)
+{
+    for (const Arrival *part = &arrival; part != nullptr; part = part->before_) {
+        if (part->node_ == node)
+            return true;
+    }
+    return false;
+}
+
+std::vector<std::uint32_t> boundariesOf(const EngineSpec &engine,
+                                        const std::vector<PathNode> &nodes)
+{
+    std::vector<std::uint32_t> boundaries {0, engine.layers_};
+    for (const PathNode &node : nodes) {
+        boundaries.push_back(node.layers_.first_.value_);
+        boundaries.push_back(node.layers_.end_.value_);
+    }
+    std::sort(boundaries.begin(), boundaries.end());
+    boundaries.erase(std::unique(boundaries.begin(), boundaries.end()), boundaries.end());
+    while (!boundaries.empty() && boundaries.back() > engine.layers_)
+        boundaries.pop_back();
+    return boundaries;
+}
+
+struct Search
+{
+    const EngineSpec &engine_;
+    const std::vector<PathNode> &nodes_;
+    const PathDemand &demand_;
+    std::vector<std::uint32_t> boundaries_;
+    std::vector<Arrivals> arrivals_;
+};
+
+//! Extends one way by every endpoint that holds the next layer, to every boundary within it.
+void extend(Search &search, std::size_t at, const Arrival *before, double cost, double fill)
+{
+    const std::uint32_t layer = search.boundaries_[at];
+    for (std::size_t n = 0; n < search.nodes_.size(); ++n) {
+        const PathNode &node = search.nodes_[n];
+        if (node.layers_.first_.value_ > layer || node.layers_.end_.value_ <= layer)
+            continue;
+        if (before != nullptr && (before->parts_ >= MaxParts || contains(*before, n)))
+            continue;
+        const double hop = before == nullptr
+                                   ? delayMs(search.engine_, search.demand_.from_, node.domain_)
+                                   : hopMs(search.engine_, search.nodes_[before->node_].domain_,
+                                           node.domain_, search.demand_);
+        for (std::size_t to = at + 1;
+             to < search.boundaries_.size() && search.boundaries_[to] <= node.layers_.end_.value_;
+             ++to) {
+            const std::uint32_t count = search.boundaries_[to] - layer;
+            const double filled = fillAfter(node, count, search.demand_);
+            const double total
+                    = cost + hop + partMs(search.engine_, node, count, filled, search.demand_);
+            Arrival &best = search.arrivals_[to][node.domain_];
+            if (total < best.cost_)
+                best = {total,  std::max(fill, filled),
+                        n,      layer,
+                        before, before == nullptr ? 1 : before->parts_ + 1};
+        }
+    }
+}
+
+PlannedPath pathOf(const Search &search, const Arrival &last)
+{
+    PlannedPath planned;
+    planned.cost_ = Duration(static_cast<std::int64_t>(last.cost_ * MsPerSecond));
+    planned.fill_ = last.fill_;
+    std::uint32_t end = search.engine_.layers_;
+    for (const Arrival *part = &last; part != nullptr; part = part->before_) {
+        const PathNode &node = search.nodes_[part->node_];
+        planned.path_.push_back({node.endpoint_, node.address_, {{part->from_}, {end}}});
+        end = part->from_;
+    }
+    std::reverse(planned.path_.begin(), planned.path_.end());
+    return planned;
+}
+
+} // namespace
+} // namespace detail
+
+std::optional<PlannedPath> planPath(const EngineSpec &engine, const std::vector<PathNode> &nodes,
+                                    const PathDemand &demand)
+{
+    detail::Search search {engine, nodes, demand, detail::boundariesOf(engine, nodes), {}};
+    search.arrivals_.resize(search.boundaries_.size());
+    detail::extend(search, 0, nullptr, 0, 0);
+    for (std::size_t at = 1; at + 1 < search.boundaries_.size(); ++at) {
+        for (const auto &[domain, arrival] : search.arrivals_[at])
+            detail::extend(search, at, &arrival, arrival.cost_, arrival.fill_);
+    }
+    const detail::Arrival *best = nullptr;
+    for (const auto &[domain, arrival] : search.arrivals_.back()) {
+        if (best == nullptr || arrival.cost_ < best->cost_)
+            best = &arrival;
+    }
+    if (best == nullptr || search.boundaries_.back() != engine.layers_)
+        return std::nullopt;
+    return detail::pathOf(search, *best);
+}
+
+double requestRoom(const EngineSpec &engine, const AcceleratorSpec &kind, std::uint32_t count)
+{
+    const double weights = static_cast<double>(engine.layerBytes_.value_) * count;
+    const double perTokenLayer
+            = static_cast<double>(engine.tokenBytes_.value_) / std::max(1U, engine.layers_);
+    const double left = static_cast<double>(kind.memory_.value_) - weights;
+    return left <= 0 || perTokenLayer <= 0 ? 0 : left / perTokenLayer;
+}
+
+Duration readTime(const EngineSpec &engine, double readFactor, std::uint32_t count, Tokens prompt)
+{
+    const double share = static_cast<double>(count) / std::max(1U, engine.layers_);
+    const double seconds = static_cast<double>(prompt.value_)
+                           / std::max(1.0, engine.readTokensPerSecond_) * readFactor * share;
+    return Duration(static_cast<std::int64_t>(seconds * 1e6));
+}
+
+} // namespace gypsumcroft
--- /dev/null
+++ b/src/policy/internal/placement.cpp
@@ -0,0 +1,202 @@
+#include "policy/placement.h"
+
+#include <algorithm>
+#include <map>
+#include <tuple>
+
+#include "policy/pathplan.h"
+
+namespace gypsumcroft {
+
+namespace detail {
+namespace {
+
+//! Number of copies of each layer.
+using Coverage = std::vector<std::uint32_t>;
+
+struct PlacementState
+{
+    const EngineSpec &engine_;
+    std::vector<PlacementNode> nodes_;
+    std::map<FailureDomainId, Coverage> byDomain_;
+    Coverage everywhere_;
+};
+
+const AcceleratorSpec *kindOf(const EngineSpec &engine, const PlacementNode &node)
+{
+    const auto found = engine.kinds_.find(node.kind_);
+    return found == engine.kinds_.end() ? nullptr : &found->second;
+}
+
+std::uint32_t capacityOf(const EngineSpec &engine, const PlacementNode &node)
+{
+    const AcceleratorSpec *kind = kindOf(engine, node);
+    return kind == nullptr ? 0 : comfortableLayers(engine, *kind);
+}
+
+void count(PlacementState &state, const PlacementNode &node, int change)
+{
+    if (!node.layers_ || !node.counts_)
+        return;
+    Coverage &domain = state.byDomain_[node.domain_];
+    const std::uint32_t end = std::min(node.layers_->end_.value_, state.engine_.layers_);
+    for (std::uint32_t layer = node.layers_->first_.value_; layer < end; ++layer) {
+        domain[layer] += static_cast<std::uint32_t>(change);
+        state.everywhere_[layer] += static_cast<std::uint32_t>(change);
+    }
+}
+
+bool isRedundant(const PlacementState &state, const PlacementNode &node)
+{
+    const Coverage &domain = state.byDomain_.at(node.domain_);
+    const std::uint32_t end = std::min(node.layers_->end_.value_, state.engine_.layers_);
+    for (std::uint32_t layer = node.layers_->first_.value_; layer < end; ++layer) {
+        if (domain[layer] < 2)
+            return false;
+    }
+    return true;
+}
+
+//! How good it is to hold [first, first + size): layers missing in the domain count most, then
+//! layers missing everywhere, then the fewest copies.
+double worthOf(const PlacementState &state, const Coverage &domain, std::uint32_t first,
+               std::uint32_t size)
+{
+    constexpr double MissingInDomain = 1000;
+    constexpr double MissingEverywhere = 100;
+    double worth = 0;
+    for (std::uint32_t layer = first; layer < first + size; ++layer) {
+        if (domain[layer] == 0)
+            worth += MissingInDomain;
+        if (state.everywhere_[layer] == 0)
+            worth += MissingEverywhere;
+        worth += 1.0 / ((1 + domain[layer]) * (1 + domain[layer]))
+                 + 0.01 / (1 + state.everywhere_[layer]);
+    }
+    return worth;
+}
+
+//! The range of the given size that is worth most; the first of equal ones.
+LayerRange bestRange(const PlacementState &state, const Coverage &domain, std::uint32_t size)
+{
+    constexpr double Tolerance = 1e-9;
+    std::uint32_t best = 0;
+    double bestWorth = -1;
+    for (std::uint32_t first = 0; first + size <= state.engine_.layers_; ++first) {
+        const double worth = worthOf(state, domain, first, size);
+        if (worth > bestWorth + Tolerance) {
+            best = first;
+            bestWorth = worth;
+        }
+    }
+    return {{best}, {best + size}};
+}
+
+//! Fast endpoints first; of one kind in the order of their names.
+bool goesBefore(const PlacementState &state, const PlacementNode &left, const PlacementNode &right)
+{
+    const auto speed = [&](const PlacementNode &node) {
+        const AcceleratorSpec *kind = kindOf(state.engine_, node);
+        return kind == nullptr ? 0.0 : kind->stepFactor_;
+    };
+    return std::tuple(speed(left), left.endpoint_) < std::tuple(speed(right), right.endpoint_);
+}
+
+PlacementNode *emptyNode(PlacementState &state, const FailureDomainId &domain)
+{
+    PlacementNode *best = nullptr;
+    for (PlacementNode &node : state.nodes_) {
+        if (node.domain_ != domain || node.layers_ || !node.counts_ || !node.orderable_
+            || capacityOf(state.engine_, node) == 0)
+            continue;
+        if (best == nullptr || goesBefore(state, node, *best))
+            best = &node;
+    }
+    return best;
+}
+
+//! An endpoint whose layers others of its domain hold as well; slow ones first.
+PlacementNode *redundantNode(PlacementState &state, const FailureDomainId &domain)
+{
+    PlacementNode *best = nullptr;
+    for (PlacementNode &node : state.nodes_) {
+        if (node.domain_ != domain || !node.layers_ || !node.counts_ || !node.orderable_
+            || capacityOf(state.engine_, node) == 0 || !isRedundant(state, node))
+            continue;
+        if (best == nullptr || goesBefore(state, *best, node))
+            best = &node;
+    }
+    return best;
+}
+
+bool hasGap(const Coverage &domain)
+{
+    return std::find(domain.begin(), domain.end(), 0U) != domain.end();
+}
+
+PlacementMove move(PlacementState &state, PlacementNode &node, const char *reason)
+{
+    count(state, node, -1);
+    const std::uint32_t size = std::min(capacityOf(state.engine_, node), state.engine_.layers_);
+    node.layers_ = bestRange(state, state.byDomain_.at(node.domain_), size);
+    node.orderable_ = false;
+    count(state, node, 1);
+    return {node.endpoint_, *node.layers_, reason};
+}
+
+//! The most urgent move of one domain; nothing if it needs none or has nobody to move.
+std::optional<PlacementMove> nextMove(PlacementState &state, const FailureDomainId &domain)
+{
+    if (PlacementNode *node = emptyNode(state, domain)) {
+        const bool gap = hasGap(state.byDomain_.at(domain));
+        return move(state, *node, gap ? "gap" : "copy");
+    }
+    if (!hasGap(state.byDomain_.at(domain)))
+        return std::nullopt;
+    PlacementNode *node = redundantNode(state, domain);
+    if (node == nullptr)
+        return std::nullopt;
+    return move(state, *node, "gap-by-copy");
+}
+
+} // namespace
+} // namespace detail
+
+std::uint32_t comfortableLayers(const EngineSpec &engine, const AcceleratorSpec &kind)
+{
+    const double perToken = static_cast<double>(engine.tokenBytes_.value_);
+    const double room = static_cast<double>(engine.comfortTokens_.value_) * perToken
+                        / std::max(1U, engine.layers_);
+    const double perLayer = static_cast<double>(engine.layerBytes_.value_) + room;
+    if (perLayer <= 0)
+        return 0;
+    const auto layers
+            = static_cast<std::uint32_t>(static_cast<double>(kind.memory_.value_) / perLayer);
+    return std::min(layers, engine.layers_);
+}
+
+std::vector<PlacementMove> planPlacement(const EngineSpec &engine, std::vector<PlacementNode> nodes,
+                                         std::size_t limit)
+{
+    detail::PlacementState state {engine, std::move(nodes), {}, detail::Coverage(engine.layers_)};
+    for (const PlacementNode &node : state.nodes_)
+        state.byDomain_.try_emplace(node.domain_, engine.layers_);
+    for (const PlacementNode &node : state.nodes_)
+        detail::count(state, node, 1);
+    std::vector<PlacementMove> moves;
+    bool moved = true;
+    while (moved && moves.size() < limit) {
+        moved = false;
+        for (const auto &[domain, coverage] : state.byDomain_) {
+            if (moves.size() >= limit)
+                break;
+            if (auto next = detail::nextMove(state, domain)) {
+                moves.push_back(std::move(*next));
+                moved = true;
+            }
+        }
+    }
+    return moves;
+}
+
+} // namespace gypsumcroft
--- /dev/null
+++ b/src/policy/internal/retryshare.cpp
@@ -0,0 +1,60 @@
+#include "policy/retryshare.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace gypsumcroft {
+
+namespace detail {
+namespace {
+
+//! Part of the budget that is used; the rest covers entries that see fewer peers than there are.
+constexpr double UsedPart = 0.8;
+
+void advance(RetryShare &share, const RetryShareLimits &limits, TimePoint now)
+{
+    const Duration width
+            = std::max(Duration(1), limits.window_ / static_cast<int>(RetryShareSlots));
+    const std::int64_t slot = now.time_since_epoch() / width;
+    const std::int64_t steps = std::clamp<std::int64_t>(slot - share.slot_, 0, RetryShareSlots);
+    for (std::int64_t i = 1; i <= steps; ++i) {
+        const auto index = static_cast<std::size_t>((slot - steps + i)
+                                                    % static_cast<std::int64_t>(RetryShareSlots));
+        share.requests_[index] = 0;
+        share.retries_[index] = 0;
+    }
+    share.slot_ = std::max(share.slot_, slot);
+}
+
+std::size_t indexOf(const RetryShare &share)
+{
+    return static_cast<std::size_t>(share.slot_ % static_cast<std::int64_t>(RetryShareSlots));
+}
+
+} // namespace
+} // namespace detail
+
+void countRequest(RetryShare &share, const RetryShareLimits &limits, TimePoint now)
+{
+    detail::advance(share, limits, now);
+    ++share.requests_[detail::indexOf(share)];
+}
+
+bool takeRetry(RetryShare &share, const RetryShareLimits &limits, std::uint32_t entries,
+               TimePoint now)
+{
+    detail::advance(share, limits, now);
+    const auto sum = [](const auto &counts) {
+        return static_cast<double>(
+                std::accumulate(counts.begin(), counts.end(), std::uint64_t {0}));
+    };
+    const double allowed
+            = detail::UsedPart
+              * (limits.ratio_ * sum(share.requests_) + limits.slack_ / std::max(1U, entries));
+    if (sum(share.retries_) + 1 > allowed)
+        return false;
+    ++share.retries_[detail::indexOf(share)];
+    return true;
+}
+
+} // namespace gypsumcroft
--- /dev/null
+++ b/src/policy/placement.h
@@ -0,0 +1,43 @@
+//! Decides which endpoints should hold which layers of a model.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/routes.h"
+
+namespace gypsumcroft {
+
+//! An endpoint as the placement sees it.
+struct PlacementNode
+{
+    EndpointId endpoint_;
+    FailureDomainId domain_;
+    AcceleratorKind kind_;
+    //! What it holds, or is loading after an order.
+    std::optional<LayerRange> layers_;
+    //! It stays and works, so that its layers count.
+    bool counts_ = true;
+    //! It may be given an order now.
+    bool orderable_ = true;
+};
+
+struct PlacementMove
+{
+    EndpointId endpoint_;
+    LayerRange layers_;
+    std::string reason_;
+};
+
+//! Layers that an accelerator should hold, so that the comfortable number of tokens fits beside
+//! them; 0 when not even one fits.
+std::uint32_t comfortableLayers(const EngineSpec &engine, const AcceleratorSpec &kind);
+
+//! Moves that bring every failure domain nearer to holding all layers, the fewest first: empty
+//! endpoints fill gaps, then endpoints whose layers others hold as well; what is left empty holds
+//! the layers with the fewest copies. At most limit moves.
+std::vector<PlacementMove> planPlacement(const EngineSpec &engine, std::vector<PlacementNode> nodes,
+                                         std::size_t limit);
+
+} // namespace gypsumcroft
