--- a/src/app/internal/gatewaycontrol.cpp
+++ b/src/app/internal/gatewaycontrol.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "app/log.h"
+#include "documents/settings.h"
 #include "platform/documents.h"
 
 namespace gypsumcroft::detail {
@@ -10,23 +11,31 @@
 namespace {
 
 const std::string LeaseTopic = "placement";
+//! Stands between a member's address and its incarnation.
+constexpr char MemberSeparator = '/';
 //! Partition whose holder places layers.
 constexpr std::uint32_t LeasePartition = 0;
 //! Wait of a read for a newer desired state; each answer confirms the one in force.
-constexpr Duration ConfigWait = std::chrono::milliseconds(1000);
+constexpr Duration ConfigWait = std::chrono::milliseconds(1400);
 //! Time between two readings of the endpoint list; leaving endpoints are known within it.
-constexpr Duration EndpointInterval = std::chrono::milliseconds(1000);
+constexpr Duration EndpointInterval = std::chrono::milliseconds(1200);
 constexpr Duration RetryDelay = std::chrono::milliseconds(150);
 
 } // namespace
 
 GatewayControlLoop::GatewayControlLoop(asio::io_context &context, const GatewaySettings &settings,
                                        std::uint64_t incarnation, Publish publish)
-    : context_(context), member_(settings.instance_.value_ + "/" + std::to_string(incarnation)),
-      topicPartitions_(settings.topicPartitions_), publish_(std::move(publish)),
-      store_(context, settings.store_), endpoints_(context)
+    : context_(context), topicPartitions_(settings.topicPartitions_), publish_(std::move(publish)),
+      store_(context, settings.store_), endpoints_(context),
+      datagrams_(
+              context, [this](Datagram datagram) { onDatagram(std::move(datagram)); },
+              [this](const std::string &reason) {
+                  garbage_.warn(LogLine("garbage").add("port", "udp").add("reason", reason),
+                                monotonicNow());
+              })
 {
     control_.self_ = settings.instance_;
+    control_.incarnation_ = {incarnation};
     control_.domain_ = settings.domain_;
     control_.bounds_ = settings.bounds_;
     control_.lease_.limits_ = settings.lease_;
@@ -39,9 +48,31 @@
     ticker_.emplace(context_, [this] { return tick(); });
 }
 
-void GatewayControlLoop::note(const ReachabilityNote &note)
+Result<Address> GatewayControlLoop::listen(const Address &mesh)
 {
-    onReachability(control_, note.endpoint_, note.reachable_, monotonicNow());
+    const auto bound = datagrams_.bind(mesh);
+    if (!bound)
+        return bound;
+    control_.address_ = *bound;
+    // Members are named by where they are reached, so that peers find them.
+    member_ = formatAddress(*bound) + MemberSeparator
+              + std::to_string(control_.incarnation_.value_);
+    return bound;
+}
+
+void GatewayControlLoop::note(TrafficNote note)
+{
+    if (const auto *doubt = std::get_if<EndpointDoubt>(&note))
+        onEndpointDoubt(control_, doubt->endpoint_, monotonicNow());
+    else if (auto *shares = std::get_if<OwnShares>(&note))
+        onOwnShares(control_, std::move(*shares));
+    perform();
+}
+
+void GatewayControlLoop::onDatagram(Datagram datagram)
+{
+    if (auto *digest = std::get_if<GatewayDigestMessage>(&datagram))
+        onGatewayDigest(control_, std::move(*digest), monotonicNow());
     perform();
 }
 
@@ -158,6 +189,11 @@
 {
     if (const auto *group = std::get_if<JoinGroup>(&effect))
         join(*group);
+    else if (std::holds_alternative<AskPeers>(effect))
+        askPeers();
+    else if (const auto *send = std::get_if<SendDigest>(&effect))
+        std::for_each(send->to_.begin(), send->to_.end(),
+                      [&](const Address &to) { datagrams_.send(to, send->digest_); });
     else if (const auto *question = std::get_if<AskEndpoint>(&effect))
         ask(*question);
     else if (const auto *layers = std::get_if<OrderLayers>(&effect))
@@ -190,6 +226,20 @@
     });
 }
 
+void GatewayControlLoop::askPeers()
+{
+    store_.members(LeaseTopic, [this](const Result<std::vector<std::string>> &members) {
+        if (!members)
+            return;
+        std::vector<Address> peers;
+        for (const std::string &member : *members) {
+            if (const auto address = parseAddress(member.substr(0, member.find(MemberSeparator))))
+                peers.push_back(*address);
+        }
+        onPeersIntroduced(control_, std::move(peers));
+    });
+}
+
 void GatewayControlLoop::ask(const AskEndpoint &ask)
 {
     const TimePoint asked = monotonicNow();
--- a/src/app/internal/gatewaycontrol.h
+++ b/src/app/internal/gatewaycontrol.h
@@ -8,9 +8,12 @@
 
 #include "documents/gatewaysettings.h"
 #include "gateway/control.h"
+#include "gatewaytraffic.h"
 #include "platform/endpointclient.h"
 #include "platform/storeclient.h"
+#include "ratelimitedlog.h"
 #include "runtime.h"
+#include "wire/mesh.h"
 
 namespace gypsumcroft::detail {
 
@@ -21,8 +24,9 @@
     GatewayControlLoop(asio::io_context &context, const GatewaySettings &settings,
                        std::uint64_t incarnation, Publish publish);
 
+    Result<Address> listen(const Address &mesh);
     void start();
-    void note(const ReachabilityNote &note);
+    void note(TrafficNote note);
     bool isReady() const { return isGatewayReady(control_, monotonicNow()); }
     const GatewayControl &state() const { return control_; }
 
@@ -38,6 +42,8 @@
     void perform();
     void perform(GatewayControlEffect &effect);
     void join(const JoinGroup &join);
+    void askPeers();
+    void onDatagram(Datagram datagram);
     void ask(const AskEndpoint &ask);
     void order(const OrderLayers &order);
 
@@ -49,6 +55,8 @@
     std::uint64_t configNext_ = 0;
     platform::StoreClient store_;
     platform::EndpointClient endpoints_;
+    RateLimitedLog garbage_;
+    DatagramSocket datagrams_;
     std::optional<Ticker> ticker_;
 };
 
--- a/src/app/internal/gatewayprocess.cpp
+++ b/src/app/internal/gatewayprocess.cpp
@@ -37,7 +37,7 @@
     GatewaySettings settings_;
     Runtime runtime_;
     std::uint64_t incarnation_;
-    Mailbox<ReachabilityNote> mailbox_;
+    Mailbox<TrafficNote> mailbox_;
     GatewayTrafficLoop traffic_;
     GatewayControlLoop control_;
     http::Server ready_;
@@ -51,9 +51,9 @@
     : settings_(settings), runtime_(1),
       incarnation_(static_cast<std::uint64_t>(
               std::chrono::system_clock::now().time_since_epoch().count())),
-      mailbox_(runtime_.control(), [this](ReachabilityNote note) { control_.note(note); }),
+      mailbox_(runtime_.control(), [this](TrafficNote note) { control_.note(std::move(note)); }),
       traffic_(*runtime_.traffic().front(), incarnation_,
-               [this](ReachabilityNote note) { mailbox_.push(std::move(note)); }),
+               [this](TrafficNote note) { mailbox_.push(std::move(note)); }),
       control_(runtime_.control(), settings, incarnation_,
                [this](std::shared_ptr<const GatewayView> view) {
                    traffic_.publish(std::move(view));
@@ -155,7 +155,9 @@
 
 int GatewayProcess::run()
 {
-    const auto callers = traffic_.listen(settings_.callers_);
+    const auto mesh = control_.listen(settings_.mesh_);
+    const auto callers
+            = mesh ? traffic_.listen(settings_.callers_) : failure<Address>(mesh.lastReason_);
     const auto ready
             = callers ? ready_.listen(settings_.ready_) : failure<Address>(callers.lastReason_);
     const auto metrics = ready && settings_.metrics_ ? metrics_.listen(*settings_.metrics_) : ready;
@@ -167,6 +169,7 @@
                         .add("role", "gateway")
                         .add("instance", settings_.instance_)
                         .add("domain", settings_.domain_)
+                        .add("mesh", formatAddress(*mesh))
                         .add("callers", formatAddress(*callers)));
     control_.start();
     waitForSignal();
--- a/src/app/internal/gatewaytraffic.cpp
+++ b/src/app/internal/gatewaytraffic.cpp
@@ -1,6 +1,7 @@
 #include "gatewaytraffic.h"
 
 #include "app/log.h"
+#include "filters/gatewayfilters.h"
 #include "platform/forwarding.h"
 
 namespace gypsumcroft::detail {
@@ -10,6 +11,9 @@
 //! Largest answer that is held back until it is whole.
 constexpr std::size_t MaxWholeAnswer = 8UL * 1024 * 1024;
 
+//! Control is told this often what requests hold of the endpoints.
+constexpr Duration SharesInterval = std::chrono::milliseconds(150);
+
 SendFailure failureOf(http::RelayFailure failure)
 {
     switch (failure) {
@@ -61,6 +65,7 @@
 {
     takeLimits(*view_.load());
     counters_ = std::make_shared<const GatewayCounters>(traffic_.counters_);
+    tellShares(monotonicNow());
     if (!isGatewayIdle(traffic_))
         withTraffic([this](const GatewayView &view, TimePoint now) {
             onGatewayTick(traffic_, view, now);
@@ -68,6 +73,14 @@
     return GatewayTickInterval;
 }
 
+void GatewayTrafficLoop::tellShares(TimePoint now)
+{
+    if (now - sharesToldAt_ < SharesInterval)
+        return;
+    sharesToldAt_ = now;
+    note_(ownShares(traffic_));
+}
+
 void GatewayTrafficLoop::takeLimits(const GatewayView &view)
 {
     if (!view.table_ || view.table_ == limitsOf_)
@@ -159,7 +172,7 @@
         exchanges_.erase(broken->exchange_);
     } else if (const auto *refusal = std::get_if<RefuseRequest>(&effect)) {
         refuse(*refusal);
-    } else if (const auto *note = std::get_if<ReachabilityNote>(&effect)) {
+    } else if (const auto *note = std::get_if<EndpointDoubt>(&effect)) {
         note_(*note);
     } else if (const auto *event = std::get_if<LogEvent>(&effect)) {
         writeLog(event->level_, event->text_);
--- a/src/app/internal/gatewaytraffic.h
+++ b/src/app/internal/gatewaytraffic.h
@@ -15,11 +15,14 @@
 
 namespace gypsumcroft::detail {
 
+//! What traffic learns for control.
+using TrafficNote = std::variant<std::monostate, EndpointDoubt, OwnShares>;
+
 //! Everything but publish() and counters() is used on the traffic thread.
 class GatewayTrafficLoop
 {
 public:
-    using Note = std::function<void(ReachabilityNote)>;
+    using Note = std::function<void(TrafficNote)>;
     GatewayTrafficLoop(asio::io_context &context, std::uint64_t seed, Note note);
 
     Result<Address> listen(const Address &callers);
@@ -54,6 +57,7 @@
     void onRequest(http::RelayRequest request, std::shared_ptr<http::RelayExchange> exchange);
     void onBody(SendId send, std::string_view bytes);
     Duration tick();
+    void tellShares(TimePoint now);
     void takeLimits(const GatewayView &view);
 
     //! Runs an event of the core and carries out its effects.
@@ -72,6 +76,7 @@
     std::unordered_map<ExchangeId, OpenExchange> exchanges_;
     std::unordered_map<SendId, OpenCall> calls_;
     std::uint64_t nextExchange_ = 1;
+    TimePoint sharesToldAt_;
     std::atomic<std::shared_ptr<const GatewayCounters>> counters_;
     http::RelayClient client_;
     http::RelayServer server_;
--- a/src/app/internal/runtime.h
+++ b/src/app/internal/runtime.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <memory>
 #include <thread>
+#include <variant>
 #include <vector>
 
 #include <boost/asio.hpp>
--- a/src/controllers/gatewayview.h
+++ b/src/controllers/gatewayview.h
@@ -3,10 +3,12 @@
 
 #include <memory>
 #include <optional>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
 #include "controllers/endpointlist.h"
+#include "controllers/peers.h"
 #include "controllers/routetable.h"
 
 namespace gypsumcroft {
@@ -36,6 +38,10 @@
     //! Nothing before the first desired state is known.
     std::shared_ptr<const RouteTable> table_;
     std::shared_ptr<const EndpointIndex> endpoints_ = std::make_shared<EndpointIndex>();
+    //! What other gateways' requests hold of the endpoints.
+    std::shared_ptr<const EndpointShares> others_ = std::make_shared<EndpointShares>();
+    //! Endpoints that did not answer when they were asked.
+    std::set<EndpointId> down_;
     std::optional<TimePoint> confirmedAt_;
     FreshnessLimits freshness_;
     FailureDomainId domain_;
@@ -46,11 +52,16 @@
     Duration retryWindow_ = std::chrono::seconds(10);
 };
 
-//! What traffic tells control: an endpoint could or could not be reached.
-struct ReachabilityNote
+//! What traffic tells control: an endpoint failed, or stood on a path that fell silent.
+struct EndpointDoubt
 {
     EndpointId endpoint_;
-    bool reachable_ = false;
+};
+
+//! What traffic tells control: what its requests hold of the endpoints now.
+struct OwnShares
+{
+    std::vector<EndpointShare> shares_;
 };
 
 //! True while keys that were taken away are certainly known.
--- a/src/controllers/internal/endpointlist.cpp
+++ b/src/controllers/internal/endpointlist.cpp
@@ -102,6 +102,8 @@
     KnownEndpoint &known = found->second;
     if (born != 0 && born < known.listed_.born_)
         return false;
+    if (known.reportedAt_ && asked <= *known.reportedAt_)
+        return false;
     known.reportedAt_ = asked;
     const bool changed = known.listed_.layers_ != layers;
     known.listed_.layers_ = layers;
--- /dev/null
+++ b/src/controllers/internal/peers.cpp
@@ -0,0 +1,55 @@
+#include "controllers/peers.h"
+
+#include <algorithm>
+#include <set>
+#include <tuple>
+
+namespace gypsumcroft {
+
+bool applyDigest(PeersState &state, GatewayDigestMessage digest, TimePoint now)
+{
+    PeerGateway &peer = state.peers_[digest.instance_];
+    const auto order = [](const GatewayDigestMessage &message) {
+        return std::tuple(message.incarnation_, message.sequence_);
+    };
+    if (order(digest) <= order(peer.digest_))
+        return false;
+    peer.digest_ = std::move(digest);
+    peer.receivedAt_ = now;
+    return true;
+}
+
+void forgetSilentPeers(PeersState &state, TimePoint now)
+{
+    std::erase_if(state.peers_, [&](const auto &entry) {
+        return now - entry.second.receivedAt_ > state.limits_.forgottenAfter_;
+    });
+}
+
+std::vector<Address> digestTargets(const PeersState &state, const Address &self)
+{
+    std::set<Address> targets(state.introduced_.begin(), state.introduced_.end());
+    for (const auto &[instance, peer] : state.peers_)
+        targets.insert(peer.digest_.gateway_);
+    targets.erase(self);
+    std::vector<Address> list(targets.begin(), targets.end());
+    list.resize(std::min(list.size(), state.limits_.most_));
+    return list;
+}
+
+std::shared_ptr<const EndpointShares> sharesOfPeers(const PeersState &state)
+{
+    auto sums = std::make_shared<EndpointShares>();
+    for (const auto &[instance, peer] : state.peers_) {
+        for (const EndpointShare &share : peer.digest_.shares_) {
+            EndpointShare &sum = (*sums)[share.endpoint_];
+            sum.tokenLayers_ += share.tokenLayers_;
+            sum.readingAhead_ += share.readingAhead_;
+            sum.streams_ += share.streams_;
+            sum.calls_ += share.calls_;
+        }
+    }
+    return sums;
+}
+
+} // namespace gypsumcroft
--- a/src/controllers/internal/placing.cpp
+++ b/src/controllers/internal/placing.cpp
@@ -20,13 +20,6 @@
     return engine.loadTime_ * count / std::max<std::int64_t>(1, engine.layers_);
 }
 
-bool isUnreachable(const PlacingState &state, const EndpointId &endpoint, TimePoint now)
-{
-    const auto found = state.unreachable_.find(endpoint);
-    return found != state.unreachable_.end()
-           && now - found->second >= state.limits_.unreachableFor_;
-}
-
 bool isUnderWay(const PlacingStep &step)
 {
     return step.phase_ != PlacingPhase::Idle;
@@ -40,14 +33,15 @@
 }
 
 std::vector<PlacementNode> nodesOf(const PlacingState &state, const TargetName &target,
-                                   const EndpointListState &list, TimePoint now)
+                                   const EndpointListState &list, const std::set<EndpointId> &lost,
+                                   TimePoint now)
 {
     std::vector<PlacementNode> nodes;
     for (const auto &[id, known] : list.endpoints_) {
         if (known.listed_.target_ != target)
             continue;
         PlacementNode node {id, known.listed_.domain_, known.listed_.kind_, known.listed_.layers_};
-        node.counts_ = known.listed_.state_ == ListedState::Ready && !isUnreachable(state, id, now);
+        node.counts_ = known.listed_.state_ == ListedState::Ready && !lost.contains(id);
         node.orderable_ = node.counts_;
         const auto step = state.steps_.find(id);
         if (step != state.steps_.end()) {
@@ -114,13 +108,13 @@
 }
 
 void plan(PlacingState &state, const EngineSpec &engine, const TargetName &target,
-          const EndpointListState &list, TimePoint now)
+          const EndpointListState &list, const std::set<EndpointId> &lost, TimePoint now)
 {
     const std::size_t busy = underWay(state);
     if (busy >= engine.loadsAtOnce_)
         return;
-    const auto moves
-            = planPlacement(engine, nodesOf(state, target, list, now), engine.loadsAtOnce_ - busy);
+    const auto moves = planPlacement(engine, nodesOf(state, target, list, lost, now),
+                                     engine.loadsAtOnce_ - busy);
     for (const PlacementMove &move : moves) {
         PlacingStep &step = state.steps_[move.endpoint_];
         step.phase_ = PlacingPhase::Asking;
@@ -130,22 +124,40 @@
     }
 }
 
+//! A fleet that has just appeared is listed bit by bit; a plan for a part of it would be a poor
+//! one.
+bool mayPlan(const PlacingState &state, const TargetName &target, const EndpointListState &list,
+             TimePoint now)
+{
+    TimePoint first = TimePoint::max();
+    TimePoint last = TimePoint::min();
+    for (const auto &[id, known] : list.endpoints_) {
+        if (known.listed_.target_ != target)
+            continue;
+        if (known.listed_.layers_)
+            return true;
+        first = std::min(first, known.firstSeen_);
+        last = std::max(last, known.firstSeen_);
+    }
+    return now >= last + state.limits_.quietBeforePlan_
+           || now >= first + state.limits_.firstPlanWithin_;
+}
+
 } // namespace
 } // namespace detail
 
 void tickPlacing(PlacingState &state, const EngineSpec &engine, const TargetName &target,
-                 const EndpointListState &list, TimePoint now)
+                 const EndpointListState &list, const std::set<EndpointId> &lost, TimePoint now)
 {
     std::erase_if(state.steps_,
                   [&](const auto &entry) { return !list.endpoints_.contains(entry.first); });
-    std::erase_if(state.unreachable_,
-                  [&](const auto &entry) { return !list.endpoints_.contains(entry.first); });
     for (auto &[id, step] : state.steps_)
         detail::goOn(state, engine, list.endpoints_.at(id), step, now);
     if (now - state.plannedAt_ < state.limits_.planEvery_)
         return;
     state.plannedAt_ = now;
-    detail::plan(state, engine, target, list, now);
+    if (detail::mayPlan(state, target, list, now))
+        detail::plan(state, engine, target, list, lost, now);
 }
 
 void stopPlacing(PlacingState &state)
@@ -201,12 +213,4 @@
                                                  : now + detail::loadTime(engine, step.goal_) / 10;
 }
 
-void noteReachable(PlacingState &state, const EndpointId &endpoint, bool reachable, TimePoint now)
-{
-    if (reachable)
-        state.unreachable_.erase(endpoint);
-    else
-        state.unreachable_.try_emplace(endpoint, now);
-}
-
 } // namespace gypsumcroft
--- a/src/controllers/lease.h
+++ b/src/controllers/lease.h
@@ -17,7 +17,7 @@
     //! How long the platform lets a silent member keep its part.
     Duration lifetime_ = std::chrono::milliseconds(2000);
     //! Time between two joins.
-    Duration renewEvery_ = std::chrono::milliseconds(600);
+    Duration renewEvery_ = std::chrono::milliseconds(700);
     //! The holder stops so long before its lease may lapse: covers an order on its way.
     Duration margin_ = std::chrono::milliseconds(400);
     //! A join without an answer is repeated after this time.
--- a/src/controllers/placing.h
+++ b/src/controllers/placing.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "controllers/endpointlist.h"
+#include "controllers/probes.h"
 #include "core/logline.h"
 #include "core/routes.h"
 
@@ -16,13 +17,6 @@
 //! that is carried out late changes nothing.
 using OrderCount = StrongType<struct OrderCountTag, std::uint64_t>;
 
-//! Ask an endpoint what it holds and how many orders it has accepted.
-struct AskEndpoint
-{
-    EndpointId endpoint_;
-    Address address_;
-};
-
 struct OrderLayers
 {
     EndpointId endpoint_;
@@ -61,8 +55,10 @@
     Duration planEvery_ = std::chrono::milliseconds(100);
     //! An endpoint that failed a question or an order is left alone for this time.
     Duration restAfterFailure_ = std::chrono::milliseconds(1500);
-    //! Endpoints that traffic can't reach count as gone after this time.
-    Duration unreachableFor_ = std::chrono::milliseconds(700);
+    //! The first plan waits until no new endpoint has been listed for so long, so that it is made
+    //! for all of them, but no longer than firstPlanWithin_.
+    Duration quietBeforePlan_ = std::chrono::milliseconds(1500);
+    Duration firstPlanWithin_ = std::chrono::milliseconds(4000);
 };
 
 enum class PlacingPhase : std::uint8_t { Idle, Asking, Ready, Ordering, Loading };
@@ -84,15 +80,14 @@
 {
     PlacingLimits limits_;
     std::map<EndpointId, PlacingStep> steps_;
-    //! Endpoints that traffic could not reach, since when.
-    std::map<EndpointId, TimePoint> unreachable_;
     TimePoint plannedAt_;
     std::vector<PlacingEffect> effects_;
 };
 
-//! Plans and goes on with steps; only while this process holds the lease.
+//! Plans and goes on with steps; only while this process holds the lease. Lost endpoints don't
+//! count for what they hold.
 void tickPlacing(PlacingState &state, const EngineSpec &engine, const TargetName &target,
-                 const EndpointListState &list, TimePoint now);
+                 const EndpointListState &list, const std::set<EndpointId> &lost, TimePoint now);
 
 //! Forgets all steps: another process holds the lease now.
 void stopPlacing(PlacingState &state);
@@ -103,7 +98,4 @@
 void onOrderOutcome(PlacingState &state, const EngineSpec &engine, const EndpointId &endpoint,
                     OrderOutcome outcome, TimePoint now);
 
-//! Traffic could or could not reach an endpoint.
-void noteReachable(PlacingState &state, const EndpointId &endpoint, bool reachable, TimePoint now);
-
 } // namespace gypsumcroft
--- a/src/core/messages.h
+++ b/src/core/messages.h
@@ -290,6 +290,42 @@
                        CallMessage, CallResultMessage, ConfigFetchMessage, ConfigStateMessage>;
 
 //! Everything that goes over UDP between processes.
-using Datagram = std::variant<HeartbeatMessage, DigestMessage, ProbeMessage>;
+//! What a gateway's requests hold of one endpoint.
+struct EndpointShare
+{
+    EndpointId endpoint_;
+    //! Room for requests, in tokens times layers.
+    double tokenLayers_ = 0;
+    //! Prompt reading that has not brought a first token yet.
+    Duration readingAhead_ {};
+    std::uint32_t streams_ = 0;
+    std::uint32_t calls_ = 0;
+};
+
+//! What an endpoint said itself that it holds, for gateways that did not ask it.
+struct HeldLayersReport
+{
+    EndpointId endpoint_;
+    bool holds_ = false;
+    LayerRange layers_;
+    std::uint64_t born_ = 0;
+    //! Time since it was asked.
+    Duration age_ {};
+};
+
+//! UDP, gateway to gateways.
+struct GatewayDigestMessage
+{
+    InstanceId instance_;
+    Address gateway_;
+    Incarnation incarnation_;
+    std::uint64_t sequence_ = 0;
+    std::vector<EndpointShare> shares_;
+    std::vector<HeldLayersReport> held_;
+    //! Endpoints that did not answer.
+    std::vector<EndpointId> down_;
+};
+
+using Datagram = std::variant<HeartbeatMessage, DigestMessage, ProbeMessage, GatewayDigestMessage>;
 
 } // namespace gypsumcroft
--- a/src/core/routes.h
+++ b/src/core/routes.h
@@ -71,7 +71,8 @@
     Bytes tokenBytes_;
     //! What one token hands on from endpoint to endpoint.
     Bytes activationBytes_;
-    Tokens comfortTokens_;
+    //! Requests that an endpoint runs side by side.
+    std::uint32_t slots_ = 1;
     Duration stepTime_ {};
     Duration stepTimePerSequence_ {};
     double readTokensPerSecond_ = 1;
--- a/src/documents/gatewaysettings.h
+++ b/src/documents/gatewaysettings.h
@@ -15,6 +15,8 @@
 {
     InstanceId instance_;
     FailureDomainId domain_;
+    //! Where other gateways send their digests, UDP.
+    Address mesh_;
     Address callers_;
     //! The balancer asks here whether the process takes requests.
     Address ready_;
--- a/src/documents/internal/gatewaysettings.cpp
+++ b/src/documents/internal/gatewaysettings.cpp
@@ -104,6 +104,7 @@
         reader.fault("role", "must be 'gateway'");
     settings.instance_ = {reader.text("instance", true).value_or("")};
     settings.domain_ = {reader.text("failureDomain", true).value_or("")};
+    settings.mesh_ = detail::addressIn(reader, "mesh", true).value_or(Address {});
     settings.callers_ = detail::addressIn(reader, "callers", true).value_or(Address {});
     settings.ready_ = detail::addressIn(reader, "ready", true).value_or(Address {});
     settings.metrics_ = detail::addressIn(reader, "metrics", false);
--- a/src/filters/gatewayfilters.h
+++ b/src/filters/gatewayfilters.h
@@ -32,6 +32,9 @@
 //! The prompt has been read: the endpoints of the path have that time again.
 void releaseReading(GatewayContext &context, GatewayTraffic &state);
 
+//! What this process's requests hold of the endpoints.
+OwnShares ownShares(const GatewayTraffic &state);
+
 QueuedRequest queuedForm(const GatewayContext &context);
 RequestId queueName(ExchangeId exchange);
 
--- a/src/filters/gatewaystate.h
+++ b/src/filters/gatewaystate.h
@@ -17,6 +17,7 @@
 #include "policy/fairqueue.h"
 #include "policy/nextstep.h"
 #include "policy/pathplan.h"
+#include "policy/retry.h"
 #include "policy/retryshare.h"
 
 namespace gypsumcroft {
@@ -41,6 +42,7 @@
     //! How long the caller waits; nothing when it doesn't say.
     std::optional<Duration> patience_;
     Tokens prompt_;
+    //! Tokens that the answer will probably have.
     Tokens answer_;
     //! The caller has the stream's events up to this one.
     std::optional<EventId> resumeAfter_;
@@ -126,7 +128,7 @@
 
 using GatewayEffect
         = std::variant<SendRequest, CancelSend, DeliverAnswer, BeginStream, PassEvents,
-                       FinishStream, BreakOffAnswer, RefuseRequest, ReachabilityNote, LogEvent>;
+                       FinishStream, BreakOffAnswer, RefuseRequest, EndpointDoubt, LogEvent>;
 
 //! What an answer's head says beside the answer itself.
 struct AnswerHead
@@ -173,6 +175,8 @@
     std::size_t nextFilter_ = 0;
     bool queued_ = false;
     std::optional<OpenSend> send_;
+    //! A repeat waits until then.
+    TimePoint notBefore_;
     std::uint32_t sends_ = 0;
     std::uint32_t runs_ = 0;
     bool mayHaveRun_ = false;
@@ -180,15 +184,15 @@
     std::optional<EventId> lastEvent_;
     std::unordered_set<EndpointId> failed_;
     std::optional<PlannedPath> plan_;
+    TimePoint plannedAt_;
+    //! It can't begin in time any more and waits behind those that can.
+    bool late_ = false;
 };
 
 //! An endpoint as this entry uses it.
 struct EndpointUse
 {
-    double tokenLayers_ = 0;
-    Duration readingAhead_ {};
-    std::uint32_t streams_ = 0;
-    std::uint32_t calls_ = 0;
+    EndpointShare share_;
     //! Load that the endpoint told, and this entry's calls among it.
     std::uint32_t toldLoad_ = 0;
     TimePoint toldAt_;
@@ -211,8 +215,11 @@
 {
     //! Patience of a caller that doesn't say.
     Duration defaultPatience_ = std::chrono::seconds(30);
-    //! A request waits in the queue for so many times its latency target at most.
-    double queuePatience_ = 4;
+    //! A stream waits in the queue for so many times its latency target at most: callers give a
+    //! stream up that has brought nothing for four times.
+    double queuePatience_ = 3.2;
+    //! A request that has waited for this part of its latency target can't be in time any more.
+    double lateAfter_ = 0.75;
     //! A stream without an event for so long is given up and goes on elsewhere.
     Duration silence_ = std::chrono::milliseconds(900);
     //! The first event is waited for so many times the latency target.
@@ -223,6 +230,7 @@
     //! A told load is believed for this time.
     Duration toldLoadAge_ = std::chrono::milliseconds(300);
     EndpointHealthLimits health_;
+    RetryLimits retry_;
 };
 
 struct GatewayTraffic
--- a/src/filters/internal/gatewayfilters.cpp
+++ b/src/filters/internal/gatewayfilters.cpp
@@ -118,6 +118,18 @@
     return isAvoided(use.health_, now) ? AvoidedPenalty * use.health_.failuresInRow_ : Duration();
 }
 
+EndpointShare othersShare(const GatewayView &view, const EndpointId &endpoint)
+{
+    const auto found = view.others_->find(endpoint);
+    return found == view.others_->end() ? EndpointShare {} : found->second;
+}
+
+//! Ready as far as the list and the endpoint itself say.
+bool isUsable(const GatewayView &view, const ListedEndpoint &listed)
+{
+    return listed.state_ == ListedState::Ready && !view.down_.contains(listed.id_);
+}
+
 std::vector<PathNode> pathNodes(const GatewayContext &context, const GatewayView &view,
                                 const EngineSpec &engine, GatewayTraffic &state, TimePoint now)
 {
@@ -128,17 +140,18 @@
     for (const std::size_t index : found->second) {
         const ListedEndpoint &listed = view.endpoints_->endpoints_[index];
         const auto kind = engine.kinds_.find(listed.kind_);
-        if (listed.state_ != ListedState::Ready || !listed.layers_ || kind == engine.kinds_.end())
+        if (!isUsable(view, listed) || !listed.layers_ || kind == engine.kinds_.end())
             continue;
         const EndpointUse &use = state.uses_[listed.id_];
         PathNode node {listed.id_, listed.address_, listed.domain_, *listed.layers_};
         node.stepFactor_ = kind->second.stepFactor_;
         node.readFactor_ = kind->second.readFactor_;
-        node.readingAhead_ = use.readingAhead_;
-        node.streams_ = use.streams_;
+        const EndpointShare others = othersShare(view, listed.id_);
+        node.readingAhead_ = use.share_.readingAhead_ + others.readingAhead_;
+        node.streams_ = use.share_.streams_ + others.streams_;
         node.room_ = requestRoom(engine, kind->second,
                                  listed.layers_->end_.value_ - listed.layers_->first_.value_);
-        node.taken_ = use.tokenLayers_;
+        node.taken_ = use.share_.tokenLayers_ + others.tokenLayers_;
         node.penalty_ = penaltyOf(context, listed.id_, use, now);
         nodes.push_back(std::move(node));
     }
@@ -148,7 +161,9 @@
 std::optional<PlannedPath> planFor(const GatewayContext &context, const GatewayView &view,
                                    const EngineSpec &engine, GatewayTraffic &state, TimePoint now)
 {
-    const PathDemand demand {view.domain_, context.request_.prompt_, context.request_.answer_};
+    // An answer takes its room token by token: half of it on average.
+    const PathDemand demand {
+            view.domain_, context.request_.prompt_, {context.request_.answer_.value_ / 2}};
     return planPath(engine, pathNodes(context, view, engine, state, now), demand);
 }
 
@@ -161,11 +176,12 @@
     std::vector<ServiceNode> nodes;
     for (const std::size_t index : found->second) {
         const ListedEndpoint &listed = view.endpoints_->endpoints_[index];
-        if (listed.state_ != ListedState::Ready)
+        if (!isUsable(view, listed))
             continue;
         const EndpointUse &use = state.uses_[listed.id_];
         const bool believed = now - use.toldAt_ < state.limits_.toldLoadAge_;
-        const std::uint32_t load = std::max(use.calls_, believed ? use.toldLoad_ : 0);
+        const std::uint32_t calls = use.share_.calls_ + othersShare(view, listed.id_).calls_;
+        const std::uint32_t load = std::max(calls, believed ? use.toldLoad_ : 0);
         nodes.push_back({index, load, std::max(1U, listed.slots_), listed.domain_ == view.domain_,
                          context.failed_.contains(listed.id_) || isAvoided(use.health_, now)});
     }
@@ -176,7 +192,8 @@
                           TimePoint now)
 {
     if (const EngineSpec *engine = engineOf(context, view)) {
-        context.plan_ = planFor(context, view, *engine, state, now);
+        if (!context.plan_ || context.plannedAt_ != now)
+            context.plan_ = planFor(context, view, *engine, state, now);
         return context.plan_ ? proceedGateway() : refuseGateway(GatewayRefusal::NoEndpoint);
     }
     const auto choice = chooseService(context, view, state, now);
@@ -191,11 +208,11 @@
 void holdEndpoints(const OpenSend &send, GatewayTraffic &state, int sign)
 {
     if (send.path_.size() == 1 && send.path_.front().layers_.end_.value_ == 0) {
-        state.uses_[send.endpoint_].calls_ += static_cast<std::uint32_t>(sign);
+        state.uses_[send.endpoint_].share_.calls_ += static_cast<std::uint32_t>(sign);
         return;
     }
     for (const PathPart &part : send.path_) {
-        EndpointUse &use = state.uses_[part.endpoint_];
+        EndpointShare &use = state.uses_[part.endpoint_].share_;
         const auto count
                 = static_cast<double>(part.layers_.end_.value_ - part.layers_.first_.value_);
         use.tokenLayers_ += sign * count * static_cast<double>(send.tokens_.value_);
@@ -213,7 +230,7 @@
         const std::uint32_t count = part.layers_.end_.value_ - part.layers_.first_.value_;
         send.reading_.push_back(readTime(engine, engine.kinds_.at(listed.kind_).readFactor_, count,
                                          context.request_.prompt_));
-        state.uses_[part.endpoint_].readingAhead_ += send.reading_.back();
+        state.uses_[part.endpoint_].share_.readingAhead_ += send.reading_.back();
     }
 }
 
@@ -258,7 +275,7 @@
     send.endpoint_ = context.plan_->path_.front().endpoint_;
     send.path_ = context.plan_->path_;
     send.sentAt_ = send.lastNews_ = now;
-    send.tokens_ = {context.request_.prompt_.value_ + context.request_.answer_.value_};
+    send.tokens_ = {context.request_.prompt_.value_ + context.request_.answer_.value_ / 2};
     holdEndpoints(send, state, 1);
     if (engine != nullptr)
         holdReading(context, send, view, *engine, state);
@@ -323,11 +340,12 @@
 
 bool hasRoom(GatewayContext &context, const GatewayView &view, GatewayTraffic &state, TimePoint now)
 {
-    if (!view.table_)
+    if (!view.table_ || now < context.notBefore_)
         return false;
     if (const EngineSpec *engine = detail::engineOf(context, view)) {
-        const auto plan = detail::planFor(context, view, *engine, state, now);
-        return plan && plan->fill_ <= state.limits_.maxFill_;
+        context.plan_ = detail::planFor(context, view, *engine, state, now);
+        context.plannedAt_ = now;
+        return context.plan_ && context.plan_->fill_ <= state.limits_.maxFill_;
     }
     const auto choice = detail::chooseService(context, view, state, now);
     return choice && choice->free_ + detail::WaitingAtService > 0;
@@ -339,7 +357,7 @@
         return;
     OpenSend &send = *context.send_;
     for (std::size_t i = 0; i < send.reading_.size(); ++i)
-        state.uses_[send.path_[i].endpoint_].readingAhead_ -= send.reading_[i];
+        state.uses_[send.path_[i].endpoint_].share_.readingAhead_ -= send.reading_[i];
     send.reading_.clear();
 }
 
@@ -353,6 +371,18 @@
     context.send_.reset();
 }
 
+OwnShares ownShares(const GatewayTraffic &state)
+{
+    OwnShares own;
+    for (const auto &[endpoint, use] : state.uses_) {
+        if (use.share_.streams_ == 0 && use.share_.calls_ == 0)
+            continue;
+        own.shares_.push_back(use.share_);
+        own.shares_.back().endpoint_ = endpoint;
+    }
+    return own;
+}
+
 RequestId queueName(ExchangeId exchange)
 {
     return {std::to_string(exchange.value_)};
@@ -364,7 +394,7 @@
     queued.request_ = queueName(context.request_.exchange_);
     queued.organisation_ = context.organisation_.value_or(OrganisationId {});
     queued.caller_ = {queued.organisation_.value_};
-    queued.rank_ = detail::rankOf(context.priority_);
+    queued.rank_ = context.late_ ? AllRanks.back() : detail::rankOf(context.priority_);
     queued.work_ = {std::max<std::int64_t>(1, context.request_.prompt_.value_
                                                       + context.request_.answer_.value_)};
     queued.deadline_ = context.deadline_;
--- a/src/gateway/control.h
+++ b/src/gateway/control.h
@@ -8,7 +8,9 @@
 #include "controllers/endpointlist.h"
 #include "controllers/gatewayview.h"
 #include "controllers/lease.h"
+#include "controllers/peers.h"
 #include "controllers/placing.h"
+#include "controllers/probes.h"
 #include "controllers/routetable.h"
 
 namespace gypsumcroft {
@@ -19,12 +21,22 @@
     GroupGeneration generation_;
 };
 
+//! Ask the platform who the other gateways are.
+struct AskPeers
+{ };
+
+struct SendDigest
+{
+    std::vector<Address> to_;
+    GatewayDigestMessage digest_;
+};
+
 //! The view is out of date; build it with gatewayViewOf().
 struct GatewayViewChanged
 { };
 
-using GatewayControlEffect
-        = std::variant<JoinGroup, AskEndpoint, OrderLayers, GatewayViewChanged, LogEvent>;
+using GatewayControlEffect = std::variant<JoinGroup, AskPeers, AskEndpoint, OrderLayers, SendDigest,
+                                          GatewayViewChanged, LogEvent>;
 
 //! Bounds that the platform sets for this installation.
 struct GatewayBounds
@@ -35,17 +47,35 @@
     Duration retryWindow_ = std::chrono::seconds(10);
     //! A process that has had no answer from the platform for so long is not ready.
     Duration readyWithin_ = std::chrono::seconds(3);
+    Duration digestInterval_ = std::chrono::milliseconds(200);
+    //! The platform is asked for peers this often; more often while none is known.
+    Duration peersInterval_ = std::chrono::seconds(10);
+    Duration lonelyInterval_ = std::chrono::seconds(1);
+    //! An endpoint's own word is passed on to peers for this time.
+    Duration heldPassedOn_ = std::chrono::seconds(2);
 };
 
 struct GatewayControl
 {
     InstanceId self_;
+    //! Where peers send their digests.
+    Address address_;
+    Incarnation incarnation_;
     FailureDomainId domain_;
     GatewayBounds bounds_;
     RouteTableState routes_;
     EndpointListState endpoints_;
     LeaseState lease_;
     std::map<TargetName, PlacingState> placing_;
+    ProbeState probes_;
+    PeersState peers_;
+    std::vector<EndpointShare> ownShares_;
+    std::uint64_t digestSequence_ = 0;
+    TimePoint digestAt_;
+    TimePoint peersAskedAt_;
+    //! Kept while neither list nor table change.
+    std::shared_ptr<const EndpointIndex> index_ = std::make_shared<EndpointIndex>();
+    bool viewStale_ = false;
     std::uint32_t entries_ = 1;
     bool platformAnswers_ = true;
     std::vector<GatewayControlEffect> effects_;
@@ -77,11 +107,18 @@
 void onOrderAnswered(GatewayControl &state, const EndpointId &endpoint, OrderOutcome outcome,
                      TimePoint now);
 
-//! Traffic could or could not reach an endpoint.
-void onReachability(GatewayControl &state, const EndpointId &endpoint, bool reachable,
-                    TimePoint now);
+//! Traffic doubts an endpoint.
+void onEndpointDoubt(GatewayControl &state, const EndpointId &endpoint, TimePoint now);
+
+//! What traffic holds of the endpoints.
+void onOwnShares(GatewayControl &state, OwnShares shares);
+
+void onGatewayDigest(GatewayControl &state, GatewayDigestMessage digest, TimePoint now);
+
+//! The platform's word on where the other gateways are.
+void onPeersIntroduced(GatewayControl &state, std::vector<Address> peers);
 
-//! Lease, placement; to be called every GatewayControlInterval.
+//! Lease, placement, probes, digests; to be called every GatewayControlInterval.
 void onGatewayControlTick(GatewayControl &state, TimePoint now);
 inline constexpr Duration GatewayControlInterval = std::chrono::milliseconds(100);
 
--- a/src/gateway/internal/control.cpp
+++ b/src/gateway/internal/control.cpp
@@ -1,5 +1,7 @@
 #include "gateway/control.h"
 
+#include <utility>
+
 namespace gypsumcroft {
 
 namespace detail {
@@ -10,11 +12,25 @@
     state.effects_.emplace_back(GatewayViewChanged {});
 }
 
-void takeLog(GatewayControl &state)
+void takeLog(GatewayControl &state, std::vector<LogEvent> &log)
 {
-    for (LogEvent &event : state.endpoints_.log_)
+    for (LogEvent &event : log)
         state.effects_.emplace_back(std::move(event));
-    state.endpoints_.log_.clear();
+    log.clear();
+}
+
+void listChanged(GatewayControl &state)
+{
+    state.index_ = buildEndpointIndex(state.endpoints_);
+    viewChanged(state);
+}
+
+void takeProbes(GatewayControl &state)
+{
+    for (AskEndpoint &question : state.probes_.asks_)
+        state.effects_.emplace_back(std::move(question));
+    state.probes_.asks_.clear();
+    takeLog(state, state.probes_.log_);
 }
 
 void platformAnswered(GatewayControl &state, TimePoint now)
@@ -46,13 +62,59 @@
     placing.effects_.clear();
 }
 
+std::vector<HeldLayersReport> recentReports(const GatewayControl &state, TimePoint now)
+{
+    std::vector<HeldLayersReport> reports;
+    for (const auto &[endpoint, known] : state.endpoints_.endpoints_) {
+        if (!known.reportedAt_ || now - *known.reportedAt_ > state.bounds_.heldPassedOn_)
+            continue;
+        reports.push_back({endpoint, known.listed_.layers_.has_value(),
+                           known.listed_.layers_.value_or(LayerRange {}), known.listed_.born_,
+                           now - *known.reportedAt_});
+    }
+    return reports;
+}
+
+void sendDigest(GatewayControl &state, TimePoint now)
+{
+    SendDigest send;
+    send.to_ = digestTargets(state.peers_, state.address_);
+    const auto down = downEndpoints(state.probes_);
+    send.digest_ = {state.self_,
+                    state.address_,
+                    state.incarnation_,
+                    ++state.digestSequence_,
+                    state.ownShares_,
+                    recentReports(state, now),
+                    {down.begin(), down.end()}};
+    state.effects_.emplace_back(std::move(send));
+}
+
+void tickPeers(GatewayControl &state, TimePoint now)
+{
+    const std::size_t before = state.peers_.peers_.size();
+    forgetSilentPeers(state.peers_, now);
+    state.viewStale_ = state.viewStale_ || state.peers_.peers_.size() != before;
+    if (now - state.digestAt_ >= state.bounds_.digestInterval_) {
+        state.digestAt_ = now;
+        sendDigest(state, now);
+    }
+    const Duration interval = state.peers_.peers_.empty() ? state.bounds_.lonelyInterval_
+                                                          : state.bounds_.peersInterval_;
+    if (now - state.peersAskedAt_ < interval)
+        return;
+    state.peersAskedAt_ = now;
+    state.effects_.emplace_back(AskPeers {});
+}
+
 void tickTargets(GatewayControl &state, TimePoint now)
 {
+    const auto lost = lostEndpoints(state.probes_, state.endpoints_);
     for (const TargetSpec &target : state.routes_.table_->state_.targets_) {
         if (!target.engine_)
             continue;
         PlacingState &placing = state.placing_[target.name_];
-        tickPlacing(placing, *target.engine_, target.name_, state.endpoints_, now);
+        tickPlacing(placing, *target.engine_, target.name_, state.endpoints_, lost, now);
         takePlacingEffects(state, placing);
     }
 }
@@ -88,9 +150,9 @@
 {
     detail::platformAnswered(state, now);
     const bool changed = applyEndpointList(state.endpoints_, listed, asked, now);
-    detail::takeLog(state);
+    detail::takeLog(state, state.endpoints_.log_);
     if (changed)
-        detail::viewChanged(state);
+        detail::listChanged(state);
 }
 
 void onPlatformSilent(GatewayControl &state, const std::string &question, const std::string &reason,
@@ -146,8 +208,11 @@
         return;
     if (report
         && applyHeldLayers(state.endpoints_, endpoint, report->layers_, report->born_, asked))
+        detail::listChanged(state);
+    if (onProbeAnswer(state.probes_, endpoint, report.has_value(), now))
         detail::viewChanged(state);
-    detail::takeLog(state);
+    detail::takeLog(state, state.endpoints_.log_);
+    detail::takeProbes(state);
     onEndpointReport(state.placing_[target->name_], endpoint, report, now);
 }
 
@@ -162,27 +227,65 @@
     detail::takePlacingEffects(state, placing);
 }
 
-void onReachability(GatewayControl &state, const EndpointId &endpoint, bool reachable,
-                    TimePoint now)
+void onEndpointDoubt(GatewayControl &state, const EndpointId &endpoint, TimePoint now)
+{
+    if (detail::modelOf(state, endpoint) == nullptr)
+        return;
+    noteDoubt(state.probes_, state.endpoints_, endpoint, now);
+    detail::takeProbes(state);
+}
+
+void onOwnShares(GatewayControl &state, OwnShares shares)
+{
+    state.ownShares_ = std::move(shares.shares_);
+}
+
+void onGatewayDigest(GatewayControl &state, GatewayDigestMessage digest, TimePoint now)
 {
-    if (const TargetSpec *target = detail::modelOf(state, endpoint))
-        noteReachable(state.placing_[target->name_], endpoint, reachable, now);
+    const std::vector<HeldLayersReport> held = digest.held_;
+    const std::vector<EndpointId> down = digest.down_;
+    if (!applyDigest(state.peers_, std::move(digest), now))
+        return;
+    state.viewStale_ = true;
+    bool changed = false;
+    for (const HeldLayersReport &report : held) {
+        const auto layers = report.holds_ ? std::optional(report.layers_) : std::nullopt;
+        changed = applyHeldLayers(state.endpoints_, report.endpoint_, layers, report.born_,
+                                  now - report.age_)
+                  || changed;
+    }
+    for (const EndpointId &endpoint : down)
+        onEndpointDoubt(state, endpoint, now);
+    detail::takeLog(state, state.endpoints_.log_);
+    if (changed)
+        detail::listChanged(state);
+}
+
+void onPeersIntroduced(GatewayControl &state, std::vector<Address> peers)
+{
+    state.peers_.introduced_ = std::move(peers);
 }
 
 void onGatewayControlTick(GatewayControl &state, TimePoint now)
 {
     if (takeJoinDue(state.lease_, now))
         state.effects_.emplace_back(JoinGroup {state.lease_.generation_});
-    if (!state.routes_.table_ || !holdsLease(state.lease_, now))
-        return;
-    detail::tickTargets(state, now);
+    detail::tickPeers(state, now);
+    tickProbes(state.probes_, state.endpoints_, now);
+    detail::takeProbes(state);
+    if (std::exchange(state.viewStale_, false))
+        detail::viewChanged(state);
+    if (state.routes_.table_ && holdsLease(state.lease_, now))
+        detail::tickTargets(state, now);
 }
 
 GatewayView gatewayViewOf(const GatewayControl &state)
 {
     GatewayView view;
     view.table_ = state.routes_.table_;
-    view.endpoints_ = buildEndpointIndex(state.endpoints_);
+    view.endpoints_ = state.index_;
+    view.others_ = sharesOfPeers(state.peers_);
+    view.down_ = downEndpoints(state.probes_);
     view.confirmedAt_ = state.routes_.confirmedAt_;
     view.freshness_ = state.bounds_.freshness_;
     view.domain_ = state.domain_;
--- a/src/gateway/internal/traffic.cpp
+++ b/src/gateway/internal/traffic.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <limits>
 
 #include "filters/gatewayfilters.h"
 
@@ -93,8 +94,16 @@
 void pump(GatewayTraffic &state, const GatewayView &view, TimePoint now)
 {
     for (auto &[target, queue] : state.queues_) {
+        // What is larger than a request that found no room finds none either.
+        std::int64_t tooLarge = std::numeric_limits<std::int64_t>::max();
         const auto mayTake = [&](const QueuedRequest &queued) {
-            return hasRoom(state.requests_.at(exchangeOf(queued)), view, state, now);
+            Context &context = state.requests_.at(exchangeOf(queued));
+            if (now < context.notBefore_ || queued.work_.value_ >= tooLarge)
+                return false;
+            if (hasRoom(context, view, state, now))
+                return true;
+            tooLarge = queued.work_.value_;
+            return false;
         };
         while (queue.size_ > 0) {
             const auto next = popRequest(queue, mayTake);
@@ -187,15 +196,13 @@
 {
     context.failed_.insert(endpoint);
     countFailure(state.uses_[endpoint].health_, state.limits_.health_, now);
+    emit(state, EndpointDoubt {endpoint});
 }
 
 void praise(GatewayTraffic &state, const Context &context)
 {
     for (const PathPart &part : context.send_->path_) {
-        EndpointHealth &health = state.uses_[part.endpoint_].health_;
-        if (health.failuresInRow_ > 0)
-            emit(state, ReachabilityNote {part.endpoint_, true});
-        countSuccess(health);
+        countSuccess(state.uses_[part.endpoint_].health_);
     }
 }
 
@@ -218,16 +225,31 @@
            "deadline", now);
 }
 
-//! A queued request waits no longer than it is worth; what was sent before has its deadline.
-bool waitedTooLong(const GatewayTraffic &state, const Context &context, TimePoint now)
+//! True when a queued request has waited for so many times its latency target.
+bool hasWaited(const Context &context, double targets, TimePoint now)
 {
-    if (!context.queued_ || context.sends_ > 0)
+    if (!context.queued_ || context.streamBegun_)
         return false;
-    const double patience = state.limits_.queuePatience_
-                            * static_cast<double>(context.route_.latencyTarget_.count());
+    const double patience = targets * static_cast<double>(context.route_.latencyTarget_.count());
     return now - context.arrivedAt_ > Duration(static_cast<std::int64_t>(patience));
 }
 
+void onQueuePatienceOver(GatewayTraffic &state, Context &context, TimePoint now)
+{
+    refuse(state, context,
+           context.mayHaveRun_ ? GatewayRefusal::TimedOut : GatewayRefusal::Overloaded, "queue",
+           now);
+}
+
+//! Puts a request that can't be in time any more behind those that can.
+void putBack(GatewayTraffic &state, Context &context)
+{
+    FairQueue &queue = state.queues_.at(context.target_);
+    removeRequest(queue, queuedForm(context));
+    context.late_ = true;
+    pushRequest(queue, queuedForm(context));
+}
+
 //! A stream that brings nothing, though it may go on elsewhere.
 bool isSilent(const GatewayTraffic &state, const Context &context, TimePoint now)
 {
@@ -245,8 +267,10 @@
 
 void onSilence(GatewayTraffic &state, const GatewayView &view, Context &context, TimePoint now)
 {
-    for (const PathPart &part : context.send_->path_)
+    for (const PathPart &part : context.send_->path_) {
         context.failed_.insert(part.endpoint_);
+        emit(state, EndpointDoubt {part.endpoint_});
+    }
     emit(state, CancelSend {context.send_->id_});
     afterSend(state, view, context, AttemptEnding::Unknown, "silent", now);
 }
@@ -323,15 +347,15 @@
         return;
     const AnswerHead &head = context->send_->head_;
     if (head.notRun_) {
-        detail::blame(state, *context, detail::faultyEndpoint(*context, view), now);
+        const EndpointId faulty = detail::faultyEndpoint(*context, view);
+        detail::blame(state, *context, faulty, now);
+        context->notBefore_
+                = now + retryDelay(state.limits_.retry_, context->sends_, state.random_);
         detail::afterSend(state, view, *context, AttemptEnding::NotRun,
-                          "status " + std::to_string(head.status_) + ", not run", now);
+                          "status " + std::to_string(head.status_) + " of " + faulty.value_, now);
     } else if (!head.success_) {
-        const std::uint16_t status = head.status_;
-        detail::afterSend(state, view, *context,
-                          status < 500 ? AttemptEnding::FailureAnswer
-                                       : AttemptEnding::FailureAnswer,
-                          "status " + std::to_string(status), now);
+        detail::afterSend(state, view, *context, AttemptEnding::FailureAnswer,
+                          "status " + std::to_string(head.status_), now);
     } else {
         detail::praise(state, *context);
         ++state.counters_.answered_;
@@ -354,8 +378,6 @@
     if (context == nullptr)
         return;
     detail::blame(state, *context, context->send_->endpoint_, now);
-    if (failure == SendFailure::NotSent)
-        detail::emit(state, ReachabilityNote {context->send_->endpoint_, false});
     detail::afterSend(state, view, *context,
                       failure == SendFailure::NotSent ? AttemptEnding::NotRun
                                                       : AttemptEnding::Unknown,
@@ -376,8 +398,10 @@
         GatewayContext &context = found->second;
         if (now >= context.deadline_)
             detail::onDeadline(state, context, now);
-        else if (detail::waitedTooLong(state, context, now))
-            detail::refuse(state, context, GatewayRefusal::Overloaded, "queue", now);
+        else if (detail::hasWaited(context, state.limits_.queuePatience_, now))
+            detail::onQueuePatienceOver(state, context, now);
+        else if (!context.late_ && detail::hasWaited(context, state.limits_.lateAfter_, now))
+            detail::putBack(state, context);
         else if (detail::isSilent(state, context, now))
             detail::onSilence(state, view, context, now);
     }
--- a/src/platform/internal/documents.cpp
+++ b/src/platform/internal/documents.cpp
@@ -17,8 +17,6 @@
 constexpr double BitsPerByte = 8;
 constexpr double MicrosecondsPerMillisecond = 1000;
 constexpr double MicrosecondsPerSecond = 1e6;
-//! Part of an engine's token memory that its layers should leave room for.
-constexpr double ComfortPart = 0.6;
 
 //! A member that is missing or of another type.
 struct BadMember : std::runtime_error
@@ -143,9 +141,7 @@
     engine.layerBytes_ = megabytes(number(object, "LayerMb"));
     engine.tokenBytes_ = {wholeNumber(object, "KvTokenBytes")};
     engine.activationBytes_ = {static_cast<std::uint64_t>(numberOr(object, "ActivationBytes", 0))};
-    // Tokens that a server with the whole model would have room for.
-    engine.comfortTokens_
-            = {static_cast<std::int64_t>(ComfortPart * number(object, "KvCapacityTokens"))};
+    engine.slots_ = count(object, "Slots");
     engine.stepTime_ = milliseconds(number(object, "step_ms"));
     engine.stepTimePerSequence_ = milliseconds(numberOr(object, "per_seq_ms", 0));
     engine.readTokensPerSecond_ = number(object, "read_per_s");
--- a/src/platform/internal/forwarding.cpp
+++ b/src/platform/internal/forwarding.cpp
@@ -15,6 +15,8 @@
 constexpr std::string_view DeadlineHeader = "X-Deadline-Ms";
 //! Prompt tokens and the most answer tokens, joined by a comma.
 constexpr std::string_view TokensHeader = "X-Token-Count";
+//! The caller's guess of the answer's tokens.
+constexpr std::string_view HintHeader = "X-Length-Hint";
 constexpr std::string_view LastEventHeader = "Last-Event-Id";
 constexpr std::string_view TenantHeader = "X-Tenant";
 constexpr std::string_view ExpectHeader = "X-Expect-Instance";
@@ -122,6 +124,8 @@
             decoded.answer_ = {static_cast<std::int64_t>(
                     detail::numberOf(tokens->substr(comma + 1)).value_or(0))};
     }
+    if (const auto hint = detail::numberOf(http::findHeader(headers, detail::HintHeader)))
+        decoded.answer_ = {std::min(decoded.answer_.value_, static_cast<std::int64_t>(*hint))};
     if (const auto last = detail::numberOf(http::findHeader(headers, detail::LastEventHeader)))
         decoded.resumeAfter_ = EventId {*last};
     return decoded;
--- a/src/platform/internal/storeclient.cpp
+++ b/src/platform/internal/storeclient.cpp
@@ -1,5 +1,7 @@
 #include "platform/storeclient.h"
 
+#include <set>
+
 #include <boost/json.hpp>
 #include <openssl/evp.h>
 
@@ -126,6 +128,31 @@
     return membership;
 }
 
+//! Rows of topic, partition, member and offset, as they are or under a name.
+std::optional<std::vector<std::string>> decodeMembers(const std::string &body)
+{
+    constexpr std::size_t MemberColumn = 2;
+    boost::system::error_code error;
+    const json::value value = json::parse(body, error);
+    if (error)
+        return std::nullopt;
+    const json::array *rows = value.if_array();
+    if (const json::object *object = value.if_object()) {
+        for (const auto &entry : *object)
+            rows = entry.value().is_array() ? &entry.value().as_array() : rows;
+    }
+    if (rows == nullptr)
+        return std::nullopt;
+    std::set<std::string> members;
+    for (const json::value &entry : *rows) {
+        const json::array *row = entry.if_array();
+        if (row == nullptr || row->size() <= MemberColumn || !(*row)[MemberColumn].is_string())
+            return std::nullopt;
+        members.emplace((*row)[MemberColumn].as_string().c_str());
+    }
+    return std::vector<std::string>(members.begin(), members.end());
+}
+
 } // namespace
 } // namespace detail
 
@@ -205,4 +232,21 @@
                  });
 }
 
+void StoreClient::members(const std::string &group,
+                          std::function<void(Result<std::vector<std::string>>)> callback)
+{
+    http::HttpRequest request;
+    request.path_ = "/log-owners";
+    request.query_ = {{"group", group}};
+    client_.send(store_, std::move(request), {detail::AnswerTimeout, false},
+                 [callback = std::move(callback)](const http::ClientResult &answer) {
+                     using Members = std::vector<std::string>;
+                     if (!answer.response_ || answer.response_->status_ != detail::StatusOk)
+                         return callback(failure<Members>(detail::reasonOf(answer)));
+                     auto members = detail::decodeMembers(answer.response_->body_);
+                     callback(members ? success(std::move(*members))
+                                      : failure<Members>("malformed owners"));
+                 });
+}
+
 } // namespace gypsumcroft::platform
--- a/src/platform/storeclient.h
+++ b/src/platform/storeclient.h
@@ -70,6 +70,9 @@
     void read(const std::string &topic, std::uint64_t from, Duration wait,
               std::function<void(Result<KeyedSpan>)> callback);
     void join(const JoinRequest &request, std::function<void(Result<Membership>)> callback);
+    //! Names of a group's members that hold a partition.
+    void members(const std::string &group,
+                 std::function<void(Result<std::vector<std::string>>)> callback);
 
 private:
     void newestPage(const std::string &topic, KeyedTopic gathered, std::string after,
--- a/src/policy/internal/placement.cpp
+++ b/src/policy/internal/placement.cpp
@@ -11,6 +11,14 @@
 namespace detail {
 namespace {
 
+//! Requests of the usual size for which every endpoint keeps room at least.
+constexpr double LeastRequests = 8;
+//! Layers that a domain holds in all over the model's: what is beyond one copies the rest, so that
+//! the loss of an endpoint leaves a whole path.
+constexpr double SpareFactor = 1.2;
+//! Factor between two rooms that are tried.
+constexpr double RoomStep = 1.05;
+
 //! Number of copies of each layer.
 using Coverage = std::vector<std::uint32_t>;
 
@@ -18,6 +26,7 @@
 {
     const EngineSpec &engine_;
     std::vector<PlacementNode> nodes_;
+    Tokens room_;
     std::map<FailureDomainId, Coverage> byDomain_;
     Coverage everywhere_;
 };
@@ -28,10 +37,25 @@
     return found == engine.kinds_.end() ? nullptr : &found->second;
 }
 
-std::uint32_t capacityOf(const EngineSpec &engine, const PlacementNode &node)
+std::uint32_t capacityOf(const EngineSpec &engine, const PlacementNode &node, Tokens room)
 {
     const AcceleratorSpec *kind = kindOf(engine, node);
-    return kind == nullptr ? 0 : comfortableLayers(engine, *kind);
+    return kind == nullptr ? 0 : layersBeside(engine, *kind, room);
+}
+
+Tokens tokensOf(double count)
+{
+    return {static_cast<std::int64_t>(count)};
+}
+
+//! Layers that the endpoints of each domain can hold together.
+std::map<FailureDomainId, std::uint32_t>
+layersByDomain(const EngineSpec &engine, const std::vector<PlacementNode> &nodes, Tokens room)
+{
+    std::map<FailureDomainId, std::uint32_t> layers;
+    for (const PlacementNode &node : nodes)
+        layers[node.domain_] += capacityOf(engine, node, room);
+    return layers;
 }
 
 void count(PlacementState &state, const PlacementNode &node, int change)
@@ -107,7 +131,7 @@
     PlacementNode *best = nullptr;
     for (PlacementNode &node : state.nodes_) {
         if (node.domain_ != domain || node.layers_ || !node.counts_ || !node.orderable_
-            || capacityOf(state.engine_, node) == 0)
+            || capacityOf(state.engine_, node, state.room_) == 0)
             continue;
         if (best == nullptr || goesBefore(state, node, *best))
             best = &node;
@@ -121,7 +145,7 @@
     PlacementNode *best = nullptr;
     for (PlacementNode &node : state.nodes_) {
         if (node.domain_ != domain || !node.layers_ || !node.counts_ || !node.orderable_
-            || capacityOf(state.engine_, node) == 0 || !isRedundant(state, node))
+            || capacityOf(state.engine_, node, state.room_) == 0 || !isRedundant(state, node))
             continue;
         if (best == nullptr || goesBefore(state, *best, node))
             best = &node;
@@ -137,7 +161,8 @@
 PlacementMove move(PlacementState &state, PlacementNode &node, const char *reason)
 {
     count(state, node, -1);
-    const std::uint32_t size = std::min(capacityOf(state.engine_, node), state.engine_.layers_);
+    const std::uint32_t size
+            = std::min(capacityOf(state.engine_, node, state.room_), state.engine_.layers_);
     node.layers_ = bestRange(state, state.byDomain_.at(node.domain_), size);
     node.orderable_ = false;
     count(state, node, 1);
@@ -162,12 +187,12 @@
 } // namespace
 } // namespace detail
 
-std::uint32_t comfortableLayers(const EngineSpec &engine, const AcceleratorSpec &kind)
+std::uint32_t layersBeside(const EngineSpec &engine, const AcceleratorSpec &kind, Tokens room)
 {
-    const double perToken = static_cast<double>(engine.tokenBytes_.value_);
-    const double room = static_cast<double>(engine.comfortTokens_.value_) * perToken
-                        / std::max(1U, engine.layers_);
-    const double perLayer = static_cast<double>(engine.layerBytes_.value_) + room;
+    const double perLayer = static_cast<double>(engine.layerBytes_.value_)
+                            + static_cast<double>(room.value_)
+                                      * static_cast<double>(engine.tokenBytes_.value_)
+                                      / std::max(1U, engine.layers_);
     if (perLayer <= 0)
         return 0;
     const auto layers
@@ -175,10 +200,32 @@
     return std::min(layers, engine.layers_);
 }
 
+Tokens roomToKeep(const EngineSpec &engine, const std::vector<PlacementNode> &nodes)
+{
+    const double request = static_cast<double>(
+            std::max<std::int64_t>(1, engine.usualPrompt_.value_ + engine.usualAnswer_.value_));
+    const double least = detail::LeastRequests * request;
+    double room = std::max(least, engine.slots_ * request);
+    const auto possible = detail::layersByDomain(engine, nodes, detail::tokensOf(least));
+    while (room > least) {
+        const auto layers = detail::layersByDomain(engine, nodes, detail::tokensOf(room));
+        const bool enough = std::all_of(possible.begin(), possible.end(), [&](const auto &entry) {
+            return entry.second < engine.layers_
+                   || layers.at(entry.first) >= detail::SpareFactor * engine.layers_;
+        });
+        if (enough)
+            break;
+        room /= detail::RoomStep;
+    }
+    return detail::tokensOf(std::max(room, least));
+}
+
 std::vector<PlacementMove> planPlacement(const EngineSpec &engine, std::vector<PlacementNode> nodes,
                                          std::size_t limit)
 {
-    detail::PlacementState state {engine, std::move(nodes), {}, detail::Coverage(engine.layers_)};
+    const Tokens room = roomToKeep(engine, nodes);
+    detail::PlacementState state {
+            engine, std::move(nodes), room, {}, detail::Coverage(engine.layers_)};
     for (const PlacementNode &node : state.nodes_)
         state.byDomain_.try_emplace(node.domain_, engine.layers_);
     for (const PlacementNode &node : state.nodes_)
--- a/src/policy/placement.h
+++ b/src/policy/placement.h
@@ -30,9 +30,13 @@
     std::string reason_;
 };
 
-//! Layers that an accelerator should hold, so that the comfortable number of tokens fits beside
-//! them; 0 when not even one fits.
-std::uint32_t comfortableLayers(const EngineSpec &engine, const AcceleratorSpec &kind);
+//! Layers that an accelerator can hold so that room for so many tokens is left beside them; 0 when
+//! not even one fits.
+std::uint32_t layersBeside(const EngineSpec &engine, const AcceleratorSpec &kind, Tokens room);
+
+//! Room that every endpoint should keep: the most that leaves each failure domain, if it can hold
+//! the model at all, some layers more than the model has.
+Tokens roomToKeep(const EngineSpec &engine, const std::vector<PlacementNode> &nodes);
 
 //! Moves that bring every failure domain nearer to holding all layers, the fewest first: empty
 //! endpoints fill gaps, then endpoints whose layers others hold as well; what is left empty holds
--- a/src/wire/internal/codec.cpp
+++ b/src/wire/internal/codec.cpp
@@ -150,6 +150,25 @@
     archive(suspect.fingerprint_, suspect.deaths_, suspect.timeLeft_, suspect.lifted_);
 }
 
+template <typename Archive>
+void serialize(Archive &archive, EndpointShare &share)
+{
+    archive(share.endpoint_, share.tokenLayers_, share.readingAhead_, share.streams_, share.calls_);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, HeldLayersReport &held)
+{
+    archive(held.endpoint_, held.holds_, held.layers_, held.born_, held.age_);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, GatewayDigestMessage &digest)
+{
+    archive(digest.instance_, digest.gateway_, digest.incarnation_, digest.sequence_,
+            digest.shares_, digest.held_, digest.down_);
+}
+
 template <typename Archive>
 void serialize(Archive &archive, DigestMessage &digest)
 {
