--- /dev/null
+++ b/src/controllers/tests/tst_gatewaystate.cpp
@@ -0,0 +1,446 @@
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+
+#include "controllers/endpointlist.h"
+#include "controllers/gatewayview.h"
+#include "controllers/lease.h"
+#include "controllers/peers.h"
+#include "controllers/probes.h"
+#include "controllers/routetable.h"
+
+using namespace gypsumcroft;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+TimePoint at(int ms)
+{
+    return TimePoint(seconds(1000) + milliseconds(ms));
+}
+
+DesiredState stateWith(std::uint64_t version, const std::vector<std::string> &prefixes)
+{
+    DesiredState state;
+    state.version_ = {version};
+    for (const std::string &prefix : prefixes) {
+        RouteRule route;
+        route.name_ = {prefix};
+        route.host_ = "desk";
+        route.pathPrefix_ = prefix;
+        state.routes_.push_back(route);
+    }
+    state.organisations_ = {{{"firm"}, {"key-1", "key-2"}, {}}};
+    return state;
+}
+
+struct RouteCase
+{
+    const char *host_;
+    const char *path_;
+    const char *route_;
+};
+
+std::ostream &operator<<(std::ostream &out, const RouteCase &test)
+{
+    return out << test.host_ << test.path_;
+}
+
+const RouteCase RouteCases[] = {
+        {"desk", "/a/", "/a/"},
+        {"desk", "/a/x", "/a/"},
+        {"desk", "/a/b/x", "/a/b/"},
+        {"desk", "/a/bx/y", "/a/"},
+        {"desk", "/a", "/"},
+        {"desk", "/", "/"},
+        {"desk", "/c/d/e/f", "/c/d/"},
+        {"other", "/a/", ""},
+        {"desk", "", ""},
+        {"desk", "x", ""},
+        {"desk", "/a//b/x", "/a/"},
+};
+
+//! The longest prefix by looking at every route.
+std::string naiveRoute(const DesiredState &state, const std::string &host, const std::string &path)
+{
+    std::string best;
+    for (const RouteRule &route : state.routes_) {
+        if (route.host_ == host && path.starts_with(route.pathPrefix_)
+            && route.pathPrefix_.size() > best.size())
+            best = route.pathPrefix_;
+    }
+    return best;
+}
+
+struct FreshCase
+{
+    const char *name_;
+    int revokeMs_;
+    int ageMs_;
+    bool keys_;
+    bool state_;
+};
+
+std::ostream &operator<<(std::ostream &out, const FreshCase &test)
+{
+    return out << test.name_;
+}
+
+const FreshCase FreshCases[] = {
+        {"just confirmed", 5000, 0, true, true},
+        {"may still be in force", 5000, 1800, true, true},
+        {"a newer one may be in force", 5000, 1801, true, false},
+        {"keys are still known", 5000, 4500, true, false},
+        {"a key may be gone", 5000, 4501, false, false},
+        {"keys needn't be checked so strictly", 0, 60000, true, false},
+        {"never confirmed", 5000, -1, false, false},
+};
+
+ListedEndpoint listed(const char *id, std::optional<LayerRange> layers = {}, std::uint64_t born = 1)
+{
+    ListedEndpoint endpoint;
+    endpoint.id_ = {id};
+    endpoint.target_ = {"model"};
+    endpoint.address_ = {"127.0.0.1", 8000};
+    endpoint.layers_ = layers;
+    endpoint.born_ = born;
+    return endpoint;
+}
+
+LayerRange range(std::uint32_t first, std::uint32_t end)
+{
+    return {{first}, {end}};
+}
+
+//! One event of the list's life and what is known after it.
+struct ListStep
+{
+    int atMs_;
+    std::vector<ListedEndpoint> listed_;
+    const char *known_;
+};
+
+struct ListCase
+{
+    const char *name_;
+    std::vector<ListStep> steps_;
+};
+
+std::ostream &operator<<(std::ostream &out, const ListCase &test)
+{
+    return out << test.name_;
+}
+
+const ListCase ListCases[] = {
+        {"a missing entry is gone at once while the list is there",
+         {{0, {listed("x"), listed("y")}, "x y"}, {1000, {listed("x")}, "x"}}},
+        {"an entry that lapsed in an absence may return",
+         {{0, {listed("x"), listed("y")}, "x y"},
+          {9000, {listed("x")}, "x y"},
+          {11000, {listed("x"), listed("y")}, "x y"}}},
+        {"but is gone if it does not",
+         {{0, {listed("x"), listed("y")}, "x y"},
+          {9000, {listed("x")}, "x y"},
+          {11400, {listed("x")}, "x y"},
+          {11600, {listed("x")}, "x"}}},
+        {"an earlier life does not come back",
+         {{0, {listed("x", range(0, 4), 2)}, "x=0-4"},
+          {1000, {listed("x", {}, 1)}, "x=0-4"},
+          {2000, {listed("x", {}, 3)}, "x"}}},
+};
+
+std::string textOf(const EndpointListState &state)
+{
+    std::string text;
+    for (const auto &[id, known] : state.endpoints_) {
+        text += (text.empty() ? "" : " ") + id.value_;
+        if (known.listed_.layers_)
+            text += "=" + std::to_string(known.listed_.layers_->first_.value_) + "-"
+                    + std::to_string(known.listed_.layers_->end_.value_);
+    }
+    return text;
+}
+
+struct ReportCase
+{
+    const char *name_;
+    int reportMs_;
+    std::uint64_t born_;
+    int listMs_;
+    std::uint64_t listBorn_;
+    const char *known_;
+};
+
+std::ostream &operator<<(std::ostream &out, const ReportCase &test)
+{
+    return out << test.name_;
+}
+
+// The list says 0-4 throughout; the endpoint itself says 4-8.
+const ReportCase ReportCases[] = {
+        {"its own word goes before a list that lags", 1000, 1, 2000, 1, "x=4-8"},
+        {"until the list must have caught up", 1000, 1, 4100, 1, "x=0-4"},
+        {"a new life goes before it", 1000, 1, 2000, 2, "x=0-4"},
+        {"a word of an earlier life is not heard", 1000, 0, 2000, 1, "x=4-8"},
+};
+
+enum class LeaseEvent { Granted, Denied, Failed, Nothing };
+
+struct LeaseStep
+{
+    int atMs_;
+    LeaseEvent event_;
+    std::uint64_t generation_;
+    bool holds_;
+};
+
+struct LeaseCase
+{
+    const char *name_;
+    std::vector<LeaseStep> steps_;
+};
+
+std::ostream &operator<<(std::ostream &out, const LeaseCase &test)
+{
+    return out << test.name_;
+}
+
+// Lifetime 2,000 ms less 400 ms of margin, from the sending of the join.
+const LeaseCase LeaseCases[] = {
+        {"granted and kept",
+         {{0, LeaseEvent::Granted, 1, true},
+          {700, LeaseEvent::Granted, 1, true},
+          {2200, LeaseEvent::Nothing, 0, true},
+          {2299, LeaseEvent::Nothing, 0, true},
+          {2300, LeaseEvent::Nothing, 0, false}}},
+        {"the holder that sleeps holds it no more",
+         {{0, LeaseEvent::Granted, 1, true}, {5000, LeaseEvent::Nothing, 0, false}}},
+        {"failed joins let it run out",
+         {{0, LeaseEvent::Granted, 1, true},
+          {700, LeaseEvent::Failed, 0, true},
+          {1600, LeaseEvent::Failed, 0, false}}},
+        {"dealt to another",
+         {{0, LeaseEvent::Granted, 1, true}, {700, LeaseEvent::Denied, 2, false}}},
+        {"an answer that was overtaken does not count",
+         {{0, LeaseEvent::Granted, 3, true},
+          {700, LeaseEvent::Denied, 4, false},
+          {800, LeaseEvent::Granted, 3, false}}},
+};
+
+//! One event of an endpoint's probing and what follows.
+struct ProbeStep
+{
+    int atMs_;
+    enum { Doubt, Answered, Silent, Tick } event_;
+    bool asked_;
+    bool down_;
+    bool lost_;
+};
+
+struct ProbeCase
+{
+    const char *name_;
+    std::vector<ProbeStep> steps_;
+};
+
+std::ostream &operator<<(std::ostream &out, const ProbeCase &test)
+{
+    return out << test.name_;
+}
+
+const ProbeCase ProbeCases[] = {
+        {"a doubt that an answer removes",
+         {{0, ProbeStep::Doubt, true, false, false},
+          {1, ProbeStep::Doubt, false, false, false},
+          {5, ProbeStep::Answered, false, false, false},
+          {100, ProbeStep::Doubt, false, false, false},
+          {705, ProbeStep::Doubt, true, false, false},
+          {710, ProbeStep::Answered, false, false, false},
+          {1500, ProbeStep::Doubt, false, false, false},
+          {2110, ProbeStep::Doubt, true, false, false}}},
+        {"down, lost, back",
+         {{0, ProbeStep::Doubt, true, false, false},
+          {450, ProbeStep::Silent, false, true, false},
+          {1000, ProbeStep::Tick, false, true, false},
+          {1050, ProbeStep::Tick, true, true, false},
+          {1500, ProbeStep::Silent, false, true, true},
+          {2100, ProbeStep::Tick, true, true, true},
+          {2105, ProbeStep::Answered, false, false, false}}},
+};
+
+GatewayDigestMessage digest(const char *from, std::uint64_t incarnation, std::uint64_t sequence,
+                            double tokens)
+{
+    GatewayDigestMessage message;
+    message.instance_ = {from};
+    message.gateway_ = {from, 7000};
+    message.incarnation_ = {incarnation};
+    message.sequence_ = sequence;
+    message.shares_ = {{{"x"}, tokens, milliseconds(5), 1, 0}};
+    return message;
+}
+
+struct PeerStep
+{
+    int atMs_;
+    std::optional<GatewayDigestMessage> digest_;
+    double tokens_;
+};
+
+struct PeerCase
+{
+    const char *name_;
+    std::vector<PeerStep> steps_;
+};
+
+std::ostream &operator<<(std::ostream &out, const PeerCase &test)
+{
+    return out << test.name_;
+}
+
+const PeerCase PeerCases[] = {
+        {"peers add up", {{0, digest("g1", 1, 1, 10), 10}, {10, digest("g2", 1, 1, 5), 15}}},
+        {"the newest counts",
+         {{0, digest("g1", 1, 1, 10), 10},
+          {200, digest("g1", 1, 3, 20), 20},
+          {210, digest("g1", 1, 2, 15), 20}}},
+        {"a new life begins anew",
+         {{0, digest("g1", 1, 9, 10), 10}, {200, digest("g1", 2, 1, 2), 2}}},
+        {"silence ends it", {{0, digest("g1", 1, 1, 10), 10}, {1500, {}, 10}, {1501, {}, 0}}},
+};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(longestPrefixIsFound, RouteCases, test)
+{
+    const auto table = buildRouteTable(stateWith(1, {"/", "/a/", "/a/b/", "/c/d/"}));
+    const RouteRule *route = findRoute(*table, test.host_, test.path_);
+    BOOST_TEST((route == nullptr ? "" : route->name_.value_) == test.route_);
+}
+
+BOOST_AUTO_TEST_CASE(routesAgreeWithLookingAtAll)
+{
+    BOOST_TEST(rc::check("indexed routes are the longest prefixes", [] {
+        const auto path = [] {
+            std::string text = "/";
+            const int steps = *rc::gen::inRange(0, 4);
+            for (int i = 0; i < steps; ++i)
+                text += std::string(*rc::gen::element("a", "b", "ab", "")) + "/";
+            return text;
+        };
+        std::vector<std::string> prefixes;
+        const int count = *rc::gen::inRange(0, 6);
+        for (int i = 0; i < count; ++i)
+            prefixes.push_back(path());
+        const auto table = buildRouteTable(stateWith(1, prefixes));
+        const std::string asked = path() + *rc::gen::element("", "a", "b");
+        const RouteRule *route = findRoute(*table, "desk", asked);
+        RC_ASSERT((route == nullptr ? "" : route->pathPrefix_)
+                  == naiveRoute(table->state_, "desk", asked));
+    }));
+}
+
+BOOST_AUTO_TEST_CASE(olderStatesAreNotTaken)
+{
+    RouteTableState state;
+    BOOST_TEST(applyDesiredState(state, stateWith(7, {"/a/"}), at(0)));
+    BOOST_TEST(!applyDesiredState(state, stateWith(7, {"/b/"}), at(1)));
+    BOOST_TEST(!applyDesiredState(state, stateWith(6, {"/b/"}), at(2)));
+    BOOST_TEST(findRoute(*state.table_, "desk", "/a/x") != nullptr);
+    BOOST_TEST(findOrganisation(*state.table_, "key-2")->organisation_.value_ == "firm");
+    BOOST_TEST(findOrganisation(*state.table_, "key-3") == nullptr);
+    BOOST_TEST(applyDesiredState(state, stateWith(9, {"/b/"}), at(3)));
+    BOOST_TEST(findRoute(*state.table_, "desk", "/a/x") == nullptr);
+}
+
+BOOST_DATA_TEST_CASE(freshnessEnds, FreshCases, test)
+{
+    GatewayView view;
+    view.freshness_.revokeAfter_ = milliseconds(test.revokeMs_);
+    view.freshness_.applyAfter_ = milliseconds(2000);
+    if (test.ageMs_ >= 0)
+        view.confirmedAt_ = at(0);
+    BOOST_TEST(keysAreFresh(view, at(std::max(0, test.ageMs_))) == test.keys_);
+    BOOST_TEST(stateIsFresh(view, at(std::max(0, test.ageMs_))) == test.state_);
+}
+
+BOOST_DATA_TEST_CASE(listedEndpointsAreKnown, ListCases, test)
+{
+    EndpointListState state;
+    for (const ListStep &step : test.steps_) {
+        applyEndpointList(state, step.listed_, at(step.atMs_), at(step.atMs_));
+        BOOST_TEST(textOf(state) == step.known_);
+    }
+}
+
+BOOST_DATA_TEST_CASE(reportsGoBeforeTheList, ReportCases, test)
+{
+    EndpointListState state;
+    applyEndpointList(state, {listed("x", range(0, 4), 1)}, at(0), at(0));
+    applyHeldLayers(state, {"x"}, range(4, 8), test.born_, at(test.reportMs_));
+    applyEndpointList(state, {listed("x", range(0, 4), test.listBorn_)}, at(test.listMs_),
+                      at(test.listMs_));
+    BOOST_TEST(textOf(state) == test.known_);
+}
+
+BOOST_DATA_TEST_CASE(leaseIsHeldByOne, LeaseCases, test)
+{
+    LeaseState state;
+    for (const LeaseStep &step : test.steps_) {
+        if (step.event_ == LeaseEvent::Granted || step.event_ == LeaseEvent::Denied)
+            applyJoin(state, {step.generation_}, step.event_ == LeaseEvent::Granted,
+                      at(step.atMs_));
+        if (step.event_ == LeaseEvent::Failed)
+            applyJoinFailure(state, at(step.atMs_));
+        BOOST_TEST(holdsLease(state, at(step.atMs_)) == step.holds_);
+    }
+}
+
+BOOST_DATA_TEST_CASE(doubtsAreAsked, ProbeCases, test)
+{
+    EndpointListState list;
+    applyEndpointList(list, {listed("x"), listed("y"), listed("z")}, at(0), at(0));
+    ProbeState state;
+    for (const ProbeStep &step : test.steps_) {
+        state.asks_.clear();
+        if (step.event_ == ProbeStep::Doubt)
+            noteDoubt(state, list, {"x"}, at(step.atMs_));
+        else if (step.event_ == ProbeStep::Tick)
+            tickProbes(state, list, at(step.atMs_));
+        else
+            onProbeAnswer(state, {"x"}, step.event_ == ProbeStep::Answered, at(step.atMs_));
+        BOOST_TEST(!state.asks_.empty() == step.asked_);
+        BOOST_TEST(downEndpoints(state).contains({"x"}) == step.down_);
+        BOOST_TEST(lostEndpoints(state, list).contains({"x"}) == step.lost_);
+    }
+}
+
+// A process that reaches nobody is cut off itself; it must not place everything anew.
+BOOST_AUTO_TEST_CASE(mostEndpointsAreNeverLost)
+{
+    EndpointListState list;
+    applyEndpointList(list, {listed("x"), listed("y"), listed("z")}, at(0), at(0));
+    ProbeState state;
+    for (const char *id : {"x", "y"}) {
+        for (int i = 0; i < 2; ++i) {
+            noteDoubt(state, list, {id}, at(1000 * i));
+            onProbeAnswer(state, {id}, false, at(1000 * i + 1));
+        }
+    }
+    BOOST_TEST(downEndpoints(state).size() == 2U);
+    BOOST_TEST(lostEndpoints(state, list).empty());
+}
+
+BOOST_DATA_TEST_CASE(peersShareTheirUse, PeerCases, test)
+{
+    PeersState state;
+    for (const PeerStep &step : test.steps_) {
+        forgetSilentPeers(state, at(step.atMs_));
+        if (step.digest_)
+            applyDigest(state, *step.digest_, at(step.atMs_));
+        const auto shares = sharesOfPeers(state);
+        const auto found = shares->find({"x"});
+        BOOST_TEST((found == shares->end() ? 0 : found->second.tokenLayers_) == step.tokens_);
+    }
+}
--- /dev/null
+++ b/src/controllers/tests/tst_placing.cpp
@@ -0,0 +1,177 @@
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "controllers/placing.h"
+
+using namespace gypsumcroft;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+TimePoint at(int ms)
+{
+    return TimePoint(seconds(1000) + milliseconds(ms));
+}
+
+EngineSpec engine()
+{
+    EngineSpec made;
+    made.layers_ = 4;
+    made.layerBytes_ = {1'000'000'000};
+    made.tokenBytes_ = {40'000};
+    made.slots_ = 8;
+    made.usualPrompt_ = {800};
+    made.usualAnswer_ = {200};
+    made.loadTime_ = seconds(4);
+    made.loadsAtOnce_ = 2;
+    made.kinds_[{"half"}] = {{2'200'000'000}, 1, 1};
+    return made;
+}
+
+ListedEndpoint listed(const char *id, std::optional<LayerRange> layers = {})
+{
+    ListedEndpoint endpoint;
+    endpoint.id_ = {id};
+    endpoint.target_ = {"model"};
+    endpoint.address_ = {id, 8000};
+    endpoint.domain_ = {"a"};
+    endpoint.kind_ = {"half"};
+    endpoint.layers_ = layers;
+    return endpoint;
+}
+
+LayerRange range(std::uint32_t first, std::uint32_t end)
+{
+    return {{first}, {end}};
+}
+
+enum class Event { Tick, Report, Silent, Begun, Conflict, NoAnswer };
+
+struct Step
+{
+    int atMs_;
+    Event event_;
+    const char *endpoint_;
+    EndpointReportFacts report_;
+    const char *effects_;
+};
+
+struct PlacingCase
+{
+    const char *name_;
+    std::vector<ListedEndpoint> listed_;
+    std::set<EndpointId> lost_;
+    std::vector<Step> steps_;
+};
+
+std::ostream &operator<<(std::ostream &out, const PlacingCase &test)
+{
+    return out << test.name_;
+}
+
+std::string takeText(PlacingState &state)
+{
+    std::string text;
+    for (const PlacingEffect &effect : state.effects_) {
+        if (const auto *ask = std::get_if<AskEndpoint>(&effect))
+            text += "ask " + ask->endpoint_.value_ + " ";
+        if (const auto *order = std::get_if<OrderLayers>(&effect))
+            text += "order " + order->endpoint_.value_ + " "
+                    + std::to_string(order->layers_.first_.value_) + "-"
+                    + std::to_string(order->layers_.end_.value_) + " after "
+                    + std::to_string(order->expected_.value_) + " ";
+    }
+    state.effects_.clear();
+    return text;
+}
+
+const PlacingCase PlacingCases[] = {
+        {"nothing is planned for a fleet that is still appearing",
+         {listed("x")},
+         {},
+         {{500, Event::Tick, "", {}, ""}, {1500, Event::Tick, "", {}, "ask x "}}},
+        {"an order names what the endpoint has accepted before",
+         {listed("x"), listed("y", range(2, 4))},
+         {},
+         {{0, Event::Tick, "", {}, "ask x "},
+          {5, Event::Report, "x", {{3}, false, {}, 0}, ""},
+          {100, Event::Tick, "", {}, "order x 0-2 after 3 "},
+          {105, Event::Begun, "x", {}, ""},
+          {200, Event::Tick, "", {}, ""},
+          {800, Event::Tick, "", {}, "ask x "},
+          {805, Event::Report, "x", {{4}, false, range(0, 2), 0}, ""}}},
+        {"an endpoint that does not answer is left alone for a while",
+         {listed("x"), listed("y", range(2, 4))},
+         {},
+         {{0, Event::Tick, "", {}, "ask x "},
+          {450, Event::Silent, "x", {}, ""},
+          {1900, Event::Tick, "", {}, ""},
+          {2000, Event::Tick, "", {}, "ask x "}}},
+        {"after a conflict it is asked again",
+         {listed("x"), listed("y", range(2, 4))},
+         {},
+         {{0, Event::Tick, "", {}, "ask x "},
+          {5, Event::Report, "x", {{3}, false, {}, 0}, ""},
+          {100, Event::Tick, "", {}, "order x 0-2 after 3 "},
+          {105, Event::Conflict, "x", {}, ""},
+          {1700, Event::Tick, "", {}, "ask x "},
+          {1705, Event::Report, "x", {{4}, false, {}, 0}, ""},
+          {1800, Event::Tick, "", {}, "order x 0-2 after 4 "}}},
+        {"an order without an answer may have begun: the report decides",
+         {listed("x"), listed("y", range(2, 4))},
+         {},
+         {{0, Event::Tick, "", {}, "ask x "},
+          {5, Event::Report, "x", {{0}, false, {}, 0}, ""},
+          {100, Event::Tick, "", {}, "order x 0-2 after 0 "},
+          {550, Event::NoAnswer, "x", {}, ""},
+          {2100, Event::Tick, "", {}, "ask x "},
+          {2105, Event::Report, "x", {{1}, false, range(0, 2), 0}, ""}}},
+        {"no more loads at once than run at full speed",
+         {listed("v"), listed("w"), listed("x"), listed("y", range(2, 4))},
+         {},
+         {{0, Event::Tick, "", {}, "ask v ask w "}, {100, Event::Tick, "", {}, ""}}},
+        {"a lost endpoint's layers go to one whose layers others hold",
+         {listed("w", range(0, 2)), listed("x", range(0, 2)), listed("y", range(2, 4))},
+         {{"y"}},
+         {{0, Event::Tick, "", {}, "ask x "}}},
+        {"a whole fleet is left alone",
+         {listed("x", range(0, 2)), listed("y", range(2, 4))},
+         {},
+         {{0, Event::Tick, "", {}, ""}, {5000, Event::Tick, "", {}, ""}}},
+};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(layersArePlacedOrderByOrder, PlacingCases, test)
+{
+    EndpointListState list;
+    applyEndpointList(list, test.listed_, at(0), at(0));
+    PlacingState state;
+    state.plannedAt_ = at(-1000);
+    for (const Step &step : test.steps_) {
+        const EndpointId endpoint {step.endpoint_};
+        const TimePoint now = at(step.atMs_);
+        switch (step.event_) {
+        case Event::Tick:
+            tickPlacing(state, engine(), {"model"}, list, test.lost_, now);
+            break;
+        case Event::Report:
+            onEndpointReport(state, endpoint, step.report_, now);
+            break;
+        case Event::Silent:
+            onEndpointReport(state, endpoint, std::nullopt, now);
+            break;
+        case Event::Begun:
+            onOrderOutcome(state, engine(), endpoint, OrderOutcome::Begun, now);
+            break;
+        case Event::Conflict:
+            onOrderOutcome(state, engine(), endpoint, OrderOutcome::Conflict, now);
+            break;
+        case Event::NoAnswer:
+            onOrderOutcome(state, engine(), endpoint, OrderOutcome::Unknown, now);
+            break;
+        }
+        BOOST_TEST(takeText(state) == step.effects_, "at " << step.atMs_ << " ms");
+    }
+}
--- a/src/filters/gatewayfilters.h
+++ b/src/filters/gatewayfilters.h
@@ -35,7 +35,9 @@
 //! What this process's requests hold of the endpoints.
 OwnShares ownShares(const GatewayTraffic &state);
 
-QueuedRequest queuedForm(const GatewayContext &context);
+//! Puts a request into its queue, or takes it out.
+void enqueue(GatewayContext &context, GatewayTraffic &state, bool front);
+void dequeue(GatewayContext &context, GatewayTraffic &state);
 RequestId queueName(ExchangeId exchange);
 
 } // namespace gypsumcroft
--- a/src/filters/gatewaystate.h
+++ b/src/filters/gatewaystate.h
@@ -199,6 +199,15 @@
     EndpointHealth health_;
 };
 
+//! Requests of one target that wait.
+struct TargetQueues
+{
+    //! They can still begin in time.
+    FairQueue fresh_;
+    //! They can't, and go only when no fresh one waits.
+    FairQueue late_;
+};
+
 struct GatewayCounters
 {
     std::uint64_t received_ = 0;
@@ -239,7 +248,7 @@
     Random random_;
     std::map<ExchangeId, GatewayContext> requests_;
     std::unordered_map<SendId, ExchangeId> sends_;
-    std::map<TargetName, FairQueue> queues_;
+    std::map<TargetName, TargetQueues> queues_;
     std::unordered_map<EndpointId, EndpointUse> uses_;
     std::map<TargetName, RetryShare> retryShares_;
     std::uint64_t nextSend_ = 1;
--- a/src/filters/internal/gatewayfilters.cpp
+++ b/src/filters/internal/gatewayfilters.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
 #include "core/hash.h"
 #include "policy/leastload.h"
@@ -96,11 +97,7 @@
 GatewayVerdict queueRequest(GatewayContext &context, const GatewayView &, GatewayTraffic &state,
                             TimePoint)
 {
-    const auto [queue, isNew] = state.queues_.try_emplace(context.target_);
-    if (isNew)
-        queue->second.floors_ = RankFloors;
-    context.queued_ = true;
-    pushRequest(queue->second, queuedForm(context));
+    enqueue(context, state, false);
     return {FilterAction::Done, {}};
 }
 
@@ -317,6 +314,27 @@
     return AllRanks.at(std::min<std::size_t>(priority.value_, RankCount - 1));
 }
 
+QueuedRequest queuedForm(const GatewayContext &context)
+{
+    QueuedRequest queued;
+    queued.request_ = queueName(context.request_.exchange_);
+    queued.organisation_ = context.organisation_.value_or(OrganisationId {});
+    queued.caller_ = {queued.organisation_.value_};
+    queued.rank_ = rankOf(context.priority_);
+    queued.work_ = {std::max<std::int64_t>(1, context.request_.prompt_.value_
+                                                      + context.request_.answer_.value_)};
+    queued.deadline_ = context.deadline_;
+    return queued;
+}
+
+FairQueue &queueOf(const GatewayContext &context, GatewayTraffic &state)
+{
+    const auto [queues, isNew] = state.queues_.try_emplace(context.target_);
+    if (isNew)
+        queues->second.fresh_.floors_ = queues->second.late_.floors_ = RankFloors;
+    return context.late_ ? queues->second.late_ : queues->second.fresh_;
+}
+
 } // namespace
 } // namespace detail
 
@@ -388,17 +406,21 @@
     return {std::to_string(exchange.value_)};
 }
 
-QueuedRequest queuedForm(const GatewayContext &context)
+void enqueue(GatewayContext &context, GatewayTraffic &state, bool front)
 {
-    QueuedRequest queued;
-    queued.request_ = queueName(context.request_.exchange_);
-    queued.organisation_ = context.organisation_.value_or(OrganisationId {});
-    queued.caller_ = {queued.organisation_.value_};
-    queued.rank_ = context.late_ ? AllRanks.back() : detail::rankOf(context.priority_);
-    queued.work_ = {std::max<std::int64_t>(1, context.request_.prompt_.value_
-                                                      + context.request_.answer_.value_)};
-    queued.deadline_ = context.deadline_;
-    return queued;
+    FairQueue &queue = detail::queueOf(context, state);
+    context.queued_ = true;
+    if (front)
+        pushRequestFront(queue, detail::queuedForm(context));
+    else
+        pushRequest(queue, detail::queuedForm(context));
+}
+
+void dequeue(GatewayContext &context, GatewayTraffic &state)
+{
+    if (!std::exchange(context.queued_, false))
+        return;
+    removeRequest(detail::queueOf(context, state), detail::queuedForm(context));
 }
 
 } // namespace gypsumcroft
--- a/src/gateway/internal/traffic.cpp
+++ b/src/gateway/internal/traffic.cpp
@@ -31,8 +31,7 @@
 //! Takes a request out of everything. References to its context end here.
 void forget(GatewayTraffic &state, Context &context)
 {
-    if (context.queued_)
-        removeRequest(state.queues_.at(context.target_), queuedForm(context));
+    dequeue(context, state);
     releaseSend(context, state);
     state.requests_.erase(context.request_.exchange_);
 }
@@ -90,30 +89,37 @@
     return exchange;
 }
 
-//! Sends what the queues hold as far as endpoints have room.
-void pump(GatewayTraffic &state, const GatewayView &view, TimePoint now)
+//! Sends what a queue holds as far as endpoints have room.
+void pumpQueue(GatewayTraffic &state, const GatewayView &view, FairQueue &queue, TimePoint now)
 {
-    for (auto &[target, queue] : state.queues_) {
-        // What is larger than a request that found no room finds none either.
-        std::int64_t tooLarge = std::numeric_limits<std::int64_t>::max();
-        const auto mayTake = [&](const QueuedRequest &queued) {
-            Context &context = state.requests_.at(exchangeOf(queued));
-            if (now < context.notBefore_ || queued.work_.value_ >= tooLarge)
-                return false;
-            if (hasRoom(context, view, state, now))
-                return true;
-            tooLarge = queued.work_.value_;
+    // What is larger than a request that found no room finds none either.
+    std::int64_t tooLarge = std::numeric_limits<std::int64_t>::max();
+    const auto mayTake = [&](const QueuedRequest &queued) {
+        Context &context = state.requests_.at(exchangeOf(queued));
+        if (now < context.notBefore_ || queued.work_.value_ >= tooLarge)
             return false;
-        };
-        while (queue.size_ > 0) {
-            const auto next = popRequest(queue, mayTake);
-            if (!next)
-                break;
-            Context &context = state.requests_.at(exchangeOf(*next));
-            context.queued_ = false;
-            context.nextFilter_ = endpointFilterIndex();
-            runFrom(state, view, context, now);
-        }
+        if (hasRoom(context, view, state, now))
+            return true;
+        tooLarge = queued.work_.value_;
+        return false;
+    };
+    while (queue.size_ > 0) {
+        const auto next = popRequest(queue, mayTake);
+        if (!next)
+            return;
+        Context &context = state.requests_.at(exchangeOf(*next));
+        context.queued_ = false;
+        context.nextFilter_ = endpointFilterIndex();
+        runFrom(state, view, context, now);
+    }
+}
+
+void pump(GatewayTraffic &state, const GatewayView &view, TimePoint now)
+{
+    for (auto &[target, queues] : state.queues_) {
+        pumpQueue(state, view, queues.fresh_, now);
+        if (queues.fresh_.size_ == 0)
+            pumpQueue(state, view, queues.late_, now);
     }
 }
 
@@ -164,8 +170,7 @@
     releaseSend(context, state);
     switch (next) {
     case NextStep::SendAgain:
-        context.queued_ = true;
-        pushRequestFront(state.queues_.at(context.target_), queuedForm(context));
+        enqueue(context, state, true);
         return;
     case NextStep::RefuseNotRun:
         return refuse(state, context, GatewayRefusal::Overloaded, reason, now);
@@ -244,10 +249,9 @@
 //! Puts a request that can't be in time any more behind those that can.
 void putBack(GatewayTraffic &state, Context &context)
 {
-    FairQueue &queue = state.queues_.at(context.target_);
-    removeRequest(queue, queuedForm(context));
+    dequeue(context, state);
     context.late_ = true;
-    pushRequest(queue, queuedForm(context));
+    enqueue(context, state, false);
 }
 
 //! A stream that brings nothing, though it may go on elsewhere.
@@ -354,6 +358,7 @@
         detail::afterSend(state, view, *context, AttemptEnding::NotRun,
                           "status " + std::to_string(head.status_) + " of " + faulty.value_, now);
     } else if (!head.success_) {
+        context->failed_.insert(context->send_->endpoint_);
         detail::afterSend(state, view, *context, AttemptEnding::FailureAnswer,
                           "status " + std::to_string(head.status_), now);
     } else {
--- /dev/null
+++ b/src/gateway/tests/tst_traffic.cpp
@@ -0,0 +1,404 @@
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "gateway/traffic.h"
+
+using namespace gypsumcroft;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+TimePoint at(int ms)
+{
+    return TimePoint(seconds(1000) + milliseconds(ms));
+}
+
+RouteRule route(const char *prefix, const char *target, RepeatRule repeat, bool stream)
+{
+    RouteRule made;
+    made.name_ = {prefix};
+    made.host_ = "desk";
+    made.pathPrefix_ = prefix;
+    made.repeat_ = repeat;
+    made.stream_ = stream;
+    made.timeout_ = milliseconds(3000);
+    made.latencyTarget_ = milliseconds(400);
+    made.maxAttempts_ = 2;
+    made.targets_ = {{{target}, 1}};
+    return made;
+}
+
+DesiredState desired()
+{
+    DesiredState state;
+    state.version_ = {1};
+    state.routes_ = {route("/book/", "desk", RepeatRule::Never, false),
+                     route("/look/", "desk", RepeatRule::Again, false),
+                     route("/quote/", "model", RepeatRule::Resume, true),
+                     route("/open/", "desk", RepeatRule::Again, false),
+                     route("/gone/", "nobody", RepeatRule::Again, false)};
+    state.routes_[3].anonymous_ = true;
+    TargetSpec model {{"model"}, "", 0, EngineSpec {}};
+    model.engine_->layers_ = 4;
+    model.engine_->layerBytes_ = {1'000'000};
+    model.engine_->tokenBytes_ = {4000};
+    model.engine_->readTokensPerSecond_ = 100'000;
+    model.engine_->stepTime_ = milliseconds(1);
+    model.engine_->kinds_[{"k"}] = {{4'000'000}, 1, 1};
+    state.targets_ = {{{"desk"}, "", 0, {}}, model, {{"nobody"}, "", 0, {}}};
+    state.organisations_ = {{{"firm"}, {"key"}, {}}};
+    return state;
+}
+
+ListedEndpoint endpoint(const char *id, const char *target, std::uint16_t port,
+                        std::optional<LayerRange> layers = {})
+{
+    ListedEndpoint made;
+    made.id_ = {id};
+    made.target_ = {target};
+    made.address_ = {"127.0.0.1", port};
+    made.domain_ = {"a"};
+    made.slots_ = 1;
+    made.kind_ = {"k"};
+    made.layers_ = layers;
+    return made;
+}
+
+GatewayView viewAt(int confirmedMs)
+{
+    EndpointListState list;
+    const LayerRange all {{0}, {4}};
+    applyEndpointList(list,
+                      {endpoint("d1", "desk", 1), endpoint("d2", "desk", 2),
+                       endpoint("m1", "model", 3, all), endpoint("m2", "model", 4, all)},
+                      at(0), at(0));
+    GatewayView view;
+    view.table_ = buildRouteTable(desired());
+    view.endpoints_ = buildEndpointIndex(list);
+    view.confirmedAt_ = at(confirmedMs);
+    view.freshness_.revokeAfter_ = seconds(5);
+    view.domain_ = {"a"};
+    view.retrySlack_ = 100;
+    return view;
+}
+
+GatewayRequest request(std::uint64_t exchange, const std::string &path, const char *key = "key")
+{
+    GatewayRequest made;
+    made.exchange_ = {exchange};
+    made.id_ = {"r" + std::to_string(exchange)};
+    made.host_ = "desk";
+    made.path_ = path;
+    if (*key != '\0')
+        made.apiKey_ = key;
+    made.patience_ = seconds(2);
+    made.prompt_ = {100};
+    made.answer_ = {100};
+    return made;
+}
+
+std::string textOf(const GatewayEffect &effect)
+{
+    if (const auto *send = std::get_if<SendRequest>(&effect))
+        return "send " + send->endpoint_.value_
+               + (send->resumeAfter_ ? " after " + std::to_string(send->resumeAfter_->value_) : "")
+               + (send->freshConnection_ ? " fresh" : "");
+    if (std::holds_alternative<CancelSend>(effect))
+        return "cancel";
+    if (std::holds_alternative<DeliverAnswer>(effect))
+        return "deliver";
+    if (std::holds_alternative<BeginStream>(effect))
+        return "begin";
+    if (std::holds_alternative<PassEvents>(effect))
+        return "pass";
+    if (std::holds_alternative<FinishStream>(effect))
+        return "finish";
+    if (std::holds_alternative<BreakOffAnswer>(effect))
+        return "break-off";
+    if (const auto *refusal = std::get_if<RefuseRequest>(&effect))
+        return "refuse " + std::string(gatewayRefusalName(refusal->refusal_));
+    if (const auto *doubt = std::get_if<EndpointDoubt>(&effect))
+        return "doubt " + doubt->endpoint_.value_;
+    return "";
+}
+
+std::string takeText(GatewayTraffic &state)
+{
+    std::string text;
+    for (const GatewayEffect &effect : state.effects_) {
+        const std::string one = textOf(effect);
+        if (!one.empty())
+            text += (text.empty() ? "" : ", ") + one;
+    }
+    state.effects_.clear();
+    return text;
+}
+
+//! What happens to the newest send, or to exchange 1.
+enum class Event {
+    Nothing,
+    Tick,
+    Gone,
+    Ok,
+    Events,
+    Done,
+    NotRun,
+    Failure500,
+    NotSent,
+    Broken,
+    Garbled
+};
+
+struct Step
+{
+    int atMs_;
+    Event event_;
+    const char *effects_;
+};
+
+struct TrafficCase
+{
+    const char *name_;
+    const char *path_;
+    const char *key_;
+    int confirmedMs_;
+    const char *first_;
+    std::vector<Step> steps_;
+};
+
+std::ostream &operator<<(std::ostream &out, const TrafficCase &test)
+{
+    return out << test.name_;
+}
+
+const TrafficCase TrafficCases[] = {
+        {"a booking",
+         "/book/x",
+         "key",
+         0,
+         "send d1 fresh",
+         {{20, Event::Ok, ""}, {21, Event::Done, "deliver"}}},
+        {"a booking that may have run is never sent again",
+         "/book/x",
+         "key",
+         0,
+         "send d1 fresh",
+         {{20, Event::Broken, "doubt d1, refuse failed"}}},
+        {"a booking that was not run goes elsewhere",
+         "/book/x",
+         "key",
+         0,
+         "send d1 fresh",
+         {{20, Event::NotRun, "doubt d1"},
+          {21, Event::Tick, ""},
+          {200, Event::Tick, "send d2 fresh"},
+          {220, Event::Ok, ""},
+          {221, Event::Done, "deliver"}}},
+        {"a booking that reached nobody goes elsewhere at once",
+         "/book/x",
+         "key",
+         0,
+         "send d1 fresh",
+         {{2, Event::NotSent, "doubt d1, send d2 fresh"}}},
+        {"a booking's own failure is handed on",
+         "/book/x",
+         "key",
+         0,
+         "send d1 fresh",
+         {{20, Event::Failure500, "deliver"}}},
+        {"a booking's caller waits no longer",
+         "/book/x",
+         "key",
+         0,
+         "send d1 fresh",
+         {{1999, Event::Tick, ""}, {2000, Event::Tick, "cancel, refuse timed-out"}}},
+        {"a lookup is sent again after a failure",
+         "/look/x",
+         "key",
+         0,
+         "send d1",
+         {{20, Event::Broken, "doubt d1, send d2"},
+          {40, Event::Broken, "doubt d2, refuse failed"}}},
+        {"a lookup fails twice by the endpoints' own word",
+         "/look/x",
+         "key",
+         0,
+         "send d1",
+         {{20, Event::Failure500, "send d2"}, {40, Event::Failure500, "deliver"}}},
+        {"bytes that are no answer",
+         "/look/x",
+         "key",
+         0,
+         "send d1",
+         {{20, Event::Garbled, "doubt d1, send d2"}}},
+        {"a caller that leaves", "/look/x", "key", 0, "send d1", {{20, Event::Gone, "cancel"}}},
+        {"a stream",
+         "/quote/x",
+         "key",
+         0,
+         "send m1",
+         {{50, Event::Ok, ""},
+          {51, Event::Events, "begin, pass"},
+          {80, Event::Events, "pass"},
+          {99, Event::Done, "finish"}}},
+        {"a stream that breaks goes on elsewhere",
+         "/quote/x",
+         "key",
+         0,
+         "send m1",
+         {{50, Event::Ok, ""},
+          {51, Event::Events, "begin, pass"},
+          {70, Event::Broken, "doubt m1, send m2 after 51"},
+          {90, Event::Ok, ""},
+          {91, Event::Events, "pass"},
+          {99, Event::Done, "finish"}}},
+        {"a stream that falls silent goes on elsewhere",
+         "/quote/x",
+         "key",
+         0,
+         "send m1",
+         {{50, Event::Ok, ""},
+          {51, Event::Events, "begin, pass"},
+          {951, Event::Tick, ""},
+          {952, Event::Tick, "doubt m1, cancel, send m2 after 51"}}},
+        {"a stream without a first event starts elsewhere",
+         "/quote/x",
+         "key",
+         0,
+         "send m1",
+         {{1200, Event::Tick, ""}, {1201, Event::Tick, "doubt m1, cancel, send m2"}}},
+        {"a stream that breaks twice is broken off",
+         "/quote/x",
+         "key",
+         0,
+         "send m1",
+         {{50, Event::Ok, ""},
+          {51, Event::Events, "begin, pass"},
+          {70, Event::Broken, "doubt m1, send m2 after 51"},
+          {90, Event::Broken, "doubt m2, break-off"}}},
+        {"no such route", "/none/x", "key", 0, "refuse unknown-route", {}},
+        {"no such route, by a state that is too old to say so",
+         "/none/x",
+         "key",
+         -1801,
+         "refuse unready",
+         {}},
+        {"no key", "/book/x", "", 0, "refuse unauthorised", {}},
+        {"an unknown key", "/book/x", "other", 0, "refuse unauthorised", {}},
+        {"an unknown key, by a state that is too old to say so",
+         "/book/x",
+         "other",
+         -1801,
+         "refuse unready",
+         {}},
+        {"a key that may have been taken away", "/book/x", "key", -4501, "refuse unready", {}},
+        {"no key is needed", "/open/x", "", -60000, "send d1", {}},
+        {"no endpoint", "/gone/x", "key", 0, "", {{1281, Event::Tick, "refuse overloaded"}}},
+};
+
+void apply(GatewayTraffic &state, const GatewayView &view, Event event, int ms)
+{
+    const TimePoint now = at(ms);
+    const SendId send {state.nextSend_ - 1};
+    AnswerHead head;
+    head.success_ = true;
+    head.status_ = 200;
+    switch (event) {
+    case Event::Nothing:
+        return;
+    case Event::Tick:
+        return onGatewayTick(state, view, now);
+    case Event::Gone:
+        return onGatewayCallerGone(state, view, {1}, now);
+    case Event::Ok:
+        return onSendHead(state, view, send, head, now);
+    case Event::Events:
+        return onSendEvents(state, view, send, EventId {static_cast<std::uint64_t>(ms)}, now);
+    case Event::Done:
+        return onSendDone(state, view, send, now);
+    case Event::NotRun:
+        head = {false, true, {}, false, {}, 503};
+        onSendHead(state, view, send, head, now);
+        return onSendDone(state, view, send, now);
+    case Event::Failure500:
+        head = {false, false, {}, false, {}, 500};
+        onSendHead(state, view, send, head, now);
+        return onSendDone(state, view, send, now);
+    case Event::NotSent:
+        return onSendFailed(state, view, send, SendFailure::NotSent, "refused", now);
+    case Event::Broken:
+        return onSendFailed(state, view, send, SendFailure::Broken, "reset", now);
+    case Event::Garbled:
+        return onSendFailed(state, view, send, SendFailure::Garbled, "no answer", now);
+    }
+}
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(requestsEndOnce, TrafficCases, test)
+{
+    GatewayTraffic state;
+    const GatewayView view = viewAt(test.confirmedMs_);
+    onGatewayRequest(state, view, request(1, test.path_, test.key_), at(0));
+    BOOST_TEST(takeText(state) == test.first_);
+    for (const Step &step : test.steps_) {
+        apply(state, view, step.event_, step.atMs_);
+        BOOST_TEST(takeText(state) == step.effects_, "at " << step.atMs_ << " ms");
+    }
+}
+
+// What requests hold of endpoints is given back however they end.
+BOOST_DATA_TEST_CASE(nothingIsHeldAfterTheEnd, TrafficCases, test)
+{
+    GatewayTraffic state;
+    const GatewayView view = viewAt(test.confirmedMs_);
+    onGatewayRequest(state, view, request(1, test.path_, test.key_), at(0));
+    for (const Step &step : test.steps_)
+        apply(state, view, step.event_, step.atMs_);
+    onGatewayTick(state, view, at(60000));
+    BOOST_TEST(isGatewayIdle(state));
+    BOOST_TEST(state.sends_.empty());
+    for (const auto &[id, use] : state.uses_) {
+        BOOST_TEST(use.share_.calls_ == 0U);
+        BOOST_TEST(use.share_.streams_ == 0U);
+        BOOST_TEST(use.share_.tokenLayers_ == 0);
+        BOOST_TEST(use.share_.readingAhead_.count() == 0);
+    }
+}
+
+// A slot and two that wait at each of two endpoints; the seventh waits here until one is free.
+BOOST_AUTO_TEST_CASE(requestsWaitForRoom)
+{
+    GatewayTraffic state;
+    const GatewayView view = viewAt(0);
+    for (std::uint64_t i = 1; i <= 6; ++i)
+        onGatewayRequest(state, view, request(i, "/look/x"), at(0));
+    takeText(state);
+    onGatewayRequest(state, view, request(7, "/look/x"), at(0));
+    BOOST_TEST(takeText(state) == "");
+    AnswerHead head;
+    head.success_ = true;
+    onSendHead(state, view, {1}, head, at(30));
+    onSendDone(state, view, {1}, at(30));
+    BOOST_TEST(takeText(state) == "deliver, send d1");
+}
+
+// A request that has waited too long to be in time lets a fresh one go first.
+BOOST_AUTO_TEST_CASE(lateRequestsWaitBehind)
+{
+    GatewayTraffic state;
+    const GatewayView view = viewAt(0);
+    for (std::uint64_t i = 1; i <= 7; ++i)
+        onGatewayRequest(state, view, request(i, "/look/x"), at(0));
+    onGatewayTick(state, view, at(301));
+    onGatewayRequest(state, view, request(8, "/look/x"), at(310));
+    takeText(state);
+    AnswerHead head;
+    head.success_ = true;
+    onSendHead(state, view, {1}, head, at(320));
+    onSendDone(state, view, {1}, at(320));
+    takeText(state);
+    BOOST_TEST(state.requests_.at({7}).queued_);
+    BOOST_TEST(!state.requests_.at({8}).queued_);
+}
--- /dev/null
+++ b/src/policy/tests/tst_forwarding.cpp
@@ -0,0 +1,218 @@
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+
+#include "policy/endpointhealth.h"
+#include "policy/leastload.h"
+#include "policy/nextstep.h"
+#include "policy/retryshare.h"
+
+using namespace gypsumcroft;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+TimePoint at(Duration since)
+{
+    return TimePoint(seconds(1000) + since);
+}
+
+struct StepCase
+{
+    const char *name_;
+    AttemptFacts facts_;
+    NextStep next_;
+};
+
+std::ostream &operator<<(std::ostream &out, const StepCase &test)
+{
+    return out << test.name_;
+}
+
+//! repeat, ending, begun, earlier may have run, runs, attempts, time left, budget left, sends
+const StepCase StepCases[] = {
+        {"not run, never twice: again",
+         {RepeatRule::Never, AttemptEnding::NotRun, false, false, 0, 2, true, true, 1},
+         NextStep::SendAgain},
+        {"not run, no time",
+         {RepeatRule::Never, AttemptEnding::NotRun, false, false, 0, 2, false, true, 1},
+         NextStep::RefuseNotRun},
+        {"not run, no budget",
+         {RepeatRule::Never, AttemptEnding::NotRun, false, false, 0, 2, true, false, 1},
+         NextStep::RefuseNotRun},
+        {"not run, too many sends",
+         {RepeatRule::Never, AttemptEnding::NotRun, false, false, 0, 2, true, true, MaxSends},
+         NextStep::RefuseNotRun},
+        {"may have run, never twice",
+         {RepeatRule::Never, AttemptEnding::Unknown, false, false, 1, 2, true, true, 1},
+         NextStep::FailUnknown},
+        {"not run now, but an earlier one may have: no promise",
+         {RepeatRule::Again, AttemptEnding::NotRun, false, true, 1, 2, false, true, 2},
+         NextStep::FailUnknown},
+        {"may have run, may again",
+         {RepeatRule::Again, AttemptEnding::Unknown, false, false, 1, 2, true, true, 1},
+         NextStep::SendAgain},
+        {"may have run as often as it may",
+         {RepeatRule::Again, AttemptEnding::Unknown, false, true, 2, 2, true, true, 2},
+         NextStep::FailUnknown},
+        {"a failure answered, may again",
+         {RepeatRule::Again, AttemptEnding::FailureAnswer, false, false, 1, 2, true, true, 1},
+         NextStep::SendAgain},
+        {"a failure answered, last attempt",
+         {RepeatRule::Again, AttemptEnding::FailureAnswer, false, true, 2, 2, true, true, 2},
+         NextStep::PassFailure},
+        {"a failure answered, never twice",
+         {RepeatRule::Never, AttemptEnding::FailureAnswer, false, false, 1, 2, true, true, 1},
+         NextStep::PassFailure},
+        {"a stream broke midway and may be resumed",
+         {RepeatRule::Resume, AttemptEnding::Unknown, true, false, 1, 2, true, true, 1},
+         NextStep::SendAgain},
+        {"a stream broke midway and may not",
+         {RepeatRule::Again, AttemptEnding::Unknown, true, false, 1, 2, true, true, 1},
+         NextStep::BreakOff},
+        {"a resumed stream broke again",
+         {RepeatRule::Resume, AttemptEnding::Unknown, true, true, 2, 2, true, true, 2},
+         NextStep::BreakOff},
+        {"a resumption was not run: it may be sent once more",
+         {RepeatRule::Resume, AttemptEnding::NotRun, true, true, 1, 2, true, true, 2},
+         NextStep::SendAgain},
+};
+
+struct ChoiceCase
+{
+    const char *name_;
+    std::vector<ServiceNode> nodes_;
+    int index_;
+    std::int64_t free_;
+};
+
+std::ostream &operator<<(std::ostream &out, const ChoiceCase &test)
+{
+    return out << test.name_;
+}
+
+//! index, load, slots, same domain, avoided
+const ChoiceCase ChoiceCases[] = {
+        {"nobody", {}, -1, 0},
+        {"the least loaded", {{0, 3, 6, true, false}, {1, 1, 6, false, false}}, 1, 5},
+        {"for its size", {{0, 3, 6, false, false}, {1, 4, 12, false, false}}, 1, 8},
+        {"of equal ones the near one", {{0, 2, 6, false, false}, {1, 2, 6, true, false}}, 1, 4},
+        {"not one to avoid", {{0, 0, 6, true, true}, {1, 6, 6, false, false}}, 1, 0},
+        {"unless all are", {{0, 1, 6, true, true}, {1, 6, 6, false, true}}, 0, 5},
+        {"overloaded", {{0, 9, 6, true, false}}, 0, -3},
+};
+
+struct HealthCase
+{
+    const char *name_;
+    std::uint32_t failures_;
+    Duration since_;
+    bool avoided_;
+};
+
+std::ostream &operator<<(std::ostream &out, const HealthCase &test)
+{
+    return out << test.name_;
+}
+
+const HealthCase HealthCases[] = {
+        {"no failure", 0, milliseconds(0), false},
+        {"just failed", 1, milliseconds(499), true},
+        {"failed a while ago", 1, milliseconds(500), false},
+        {"failed twice", 2, milliseconds(999), true},
+        {"failed often, back after the longest time", 20, milliseconds(4000), false},
+        {"failed often", 20, milliseconds(3999), true},
+};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(nextStepIsChosen, StepCases, test)
+{
+    BOOST_TEST(static_cast<int>(nextStep(test.facts_)) == static_cast<int>(test.next_));
+}
+
+BOOST_AUTO_TEST_CASE(stepsNeverBreakAPromise)
+{
+    BOOST_TEST(rc::check("what may have run is neither repeated against its rule nor denied", [] {
+        AttemptFacts facts;
+        facts.repeat_ = *rc::gen::element(RepeatRule::Never, RepeatRule::Again, RepeatRule::Resume);
+        facts.ending_ = *rc::gen::element(AttemptEnding::NotRun, AttemptEnding::Unknown,
+                                          AttemptEnding::FailureAnswer);
+        facts.answerBegun_ = *rc::gen::arbitrary<bool>();
+        facts.earlierMayHaveRun_ = facts.answerBegun_ || *rc::gen::arbitrary<bool>();
+        facts.maxAttempts_ = *rc::gen::inRange<std::uint32_t>(1, 4);
+        facts.runs_ = *rc::gen::inRange<std::uint32_t>(
+                facts.ending_ == AttemptEnding::NotRun ? 0 : 1, 5);
+        facts.timeLeft_ = *rc::gen::arbitrary<bool>();
+        facts.budgetLeft_ = *rc::gen::arbitrary<bool>();
+        facts.sends_ = *rc::gen::inRange<std::uint32_t>(1, 8);
+        const bool mayHaveRun = facts.earlierMayHaveRun_ || facts.ending_ != AttemptEnding::NotRun;
+        const NextStep next = nextStep(facts);
+        if (next == NextStep::RefuseNotRun)
+            RC_ASSERT(!mayHaveRun);
+        if (next == NextStep::SendAgain) {
+            RC_ASSERT(facts.timeLeft_ && facts.budgetLeft_);
+            RC_ASSERT(!mayHaveRun || facts.runs_ < facts.maxAttempts_);
+            RC_ASSERT(facts.ending_ == AttemptEnding::NotRun || facts.repeat_ != RepeatRule::Never);
+            RC_ASSERT(!facts.answerBegun_ || facts.repeat_ == RepeatRule::Resume);
+        }
+        if (facts.answerBegun_)
+            RC_ASSERT(next == NextStep::SendAgain || next == NextStep::BreakOff);
+    }));
+}
+
+BOOST_DATA_TEST_CASE(leastLoadedIsChosen, ChoiceCases, test)
+{
+    const auto choice = chooseLeastLoaded(test.nodes_);
+    BOOST_TEST((choice ? static_cast<int>(choice->index_) : -1) == test.index_);
+    if (choice)
+        BOOST_TEST(choice->free_ == test.free_);
+}
+
+BOOST_DATA_TEST_CASE(failuresAreAvoidedForAWhile, HealthCases, test)
+{
+    EndpointHealth health;
+    for (std::uint32_t i = 0; i < test.failures_; ++i)
+        countFailure(health, {}, at({}));
+    BOOST_TEST(isAvoided(health, at(test.since_)) == test.avoided_);
+    countSuccess(health);
+    BOOST_TEST(!isAvoided(health, at(test.since_)));
+}
+
+// Against one counter for all entries: their shares together never pass the budget of any window.
+BOOST_AUTO_TEST_CASE(sharesStayWithinTheBudget)
+{
+    BOOST_TEST(rc::check("entries that know their number keep the budget together", [] {
+        const RetryShareLimits limits {0.2, 30, seconds(10)};
+        const auto entries = *rc::gen::inRange<std::uint32_t>(1, 7);
+        std::vector<RetryShare> shares(entries);
+        std::vector<std::pair<Duration, bool>> events;
+        Duration now {};
+        for (int i = 0; i < 600; ++i) {
+            now += milliseconds(*rc::gen::inRange(0, 100));
+            RetryShare &share = shares[*rc::gen::inRange<std::size_t>(0, entries)];
+            const bool retry = *rc::gen::inRange(0, 2) == 1;
+            if (retry) {
+                if (takeRetry(share, limits, entries, at(now)))
+                    events.emplace_back(now, true);
+            } else {
+                countRequest(share, limits, at(now));
+                events.emplace_back(now, false);
+            }
+        }
+        for (std::size_t start = 0; start < events.size(); start += 7) {
+            double requests = 0;
+            double retries = 0;
+            for (const auto &[time, retry] : events) {
+                const Duration since = time - events[start].first;
+                // Requests of the window or of the one half a window earlier count.
+                if (retry && since >= Duration() && since < limits.window_)
+                    ++retries;
+                if (!retry && since >= -limits.window_ / 2 && since < limits.window_)
+                    ++requests;
+            }
+            RC_ASSERT(retries <= limits.ratio_ * requests + limits.slack_);
+        }
+    }));
+}
--- /dev/null
+++ b/src/policy/tests/tst_placement.cpp
@@ -0,0 +1,216 @@
+#include <map>
+
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+
+#include "policy/pathplan.h"
+#include "policy/placement.h"
+
+using namespace gypsumcroft;
+
+namespace {
+
+EngineSpec engineOf(std::uint32_t layers)
+{
+    EngineSpec engine;
+    engine.layers_ = layers;
+    engine.layerBytes_ = {1'000'000'000};
+    engine.tokenBytes_ = {layers * 10'000ULL};
+    engine.slots_ = 100;
+    engine.usualPrompt_ = {800};
+    engine.usualAnswer_ = {200};
+    engine.kinds_[{"big"}] = {{9'000'000'000}, 1, 1};
+    engine.kinds_[{"small"}] = {{3'000'000'000}, 4, 4};
+    return engine;
+}
+
+//! A big endpoint keeps room beside three of four layers, a small one beside one, in any fleet.
+EngineSpec engineOfFixedRoom()
+{
+    EngineSpec engine = engineOf(4);
+    engine.slots_ = 8;
+    engine.kinds_[{"big"}].memory_ = {3'300'000'000};
+    engine.kinds_[{"small"}].memory_ = {1'100'000'000};
+    return engine;
+}
+
+PlacementNode node(const char *name, const char *domain, const char *kind)
+{
+    return {{name}, {domain}, {kind}, std::nullopt, true, true};
+}
+
+PlacementNode holds(PlacementNode base, std::uint32_t first, std::uint32_t end)
+{
+    base.layers_ = LayerRange {{first}, {end}};
+    return base;
+}
+
+PlacementNode leaving(PlacementNode base)
+{
+    base.counts_ = base.orderable_ = false;
+    return base;
+}
+
+PlacementNode busy(PlacementNode base)
+{
+    base.orderable_ = false;
+    return base;
+}
+
+std::string textOf(const std::vector<PlacementMove> &moves)
+{
+    std::string text;
+    for (const PlacementMove &move : moves)
+        text += (text.empty() ? "" : " ") + move.endpoint_.value_ + "="
+                + std::to_string(move.layers_.first_.value_) + "-"
+                + std::to_string(move.layers_.end_.value_);
+    return text;
+}
+
+struct PlacementCase
+{
+    const char *name_;
+    std::vector<PlacementNode> nodes_;
+    std::size_t limit_;
+    const char *moves_;
+};
+
+std::ostream &operator<<(std::ostream &out, const PlacementCase &test)
+{
+    return out << test.name_;
+}
+
+const PlacementCase PlacementCases[] = {
+        {"nobody", {}, 6, ""},
+        {"empty endpoints, the fast one first",
+         {node("s1", "a", "small"), node("s2", "a", "small"), node("b1", "a", "big")},
+         6,
+         "b1=0-3 s1=3-4 s2=0-1"},
+        {"no more moves than asked for",
+         {node("s1", "a", "small"), node("b1", "a", "big")},
+         1,
+         "b1=0-3"},
+        {"a whole domain is left alone",
+         {holds(node("b1", "a", "big"), 0, 3), holds(node("s1", "a", "small"), 3, 4),
+          holds(node("s2", "a", "small"), 0, 1)},
+         6,
+         ""},
+        {"a newcomer holds the layers with the fewest copies",
+         {holds(node("b1", "a", "big"), 0, 3), holds(node("s1", "a", "small"), 3, 4),
+          holds(node("s2", "a", "small"), 0, 1), node("s3", "a", "small")},
+         6,
+         "s3=1-2"},
+        {"a leaving endpoint is replaced by one whose layers another holds",
+         {holds(node("b1", "a", "big"), 0, 3), leaving(holds(node("s1", "a", "small"), 3, 4)),
+          holds(node("s2", "a", "small"), 0, 1)},
+         6,
+         "s2=3-4"},
+        {"by an empty one rather",
+         {holds(node("b1", "a", "big"), 0, 3), leaving(holds(node("s1", "a", "small"), 3, 4)),
+          holds(node("s2", "a", "small"), 0, 1), node("s3", "a", "small")},
+         6,
+         "s3=3-4"},
+        {"nobody is spare",
+         {holds(node("b1", "a", "big"), 0, 3), leaving(holds(node("s1", "a", "small"), 3, 4))},
+         6,
+         ""},
+        {"an endpoint that may not be ordered stays",
+         {holds(node("b1", "a", "big"), 0, 3), leaving(holds(node("s1", "a", "small"), 3, 4)),
+          busy(holds(node("s2", "a", "small"), 0, 1))},
+         6,
+         ""},
+        {"each domain for itself",
+         {node("b1", "a", "big"), node("b2", "b", "big")},
+         6,
+         "b1=0-3 b2=1-4"},
+        {"an unknown kind gets nothing", {node("u1", "a", "unknown")}, 6, ""},
+};
+
+struct RoomCase
+{
+    const char *name_;
+    std::vector<PlacementNode> nodes_;
+    std::uint32_t layersOfBig_;
+};
+
+std::ostream &operator<<(std::ostream &out, const RoomCase &test)
+{
+    return out << test.name_;
+}
+
+const RoomCase RoomCases[] = {
+        {"plenty of endpoints: room for all slots",
+         {node("b1", "a", "big"), node("b2", "a", "big"), node("b3", "a", "big")},
+         4},
+        {"few endpoints: more layers each", {node("b1", "a", "big")}, 8},
+        {"a domain that can't hold the model bounds nothing",
+         {node("b1", "a", "big"), node("b2", "a", "big"), node("b3", "a", "big"),
+          node("s1", "b", "small")},
+         4},
+};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(movesArePlanned, PlacementCases, test)
+{
+    BOOST_TEST(textOf(planPlacement(engineOfFixedRoom(), test.nodes_, test.limit_)) == test.moves_);
+}
+
+BOOST_DATA_TEST_CASE(roomFollowsTheFleet, RoomCases, test)
+{
+    const EngineSpec engine = engineOf(8);
+    const Tokens room = roomToKeep(engine, test.nodes_);
+    BOOST_TEST(layersBeside(engine, engine.kinds_.at({"big"}), room) == test.layersOfBig_);
+}
+
+BOOST_AUTO_TEST_CASE(plansKeepTheirPromises)
+{
+    BOOST_TEST(rc::check("moves fit, close gaps that can be closed and then end", [] {
+        const auto layers = *rc::gen::inRange<std::uint32_t>(1, 13);
+        const EngineSpec engine = engineOf(layers);
+        std::vector<PlacementNode> nodes;
+        const auto count = *rc::gen::inRange(0, 10);
+        for (int i = 0; i < count; ++i) {
+            PlacementNode made
+                    = node(("n" + std::to_string(i)).c_str(), *rc::gen::element("a", "b"),
+                           *rc::gen::element("big", "small"));
+            if (*rc::gen::inRange(0, 2) == 1) {
+                const auto first = *rc::gen::inRange<std::uint32_t>(0, layers);
+                made = holds(made, first, *rc::gen::inRange(first + 1, layers + 1));
+            }
+            made.counts_ = made.orderable_ = *rc::gen::inRange(0, 5) > 0;
+            nodes.push_back(made);
+        }
+        const auto moves = planPlacement(engine, nodes, 100);
+        std::map<EndpointId, int> moved;
+        std::vector<PlacementNode> after = nodes;
+        for (const PlacementMove &move : moves) {
+            RC_ASSERT(++moved[move.endpoint_] == 1);
+            for (PlacementNode &entry : after) {
+                if (entry.endpoint_ != move.endpoint_)
+                    continue;
+                RC_ASSERT(entry.orderable_);
+                const std::uint32_t size = move.layers_.end_.value_ - move.layers_.first_.value_;
+                const double room = requestRoom(engine, engine.kinds_.at(entry.kind_), size);
+                RC_ASSERT(room > 0);
+                RC_ASSERT(move.layers_.end_.value_ <= layers);
+                entry.layers_ = move.layers_;
+            }
+        }
+        // No layer that a domain had is lost by a move, and what is carried out needs no more
+        // moves.
+        for (const char *domain : {"a", "b"}) {
+            for (std::uint32_t layer = 0; layer < layers; ++layer) {
+                const auto covered = [&](const std::vector<PlacementNode> &fleet) {
+                    return std::any_of(fleet.begin(), fleet.end(), [&](const auto &entry) {
+                        return entry.domain_.value_ == domain && entry.counts_ && entry.layers_
+                               && entry.layers_->first_.value_ <= layer
+                               && layer < entry.layers_->end_.value_;
+                    });
+                };
+                RC_ASSERT(!covered(nodes) || covered(after));
+            }
+        }
+    }));
+}
