Pipes are shared, silent streams are asked after, loads outlive a holder

Change: - Paths cross in mid-path only within a share of the pipes' rate, and at a higher cost; a whole request goes to another domain rather. - A stream that is silent for 400 ms has its endpoints asked. It moves when one of them is down, or after 1.5 s, and only if the retry budget allows it; else it is waited for. - Digests carry the loads that a holder has begun; the next one leaves those endpoints alone until they should be over.

--- a/src/controllers/internal/placing.cpp
+++ b/src/controllers/internal/placing.cpp
@@ -9,6 +9,9 @@
 namespace detail {
 namespace {
 
+//! Time beyond a load's own after which another holder of the lease need not wait for it.
+constexpr Duration LoadSlack = std::chrono::milliseconds(1500);
+
 std::string rangeName(const LayerRange &layers)
 {
     return std::to_string(layers.first_.value_) + "-" + std::to_string(layers.end_.value_);
@@ -50,6 +53,12 @@
             node.orderable_ = node.orderable_ && !isUnderWay(step->second)
                               && now >= step->second.restUntil_;
         }
+        const auto move = state.announced_.find(id);
+        if (move != state.announced_.end() && now < move->second.until_
+            && (step == state.steps_.end() || !isUnderWay(step->second))) {
+            node.layers_ = move->second.layers_;
+            node.orderable_ = false;
+        }
         nodes.push_back(std::move(node));
     }
     return nodes;
@@ -162,7 +171,27 @@
 
 void stopPlacing(PlacingState &state)
 {
-    state.steps_.clear();
+    std::erase_if(state.steps_, [](const auto &entry) {
+        return entry.second.phase_ != PlacingPhase::Loading
+               && entry.second.phase_ != PlacingPhase::Ordering;
+    });
+}
+
+std::vector<MoveReport> movesUnderWay(const PlacingState &state, TimePoint now)
+{
+    std::vector<MoveReport> moves;
+    for (const auto &[endpoint, step] : state.steps_) {
+        if (step.phase_ == PlacingPhase::Loading && now < step.endsBy_)
+            moves.push_back({endpoint, step.goal_, step.endsBy_ - now});
+    }
+    return moves;
+}
+
+void announceMoves(PlacingState &state, const std::vector<MoveReport> &moves, TimePoint now)
+{
+    std::erase_if(state.announced_, [&](const auto &entry) { return now >= entry.second.until_; });
+    for (const MoveReport &move : moves)
+        state.announced_[move.endpoint_] = {move.layers_, now + move.left_};
 }
 
 void onEndpointReport(PlacingState &state, const EndpointId &endpoint,
@@ -209,6 +238,7 @@
         return detail::rest(state, step, now);
     step.phase_ = PlacingPhase::Loading;
     step.since_ = now;
+    step.endsBy_ = now + detail::loadTime(engine, step.goal_) + detail::LoadSlack;
     step.dueAt_ = outcome == OrderOutcome::Holds ? now
                                                  : now + detail::loadTime(engine, step.goal_) / 10;
 }
--- a/src/controllers/placing.h
+++ b/src/controllers/placing.h
@@ -9,6 +9,7 @@
 #include "controllers/endpointlist.h"
 #include "controllers/probes.h"
 #include "core/logline.h"
+#include "core/messages.h"
 #include "core/routes.h"
 
 namespace gypsumcroft {
@@ -73,13 +74,23 @@
     TimePoint since_;
     //! When the load should be over.
     TimePoint dueAt_;
+    //! When it is over unless something went wrong.
+    TimePoint endsBy_;
     TimePoint restUntil_;
 };
 
+//! A load that another holder of the lease has begun.
+struct AnnouncedMove
+{
+    LayerRange layers_;
+    TimePoint until_;
+};
+
 struct PlacingState
 {
     PlacingLimits limits_;
     std::map<EndpointId, PlacingStep> steps_;
+    std::map<EndpointId, AnnouncedMove> announced_;
     TimePoint plannedAt_;
     std::vector<PlacingEffect> effects_;
 };
@@ -89,9 +100,15 @@
 void tickPlacing(PlacingState &state, const EngineSpec &engine, const TargetName &target,
                  const EndpointListState &list, const std::set<EndpointId> &lost, TimePoint now);
 
-//! Forgets all steps: another process holds the lease now.
+//! Another process holds the lease now: what has not been ordered yet is forgotten.
 void stopPlacing(PlacingState &state);
 
+//! Loads that this process has begun, for the holders after it.
+std::vector<MoveReport> movesUnderWay(const PlacingState &state, TimePoint now);
+
+//! Another process has begun loads. Its endpoints are left alone until they should be over.
+void announceMoves(PlacingState &state, const std::vector<MoveReport> &moves, TimePoint now);
+
 void onEndpointReport(PlacingState &state, const EndpointId &endpoint,
                       const std::optional<EndpointReportFacts> &report, TimePoint now);
 
--- a/src/controllers/tests/tst_placing.cpp
+++ b/src/controllers/tests/tst_placing.cpp
@@ -175,3 +175,44 @@
         BOOST_TEST(takeText(state) == step.effects_, "at " << step.atMs_ << " ms");
     }
 }
+
+namespace {
+
+struct HandoverCase
+{
+    const char *name_;
+    int takenOverMs_;
+    const char *effects_;
+};
+
+std::ostream &operator<<(std::ostream &out, const HandoverCase &test)
+{
+    return out << test.name_;
+}
+
+// The old holder ordered x to hold 0-2 at 100 ms; the load takes 2 s. y holds 2-4.
+const HandoverCase HandoverCases[] = {
+        {"a load under way is waited for", 1000, ""},
+        {"but not for ever", 3700, "ask x "},
+};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(theNextHolderKnowsLoadsUnderWay, HandoverCases, test)
+{
+    EndpointListState list;
+    applyEndpointList(list, {listed("x"), listed("y", range(2, 4))}, at(0), at(0));
+    PlacingState before;
+    before.plannedAt_ = at(-1000);
+    tickPlacing(before, engine(), {"model"}, list, {}, at(0));
+    onEndpointReport(before, {"x"}, EndpointReportFacts {}, at(5));
+    tickPlacing(before, engine(), {"model"}, list, {}, at(100));
+    onOrderOutcome(before, engine(), {"x"}, OrderOutcome::Begun, at(105));
+    PlacingState after;
+    after.plannedAt_ = at(-1000);
+    announceMoves(after, movesUnderWay(before, at(200)), at(200));
+    tickPlacing(after, engine(), {"model"}, list, {}, at(test.takenOverMs_));
+    BOOST_TEST(takeText(after) == test.effects_);
+    stopPlacing(before);
+    BOOST_TEST(movesUnderWay(before, at(200)).size() == 1U);
+}
--- a/src/core/messages.h
+++ b/src/core/messages.h
@@ -313,6 +313,15 @@
     Duration age_ {};
 };
 
+//! Layers that an endpoint is loading after an order of the sender.
+struct MoveReport
+{
+    EndpointId endpoint_;
+    LayerRange layers_;
+    //! Time in which the load should be over.
+    Duration left_ {};
+};
+
 //! UDP, gateway to gateways.
 struct GatewayDigestMessage
 {
@@ -322,6 +331,7 @@
     std::uint64_t sequence_ = 0;
     std::vector<EndpointShare> shares_;
     std::vector<HeldLayersReport> held_;
+    std::vector<MoveReport> moves_;
     //! Endpoints that did not answer.
     std::vector<EndpointId> down_;
 };
--- a/src/filters/gatewaystate.h
+++ b/src/filters/gatewaystate.h
@@ -17,6 +17,7 @@
 #include "policy/fairqueue.h"
 #include "policy/nextstep.h"
 #include "policy/pathplan.h"
+#include "policy/pipeshare.h"
 #include "policy/retry.h"
 #include "policy/retryshare.h"
 
@@ -155,6 +156,8 @@
     LayerPath path_;
     TimePoint sentAt_;
     TimePoint lastNews_;
+    //! Its endpoints were asked since the last news.
+    bool doubted_ = false;
     bool answering_ = false;
     //! Time that each endpoint of the path needs to read the prompt; empty once it is read.
     std::vector<Duration> reading_;
@@ -229,10 +232,11 @@
     double queuePatience_ = 3.2;
     //! A request that has waited for this part of its latency target can't be in time any more.
     double lateAfter_ = 0.75;
-    //! A stream without an event for so long is given up and goes on elsewhere.
-    Duration silence_ = std::chrono::milliseconds(900);
-    //! The first event is waited for so many times the latency target.
-    double firstEventPatience_ = 3;
+    //! A stream without an event for so long has its endpoints asked whether they are there.
+    Duration doubtAfter_ = std::chrono::milliseconds(400);
+    //! A stream without an event for so long goes on elsewhere though its endpoints answer: callers
+    //! leave after two seconds.
+    Duration silence_ = std::chrono::milliseconds(1500);
     //! Endpoints of a path may be filled up to this part of their room by this entry's own count.
     double maxFill_ = 1.0;
     Duration retryAfter_ = std::chrono::milliseconds(400);
@@ -251,6 +255,7 @@
     std::map<TargetName, TargetQueues> queues_;
     std::unordered_map<EndpointId, EndpointUse> uses_;
     std::map<TargetName, RetryShare> retryShares_;
+    std::map<TargetName, PipeShare> pipeShares_;
     std::uint64_t nextSend_ = 1;
     GatewayCounters counters_;
     std::vector<GatewayEffect> effects_;
--- a/src/filters/internal/gatewayfilters.cpp
+++ b/src/filters/internal/gatewayfilters.cpp
@@ -160,7 +160,10 @@
 {
     // An answer takes its room token by token: half of it on average.
     const PathDemand demand {
-            view.domain_, context.request_.prompt_, {context.request_.answer_.value_ / 2}};
+            view.domain_,
+            context.request_.prompt_,
+            {context.request_.answer_.value_ / 2},
+            mayCross(state.pipeShares_[context.target_], engine, view.entries_, now)};
     return planPath(engine, pathNodes(context, view, engine, state, now), demand);
 }
 
@@ -197,7 +200,7 @@
     if (!choice)
         return refuseGateway(GatewayRefusal::NoEndpoint);
     const ListedEndpoint &listed = view.endpoints_->endpoints_[choice->index_];
-    context.plan_ = PlannedPath {{{listed.id_, listed.address_, {}}}, {}, 0};
+    context.plan_ = PlannedPath {{{listed.id_, listed.address_, {}}}, {}, 0, 0};
     return proceedGateway();
 }
 
@@ -274,8 +277,11 @@
     send.sentAt_ = send.lastNews_ = now;
     send.tokens_ = {context.request_.prompt_.value_ + context.request_.answer_.value_ / 2};
     holdEndpoints(send, state, 1);
-    if (engine != nullptr)
+    if (engine != nullptr) {
         holdReading(context, send, view, *engine, state);
+        chargeCrossings(state.pipeShares_[context.target_], *engine, context.plan_->crossings_,
+                        {context.request_.prompt_.value_ + context.request_.answer_.value_});
+    }
     ++context.sends_;
     ++state.counters_.sends_;
     state.sends_[send.id_] = context.request_.exchange_;
--- a/src/gateway/internal/control.cpp
+++ b/src/gateway/internal/control.cpp
@@ -80,13 +80,18 @@
     SendDigest send;
     send.to_ = digestTargets(state.peers_, state.address_);
     const auto down = downEndpoints(state.probes_);
-    send.digest_ = {state.self_,
-                    state.address_,
-                    state.incarnation_,
-                    ++state.digestSequence_,
-                    state.ownShares_,
-                    recentReports(state, now),
-                    {down.begin(), down.end()}};
+    GatewayDigestMessage &digest = send.digest_;
+    digest.instance_ = state.self_;
+    digest.gateway_ = state.address_;
+    digest.incarnation_ = state.incarnation_;
+    digest.sequence_ = ++state.digestSequence_;
+    digest.shares_ = state.ownShares_;
+    digest.held_ = recentReports(state, now);
+    digest.down_ = {down.begin(), down.end()};
+    for (const auto &[target, placing] : state.placing_) {
+        const auto moves = movesUnderWay(placing, now);
+        digest.moves_.insert(digest.moves_.end(), moves.begin(), moves.end());
+    }
     state.effects_.emplace_back(std::move(send));
 }
 
@@ -244,6 +249,7 @@
 {
     const std::vector<HeldLayersReport> held = digest.held_;
     const std::vector<EndpointId> down = digest.down_;
+    const std::vector<MoveReport> moves = digest.moves_;
     if (!applyDigest(state.peers_, std::move(digest), now))
         return;
     state.viewStale_ = true;
@@ -256,6 +262,10 @@
     }
     for (const EndpointId &endpoint : down)
         onEndpointDoubt(state, endpoint, now);
+    for (const MoveReport &move : moves) {
+        if (const TargetSpec *target = detail::modelOf(state, move.endpoint_))
+            announceMoves(state.placing_[target->name_], {move}, now);
+    }
     detail::takeLog(state, state.endpoints_.log_);
     if (changed)
         detail::listChanged(state);
--- a/src/gateway/internal/traffic.cpp
+++ b/src/gateway/internal/traffic.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <charconv>
 #include <limits>
+#include <utility>
 
 #include "filters/gatewayfilters.h"
 
@@ -123,6 +124,13 @@
     }
 }
 
+bool budgetLeft(GatewayTraffic &state, const GatewayView &view, const Context &context,
+                TimePoint now)
+{
+    const RetryShareLimits limits {view.retryRatio_, view.retrySlack_, view.retryWindow_};
+    return mayRetry(state.retryShares_[context.target_], limits, view.entries_, now);
+}
+
 bool takeBudget(GatewayTraffic &state, const GatewayView &view, const Context &context,
                 TimePoint now)
 {
@@ -254,29 +262,48 @@
     enqueue(context, state, false);
 }
 
-//! A stream that brings nothing, though it may go on elsewhere.
-bool isSilent(const GatewayTraffic &state, const Context &context, TimePoint now)
+//! True for a stream that may go on elsewhere.
+bool mayMove(const Context &context)
 {
-    if (!context.send_ || !context.route_.stream_ || context.route_.repeat_ == RepeatRule::Never)
-        return false;
-    if (context.runs_ + 1 >= context.route_.maxAttempts_)
-        return false;
-    const Duration quiet = now - context.send_->lastNews_;
-    if (context.send_->reading_.empty())
-        return quiet > state.limits_.silence_;
-    const double patience = state.limits_.firstEventPatience_
-                            * static_cast<double>(context.route_.latencyTarget_.count());
-    return quiet > Duration(static_cast<std::int64_t>(patience));
+    return context.send_ && context.route_.stream_ && context.route_.repeat_ != RepeatRule::Never
+           && context.runs_ + 1 < context.route_.maxAttempts_;
 }
 
-void onSilence(GatewayTraffic &state, const GatewayView &view, Context &context, TimePoint now)
+bool hasEndpointDown(const Context &context, const GatewayView &view)
 {
-    for (const PathPart &part : context.send_->path_) {
+    const LayerPath &path = context.send_->path_;
+    return std::any_of(path.begin(), path.end(),
+                       [&](const PathPart &part) { return view.down_.contains(part.endpoint_); });
+}
+
+//! Gives the send up and goes on elsewhere, if the budget allows it; else it is waited for.
+void moveStream(GatewayTraffic &state, const GatewayView &view, Context &context,
+                const char *reason, TimePoint now)
+{
+    if (!budgetLeft(state, view, context, now))
+        return;
+    for (const PathPart &part : context.send_->path_)
         context.failed_.insert(part.endpoint_);
-        emit(state, EndpointDoubt {part.endpoint_});
-    }
     emit(state, CancelSend {context.send_->id_});
-    afterSend(state, view, context, AttemptEnding::Unknown, "silent", now);
+    afterSend(state, view, context, AttemptEnding::Unknown, reason, now);
+}
+
+//! Asks the endpoints of a stream that has fallen silent, and moves it if one of them is down.
+void watchStream(GatewayTraffic &state, const GatewayView &view, Context &context, TimePoint now)
+{
+    const Duration quiet = now - context.send_->lastNews_;
+    if (quiet <= state.limits_.doubtAfter_)
+        return;
+    if (!std::exchange(context.send_->doubted_, true)) {
+        for (const PathPart &part : context.send_->path_)
+            emit(state, EndpointDoubt {part.endpoint_});
+    }
+    if (!mayMove(context))
+        return;
+    if (hasEndpointDown(context, view))
+        moveStream(state, view, context, "endpoint down", now);
+    else if (quiet > state.limits_.silence_)
+        moveStream(state, view, context, "silent", now);
 }
 
 } // namespace
@@ -331,6 +358,7 @@
     if (context == nullptr)
         return;
     context->send_->lastNews_ = now;
+    context->send_->doubted_ = false;
     if (!context->send_->reading_.empty()) {
         releaseReading(*context, state);
         detail::praise(state, *context);
@@ -407,8 +435,8 @@
             detail::onQueuePatienceOver(state, context, now);
         else if (!context.late_ && detail::hasWaited(context, state.limits_.lateAfter_, now))
             detail::putBack(state, context);
-        else if (detail::isSilent(state, context, now))
-            detail::onSilence(state, view, context, now);
+        else if (context.send_ && context.route_.stream_)
+            detail::watchStream(state, view, context, now);
     }
     detail::pump(state, view, now);
 }
--- a/src/policy/internal/pathplan.cpp
+++ b/src/policy/internal/pathplan.cpp
@@ -16,7 +16,7 @@
 //! Fixed cost of one more hop, in ms.
 constexpr double HopMs = 0.3;
 //! Extra cost of handing activations to another failure domain, in ms: pipes are shared and priced.
-constexpr double CrossingMs = 25;
+constexpr double CrossingMs = 200;
 //! Cost of a full endpoint in ms; it grows with the square of the fill and steeply beyond it.
 constexpr double FillMs = 60;
 constexpr double OverfillMs = 2000;
@@ -127,6 +127,9 @@
         const PathNode &node = search.nodes_[n];
         if (node.layers_.first_.value_ > layer || node.layers_.end_.value_ <= layer)
             continue;
+        if (before != nullptr && !search.demand_.mayCross_
+            && search.nodes_[before->node_].domain_ != node.domain_)
+            continue;
         if (before != nullptr && (before->parts_ >= MaxParts || contains(*before, n)))
             continue;
         const double hop = before == nullptr
@@ -157,6 +160,8 @@
     std::uint32_t end = search.engine_.layers_;
     for (const Arrival *part = &last; part != nullptr; part = part->before_) {
         const PathNode &node = search.nodes_[part->node_];
+        if (part->before_ != nullptr && search.nodes_[part->before_->node_].domain_ != node.domain_)
+            ++planned.crossings_;
         planned.path_.push_back({node.endpoint_, node.address_, {{part->from_}, {end}}});
         end = part->from_;
     }
--- /dev/null
+++ b/src/policy/internal/pipeshare.cpp
@@ -0,0 +1,39 @@
+#include "policy/pipeshare.h"
+
+#include <algorithm>
+
+namespace gypsumcroft {
+
+namespace detail {
+namespace {
+
+//! Part of the pipes that is used: transfers queue one behind another, and a fuller pipe makes
+//! every token wait.
+constexpr double UsedPart = 0.4;
+//! The share that may gather, as time of its rate.
+constexpr double BurstSeconds = 1;
+constexpr double MicrosecondsPerSecond = 1e6;
+
+} // namespace
+} // namespace detail
+
+bool mayCross(PipeShare &share, const EngineSpec &engine, std::uint32_t entries, TimePoint now)
+{
+    if (engine.pipeBytesPerSecond_ <= 0)
+        return true;
+    const double rate = engine.pipeBytesPerSecond_ * detail::UsedPart / std::max(1U, entries);
+    const double seconds
+            = static_cast<double>((now - share.filledAt_).count()) / detail::MicrosecondsPerSecond;
+    share.bytes_ = std::min(rate * detail::BurstSeconds, share.bytes_ + rate * seconds);
+    share.filledAt_ = now;
+    return share.bytes_ > 0;
+}
+
+void chargeCrossings(PipeShare &share, const EngineSpec &engine, std::uint32_t crossings,
+                     Tokens tokens)
+{
+    share.bytes_ -= static_cast<double>(engine.activationBytes_.value_) * crossings
+                    * static_cast<double>(tokens.value_);
+}
+
+} // namespace gypsumcroft
--- a/src/policy/internal/retryshare.cpp
+++ b/src/policy/internal/retryshare.cpp
@@ -40,8 +40,8 @@
     ++share.requests_[detail::indexOf(share)];
 }
 
-bool takeRetry(RetryShare &share, const RetryShareLimits &limits, std::uint32_t entries,
-               TimePoint now)
+bool mayRetry(RetryShare &share, const RetryShareLimits &limits, std::uint32_t entries,
+              TimePoint now)
 {
     detail::advance(share, limits, now);
     const auto sum = [](const auto &counts) {
@@ -51,7 +51,13 @@
     const double allowed
             = detail::UsedPart
               * (limits.ratio_ * sum(share.requests_) + limits.slack_ / std::max(1U, entries));
-    if (sum(share.retries_) + 1 > allowed)
+    return sum(share.retries_) + 1 <= allowed;
+}
+
+bool takeRetry(RetryShare &share, const RetryShareLimits &limits, std::uint32_t entries,
+               TimePoint now)
+{
+    if (!mayRetry(share, limits, entries, now))
         return false;
     ++share.retries_[detail::indexOf(share)];
     return true;
--- a/src/policy/pathplan.h
+++ b/src/policy/pathplan.h
@@ -34,6 +34,8 @@
     FailureDomainId from_;
     Tokens prompt_;
     Tokens answer_;
+    //! The path may hand activations from one failure domain to another.
+    bool mayCross_ = true;
 };
 
 struct PlannedPath
@@ -42,6 +44,8 @@
     Duration cost_ {};
     //! Greatest share of an endpoint's room that is taken with this request.
     double fill_ = 0;
+    //! Hops from one failure domain to another.
+    std::uint32_t crossings_ = 0;
 };
 
 //! The cheapest path that runs every layer once and in order; nothing if some layer is held
--- a/src/policy/retryshare.h
+++ b/src/policy/retryshare.h
@@ -30,6 +30,10 @@
 
 void countRequest(RetryShare &share, const RetryShareLimits &limits, TimePoint now);
 
+//! True while this entry's part of the budget has room for a retry.
+bool mayRetry(RetryShare &share, const RetryShareLimits &limits, std::uint32_t entries,
+              TimePoint now);
+
 //! Counts a retry and returns true if this entry's part of the budget allows it.
 bool takeRetry(RetryShare &share, const RetryShareLimits &limits, std::uint32_t entries,
                TimePoint now);
--- a/src/wire/internal/codec.cpp
+++ b/src/wire/internal/codec.cpp
@@ -162,11 +162,17 @@
     archive(held.endpoint_, held.holds_, held.layers_, held.born_, held.age_);
 }
 
+template <typename Archive>
+void serialize(Archive &archive, MoveReport &move)
+{
+    archive(move.endpoint_, move.layers_, move.left_);
+}
+
 template <typename Archive>
 void serialize(Archive &archive, GatewayDigestMessage &digest)
 {
     archive(digest.instance_, digest.gateway_, digest.incarnation_, digest.sequence_,
-            digest.shares_, digest.held_, digest.down_);
+            digest.shares_, digest.held_, digest.moves_, digest.down_);
 }
 
 template <typename Archive>
