Requests wait while much is to be read before them; HTTP and adapter tables

And first events took 350 to 900 ms at full load though later events came every 110 ms (new fields of the line "answered"): prompts waited to be read.

Change: a gateway counts what it has taken since its last digest once more for every other gateway. A request is sent only while the reading before it is a small part of its latency target, less for lower ranks. The line "answered" tells when the request was sent, its first event and longest pause.

--- a/src/controllers/gatewayview.h
+++ b/src/controllers/gatewayview.h
@@ -40,6 +40,8 @@
     std::shared_ptr<const EndpointIndex> endpoints_ = std::make_shared<EndpointIndex>();
     //! What other gateways' requests hold of the endpoints.
     std::shared_ptr<const EndpointShares> others_ = std::make_shared<EndpointShares>();
+    //! What this gateway's requests held when it told the others last.
+    std::shared_ptr<const EndpointShares> toldShares_ = std::make_shared<EndpointShares>();
     //! Endpoints that did not answer when they were asked.
     std::set<EndpointId> down_;
     std::optional<TimePoint> confirmedAt_;
--- a/src/filters/gatewaystate.h
+++ b/src/filters/gatewaystate.h
@@ -1,6 +1,7 @@
 //! State of a gateway's traffic: requests in hand, their attempts, the queues, endpoints in use.
 #pragma once
 
+#include <array>
 #include <map>
 #include <optional>
 #include <string>
@@ -184,6 +185,10 @@
     std::uint32_t runs_ = 0;
     bool mayHaveRun_ = false;
     bool streamBegun_ = false;
+    //! When the first event came, and the longest pause after it.
+    TimePoint firstEventAt_;
+    TimePoint lastEventAt_;
+    Duration longestPause_ {};
     std::optional<EventId> lastEvent_;
     std::unordered_set<EndpointId> failed_;
     std::optional<PlannedPath> plan_;
@@ -239,6 +244,9 @@
     Duration silence_ = std::chrono::milliseconds(1500);
     //! Endpoints of a path may be filled up to this part of their room by this entry's own count.
     double maxFill_ = 1.0;
+    //! A request is sent while at most this part of its latency target is to be read before it, by
+    //! rank: the reading that is left over is kept for more urgent ones.
+    std::array<double, RankCount> maxReading_ = {0.1, 0.08, 0.03};
     Duration retryAfter_ = std::chrono::milliseconds(400);
     //! A told load is believed for this time.
     Duration toldLoadAge_ = std::chrono::milliseconds(300);
--- a/src/filters/internal/gatewayfilters.cpp
+++ b/src/filters/internal/gatewayfilters.cpp
@@ -121,6 +121,15 @@
     return found == view.others_->end() ? EndpointShare {} : found->second;
 }
 
+//! What the other gateways have probably taken since they told: as much as this one each. They see
+//! the same free room at the same time.
+double unseenGrowth(const GatewayView &view, const EndpointId &endpoint, const EndpointShare &own)
+{
+    const auto told = view.toldShares_->find(endpoint);
+    const double before = told == view.toldShares_->end() ? 0 : told->second.tokenLayers_;
+    return std::max(0.0, own.tokenLayers_ - before) * (view.entries_ - 1);
+}
+
 //! Ready as far as the list and the endpoint itself say.
 bool isUsable(const GatewayView &view, const ListedEndpoint &listed)
 {
@@ -148,7 +157,8 @@
         node.streams_ = use.share_.streams_ + others.streams_;
         node.room_ = requestRoom(engine, kind->second,
                                  listed.layers_->end_.value_ - listed.layers_->first_.value_);
-        node.taken_ = use.share_.tokenLayers_ + others.tokenLayers_;
+        node.taken_ = use.share_.tokenLayers_ + others.tokenLayers_
+                      + unseenGrowth(view, listed.id_, use.share_);
         node.penalty_ = penaltyOf(context, listed.id_, use, now);
         nodes.push_back(std::move(node));
     }
@@ -333,6 +343,15 @@
     return queued;
 }
 
+//! Whether the planned path has room, and would begin to read the prompt soon enough.
+bool hasRoomOnPath(const GatewayContext &context, const GatewayLimits &limits)
+{
+    const double part = limits.maxReading_.at(static_cast<std::size_t>(rankOf(context.priority_)));
+    const double mostReading = part * static_cast<double>(context.route_.latencyTarget_.count());
+    return context.plan_->fill_ <= limits.maxFill_
+           && static_cast<double>(context.plan_->readingAhead_.count()) <= mostReading;
+}
+
 FairQueue &queueOf(const GatewayContext &context, GatewayTraffic &state)
 {
     const auto [queues, isNew] = state.queues_.try_emplace(context.target_);
@@ -369,7 +388,7 @@
     if (const EngineSpec *engine = detail::engineOf(context, view)) {
         context.plan_ = detail::planFor(context, view, *engine, state, now);
         context.plannedAt_ = now;
-        return context.plan_ && context.plan_->fill_ <= state.limits_.maxFill_;
+        return context.plan_ && detail::hasRoomOnPath(context, state.limits_);
     }
     const auto choice = detail::chooseService(context, view, state, now);
     return choice && choice->free_ + detail::WaitingAtService > 0;
--- a/src/gateway/control.h
+++ b/src/gateway/control.h
@@ -70,6 +70,7 @@
     ProbeState probes_;
     PeersState peers_;
     std::vector<EndpointShare> ownShares_;
+    std::shared_ptr<const EndpointShares> toldShares_ = std::make_shared<EndpointShares>();
     std::uint64_t digestSequence_ = 0;
     TimePoint digestAt_;
     TimePoint peersAskedAt_;
--- a/src/gateway/internal/control.cpp
+++ b/src/gateway/internal/control.cpp
@@ -86,6 +86,11 @@
     digest.incarnation_ = state.incarnation_;
     digest.sequence_ = ++state.digestSequence_;
     digest.shares_ = state.ownShares_;
+    auto told = std::make_shared<EndpointShares>();
+    for (const EndpointShare &share : state.ownShares_)
+        told->emplace(share.endpoint_, share);
+    state.toldShares_ = std::move(told);
+    state.viewStale_ = true;
     digest.held_ = recentReports(state, now);
     digest.down_ = {down.begin(), down.end()};
     for (const auto &[target, placing] : state.placing_) {
@@ -295,6 +300,7 @@
     view.table_ = state.routes_.table_;
     view.endpoints_ = state.index_;
     view.others_ = sharesOfPeers(state.peers_);
+    view.toldShares_ = state.toldShares_;
     view.down_ = downEndpoints(state.probes_);
     view.confirmedAt_ = state.routes_.confirmedAt_;
     view.freshness_ = state.bounds_.freshness_;
--- a/src/gateway/internal/traffic.cpp
+++ b/src/gateway/internal/traffic.cpp
@@ -227,6 +227,17 @@
     return &state.requests_.at(found->second);
 }
 
+void logAnswered(GatewayTraffic &state, const Context &context, TimePoint now)
+{
+    LogLine line = requestLine("answered", context, now);
+    line.add("endpoint", context.send_->endpoint_)
+            .add("sent_ms", context.send_->sentAt_ - context.arrivedAt_);
+    if (context.streamBegun_)
+        line.add("first_event_ms", context.firstEventAt_ - context.arrivedAt_)
+                .add("longest_pause_ms", context.longestPause_);
+    emit(state, logEvent(LogLevel::Info, line));
+}
+
 void onDeadline(GatewayTraffic &state, Context &context, TimePoint now)
 {
     const bool sent = context.send_.has_value();
@@ -357,6 +368,9 @@
     GatewayContext *context = detail::contextOf(state, send);
     if (context == nullptr)
         return;
+    if (context->streamBegun_)
+        context->longestPause_ = std::max(context->longestPause_, now - context->lastEventAt_);
+    context->lastEventAt_ = now;
     context->send_->lastNews_ = now;
     context->send_->doubted_ = false;
     if (!context->send_->reading_.empty()) {
@@ -367,6 +381,7 @@
         context->lastEvent_ = last;
     if (!context->streamBegun_) {
         context->streamBegun_ = true;
+        context->firstEventAt_ = now;
         detail::emit(state, BeginStream {context->request_.exchange_, send});
     }
     detail::emit(state, PassEvents {context->request_.exchange_, send});
@@ -392,9 +407,7 @@
     } else {
         detail::praise(state, *context);
         ++state.counters_.answered_;
-        detail::emit(state,
-                     logEvent(LogLevel::Info, detail::requestLine("answered", *context, now)
-                                                      .add("endpoint", context->send_->endpoint_)));
+        detail::logAnswered(state, *context, now);
         if (context->streamBegun_)
             detail::emit(state, FinishStream {context->request_.exchange_});
         else
--- /dev/null
+++ b/src/http/tests/tst_relay.cpp
@@ -0,0 +1,303 @@
+#include <chrono>
+#include <functional>
+#include <thread>
+
+#include <boost/asio.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "http/eventsplitter.h"
+#include "http/relayclient.h"
+#include "http/relayserver.h"
+
+using namespace gypsumcroft;
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+struct SplitCase
+{
+    const char *name_;
+    std::vector<const char *> reads_;
+    const char *whole_;
+    const char *partial_;
+    std::uint64_t lastId_;
+    std::uint32_t count_;
+};
+
+std::ostream &operator<<(std::ostream &out, const SplitCase &test)
+{
+    return out << test.name_;
+}
+
+const SplitCase SplitCases[] = {
+        {"nothing", {}, "", "", 0, 0},
+        {"one event", {"id: 1\ndata: a\n\n"}, "id: 1\ndata: a\n\n", "", 1, 1},
+        {"an event in three reads", {"id: 1\nda", "ta: a\n", "\n"}, "id: 1\ndata: a\n\n", "", 1, 1},
+        {"two events and a part",
+         {"id: 1\n\nid: 2\n\nid: 3\n"},
+         "id: 1\n\nid: 2\n\n",
+         "id: 3\n",
+         2,
+         2},
+        {"carriage returns",
+         {"id: 4\r\ndata: x\r", "\n\r", "\n"},
+         "id: 4\r\ndata: x\r\n\r\n",
+         "",
+         4,
+         1},
+        {"without an id", {"data: x\n\n"}, "data: x\n\n", "", 0, 1},
+        {"no space behind the colon", {"id:9\n\n"}, "id:9\n\n", "", 9, 1},
+        {"a broken event is never whole", {"id: 1\ndata: a"}, "", "id: 1\ndata: a", 0, 0},
+};
+
+//! What a server writes on a connection, and what the client makes of it.
+struct AnswerCase
+{
+    const char *name_;
+    std::string bytes_;
+    //! Reset the connection instead of closing it.
+    bool reset_;
+    const char *seen_;
+};
+
+std::ostream &operator<<(std::ostream &out, const AnswerCase &test)
+{
+    return out << test.name_;
+}
+
+const std::string Own = "X-Id: me\r\n";
+
+const AnswerCase AnswerCases[] = {
+        {"a whole answer", "HTTP/1.1 200 OK\r\n" + Own + "Content-Length: 2\r\n\r\nok", false,
+         "200 ok done"},
+        {"chunks",
+         "HTTP/1.1 200 OK\r\n" + Own + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+         false, "200 ok done"},
+        {"chunks without an end",
+         "HTTP/1.1 200 OK\r\n" + Own + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n", false,
+         "200 ok broken"},
+        {"cut short", "HTTP/1.1 200 OK\r\n" + Own + "Content-Length: 5\r\n\r\nok", false,
+         "200 ok broken"},
+        {"no length, ends with the connection", "HTTP/1.1 200 OK\r\n" + Own + "\r\nok", false,
+         "200 ok done"},
+        {"no length, reset on the way", "HTTP/1.1 200 OK\r\n" + Own + "\r\nok", true, "broken"},
+        {"no answer", "", false, "broken"},
+        {"bytes that are no answer", "what is this?\r\n\r\n", false, "garbled"},
+        {"an answer to another request comes first",
+         "HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 3\r\n\r\nbad"
+         "HTTP/1.1 200 OK\r\n"
+                 + Own + "Content-Length: 2\r\n\r\nok",
+         false, "200 ok done"},
+        {"only answers to other requests",
+         "HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 3\r\n\r\nbad", false, "broken"},
+        {"bytes behind a whole answer belong to nobody",
+         "HTTP/1.1 200 OK\r\n" + Own + "Content-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n", false,
+         "200 ok done"},
+        {"an interim answer",
+         "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n" + Own + "Content-Length: 2\r\n\r\nok",
+         false, "200 ok done"},
+};
+
+//! What a caller writes, and the beginning of each line of status that it gets.
+struct CallerCase
+{
+    const char *name_;
+    std::string bytes_;
+    const char *statuses_;
+};
+
+std::ostream &operator<<(std::ostream &out, const CallerCase &test)
+{
+    return out << test.name_;
+}
+
+const CallerCase CallerCases[] = {
+        {"one request", "GET /a HTTP/1.1\r\nHost: x\r\n\r\n", "200"},
+        {"two at once", "GET /a HTTP/1.1\r\nHost: x\r\n\r\nGET /b HTTP/1.1\r\nHost: x\r\n\r\n",
+         "200 200"},
+        {"a body with a length", "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabc",
+         "200"},
+        {"a body in chunks",
+         "POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+         "200"},
+        {"waits for leave to send the body",
+         "POST /a HTTP/1.1\r\nHost: x\r\nExpect: 100-continue\r\nContent-Length: 1\r\n\r\na",
+         "100 200"},
+        {"a body over the limit", "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 999\r\n\r\n",
+         "413"},
+        {"a header over the limit",
+         "GET /a HTTP/1.1\r\nHost: x\r\nX-Long: " + std::string(2000, 'y') + "\r\n\r\n", "431"},
+        {"no request", "hello there\r\n\r\n", "400"},
+        {"two lengths",
+         "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab", "400"},
+        {"a header that does not end", "GET /a HTTP/1.1\r\nHost: x\r\n", "408"},
+        {"a body that does not end", "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\nab",
+         "408"},
+};
+
+std::string statusesOf(const std::string &text)
+{
+    std::string statuses;
+    for (std::size_t at = text.find("HTTP/1.1 "); at != std::string::npos;
+         at = text.find("HTTP/1.1 ", at + 1))
+        statuses += (statuses.empty() ? "" : " ") + text.substr(at + 9, 3);
+    return statuses;
+}
+
+//! Runs until the condition holds; false if that takes longer than a test may.
+bool runUntil(asio::io_context &context, const std::function<bool()> &condition)
+{
+    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(10);
+    while (!condition() && std::chrono::steady_clock::now() < end)
+        context.run_one_for(std::chrono::milliseconds(50));
+    return condition();
+}
+
+//! Accepts one connection, reads a request, writes bytes and ends.
+struct OneAnswer
+{
+    OneAnswer(asio::io_context &context, const AnswerCase &test)
+        : acceptor_(context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)),
+          socket_(context)
+    {
+        acceptor_.async_accept(socket_, [this, &test](boost::system::error_code) {
+            socket_.async_read_some(
+                    asio::buffer(request_), [this, &test](boost::system::error_code, std::size_t) {
+                        boost::system::error_code ignored;
+                        asio::write(socket_, asio::buffer(test.bytes_), ignored);
+                        if (test.reset_)
+                            socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+                        socket_.close(ignored);
+                    });
+        });
+    }
+
+    tcp::acceptor acceptor_;
+    tcp::socket socket_;
+    char request_[4096];
+};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(eventsAreSplit, SplitCases, test)
+{
+    http::EventSplitter splitter;
+    std::string whole;
+    std::uint64_t last = 0;
+    std::uint32_t count = 0;
+    for (const char *read : test.reads_) {
+        const http::WholeEvents events = http::splitEvents(splitter, read);
+        whole += events.bytes_;
+        last = events.lastId_.value_or(last);
+        count += events.count_;
+    }
+    BOOST_TEST(whole == test.whole_);
+    BOOST_TEST(splitter.partial_ == test.partial_);
+    BOOST_TEST(last == test.lastId_);
+    BOOST_TEST(count == test.count_);
+}
+
+BOOST_DATA_TEST_CASE(answersAreJudged, AnswerCases, test)
+{
+    asio::io_context context;
+    OneAnswer server(context, test);
+    http::RelayClient client(context);
+    std::string head;
+    std::string body;
+    std::string end;
+    http::RelayCallRequest call;
+    call.to_ = {"127.0.0.1", server.acceptor_.local_endpoint().port()};
+    call.request_.method_ = "GET";
+    call.request_.target_ = "/";
+    call.echoHeader_ = "X-Id";
+    call.echoValue_ = "me";
+    http::RelayCallHandlers handlers;
+    handlers.onHead_
+            = [&](const http::RelayHead &got) { head = std::to_string(got.status_) + " "; };
+    handlers.onBody_ = [&](std::string_view bytes) { body += bytes; };
+    handlers.onDone_ = [&] { end = "done"; };
+    handlers.onFailed_ = [&](http::RelayFailure failure, const std::string &) {
+        static constexpr const char *Names[] = {"not-sent", "broken", "garbled"};
+        end = Names[static_cast<int>(failure)];
+    };
+    const auto handle = client.send(std::move(call), std::move(handlers));
+    BOOST_REQUIRE(runUntil(context, [&] { return !end.empty(); }));
+    // How much arrives before a reset is up to the network.
+    const std::string seen = test.reset_ ? end : head + body + (body.empty() ? "" : " ") + end;
+    BOOST_TEST(seen == test.seen_);
+}
+
+BOOST_AUTO_TEST_CASE(nobodyListens)
+{
+    asio::io_context context;
+    tcp::acceptor closed(context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+    const Address to {"127.0.0.1", closed.local_endpoint().port()};
+    closed.close();
+    http::RelayClient client(context);
+    std::optional<http::RelayFailure> failure;
+    http::RelayCallRequest call;
+    call.to_ = to;
+    call.request_.method_ = "GET";
+    call.request_.target_ = "/";
+    http::RelayCallHandlers handlers;
+    handlers.onFailed_ = [&](http::RelayFailure got, const std::string &) { failure = got; };
+    const auto handle = client.send(std::move(call), std::move(handlers));
+    BOOST_REQUIRE(runUntil(context, [&] { return failure.has_value(); }));
+    BOOST_TEST(static_cast<int>(*failure) == static_cast<int>(http::RelayFailure::NotSent));
+}
+
+BOOST_DATA_TEST_CASE(callersAreAnswered, CallerCases, test)
+{
+    asio::io_context context;
+    http::RelayServer server(context, [](const http::RelayRequest &,
+                                         const std::shared_ptr<http::RelayExchange> &exchange) {
+        exchange->answer({200, {}}, "ok");
+    });
+    http::RelayServerLimits limits;
+    limits.maxHeaderBytes_ = 1000;
+    limits.maxBodyBytes_ = 100;
+    limits.headerTimeout_ = limits.bodyTimeout_ = std::chrono::milliseconds(200);
+    limits.idleTimeout_ = std::chrono::milliseconds(400);
+    server.setLimits(limits);
+    const auto address = server.listen({"127.0.0.1", 0});
+    BOOST_REQUIRE_MESSAGE(address, address.lastReason_);
+    std::string answer;
+    std::jthread caller([&] {
+        asio::io_context own;
+        tcp::socket socket(own);
+        socket.connect({asio::ip::make_address(address->host_), address->port_});
+        boost::system::error_code error;
+        asio::write(socket, asio::buffer(test.bytes_), error);
+        asio::read(socket, asio::dynamic_buffer(answer), error);
+        asio::post(context, [&context] { context.stop(); });
+    });
+    context.run_for(std::chrono::seconds(10));
+    caller.join();
+    BOOST_TEST(statusesOf(answer) == test.statuses_);
+}
+
+// A caller that closes while its request is in hand is noticed, also behind a pipelined request.
+BOOST_AUTO_TEST_CASE(leavingIsNoticed)
+{
+    for (const std::string extra : {"", "GET /b HTTP/1.1\r\nHost: x\r\n\r\n"}) {
+        asio::io_context context;
+        std::shared_ptr<http::RelayExchange> held;
+        bool gone = false;
+        tcp::socket caller(context);
+        http::RelayServer server(context,
+                                 [&](const http::RelayRequest &,
+                                     const std::shared_ptr<http::RelayExchange> &exchange) {
+                                     held = exchange;
+                                     exchange->onGone([&] { gone = true; });
+                                     caller.close();
+                                 });
+        const auto address = server.listen({"127.0.0.1", 0});
+        BOOST_REQUIRE(address);
+        caller.connect({asio::ip::make_address(address->host_), address->port_});
+        asio::write(caller, asio::buffer("GET /a HTTP/1.1\r\nHost: x\r\n\r\n" + extra));
+        BOOST_TEST(runUntil(context, [&] { return gone; }));
+        held->answer({200, {}}, "late");
+    }
+}
--- /dev/null
+++ b/src/platform/tests/tst_platform.cpp
@@ -0,0 +1,276 @@
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "platform/documents.h"
+#include "platform/forwarding.h"
+
+using namespace gypsumcroft;
+using std::chrono::milliseconds;
+
+namespace {
+
+struct EntryCase
+{
+    const char *name_;
+    const char *text_;
+    //! Empty when the entry names no server to use.
+    const char *endpoint_;
+};
+
+std::ostream &operator<<(std::ostream &out, const EntryCase &test)
+{
+    return out << test.name_;
+}
+
+#define GC_ENTRY(MORE) \
+    R"({"Service":"m","Address":"10.0.0.1:80","Zone":"a","Slots":4,"State":"ready")" MORE "}"
+
+const EntryCase EntryCases[] = {
+        {"a plain server", GC_ENTRY(""), "m 10.0.0.1:80 a ready none"},
+        {"draining",
+         R"({"Service":"m","Address":"10.0.0.1:80","Zone":"a","Slots":4,"State":"draining"})",
+         "m 10.0.0.1:80 a draining none"},
+        {"with layers",
+         GC_ENTRY(
+                 R"(,"Kind":"k","Layers":{"From":2,"Target":9,"Version":1},"Models":[{"Name":"x","Version":1}])"),
+         "m 10.0.0.1:80 a ready 2-9"},
+        {"with no layers yet", GC_ENTRY(R"(,"Layers":{"From":0,"Target":0})"),
+         "m 10.0.0.1:80 a ready none"},
+        {"with members that are not known", GC_ENTRY(R"(,"New":[1,2])"),
+         "m 10.0.0.1:80 a ready none"},
+        {"no address", R"({"Service":"m","Zone":"a","Slots":4,"State":"ready"})", ""},
+        {"an address of another type",
+         R"({"Service":"m","Address":7,"Zone":"a","Slots":4,"State":"ready"})", ""},
+        {"an address that is none",
+         R"({"Service":"m","Address":"here","Zone":"a","Slots":4,"State":"ready"})", ""},
+        {"an unknown state",
+         R"({"Service":"m","Address":"10.0.0.1:80","Zone":"a","Slots":4,"State":"odd"})", ""},
+        {"a negative count",
+         R"({"Service":"m","Address":"10.0.0.1:80","Zone":"a","Slots":-4,"State":"ready"})", ""},
+        {"no object", R"(["m"])", ""},
+        {"bytes that can't be read", "\xff\x00{", ""},
+        {"nothing", "", ""},
+};
+
+std::string textOf(const ListedEndpoint &endpoint)
+{
+    std::string text = endpoint.target_.value_ + " " + endpoint.address_.host_ + ":"
+                       + std::to_string(endpoint.address_.port_) + " " + endpoint.domain_.value_
+                       + " " + (endpoint.state_ == ListedState::Ready ? "ready " : "draining ");
+    if (!endpoint.layers_)
+        return text + "none";
+    return text + std::to_string(endpoint.layers_->first_.value_) + "-"
+           + std::to_string(endpoint.layers_->end_.value_);
+}
+
+struct KindCase
+{
+    const char *kind_;
+    const char *resume_;
+    RepeatRule repeat_;
+    bool stream_;
+};
+
+std::ostream &operator<<(std::ostream &out, const KindCase &test)
+{
+    return out << test.kind_ << " " << test.resume_;
+}
+
+const KindCase KindCases[] = {
+        {"idempotent", "false", RepeatRule::Again, false},
+        {"non_idempotent", "false", RepeatRule::Never, false},
+        {"stream", "true", RepeatRule::Resume, true},
+        {"stream", "false", RepeatRule::Never, true},
+        {"something-new", "false", RepeatRule::Never, false},
+        {"idempotent", "true", RepeatRule::Again, false},
+};
+
+struct AnswerCase
+{
+    std::uint16_t status_;
+    http::HeaderList headers_;
+    bool success_;
+    bool notRun_;
+    int load_;
+};
+
+std::ostream &operator<<(std::ostream &out, const AnswerCase &test)
+{
+    return out << test.status_;
+}
+
+const AnswerCase AnswerCases[] = {
+        {200, {}, true, false, -1},
+        {204, {{"x-server-load", "3,2,8"}}, true, false, 5},
+        {421, {}, false, true, -1},
+        {503, {{"X-Not-Executed", "1"}}, false, true, -1},
+        {503, {}, false, false, -1},
+        {429, {{"X-Not-Executed", "1"}, {"X-Server-Load", "odd"}}, false, true, -1},
+        {500, {{"X-Server-Load", "1,x,3"}}, false, false, -1},
+};
+
+struct RefusalCase
+{
+    GatewayRefusal refusal_;
+    std::uint16_t status_;
+    bool retryAfter_;
+};
+
+std::ostream &operator<<(std::ostream &out, const RefusalCase &test)
+{
+    return out << gatewayRefusalName(test.refusal_);
+}
+
+// 503 says that the request has not run; 502 and 504 don't.
+const RefusalCase RefusalCases[] = {
+        {GatewayRefusal::Unready, 503, true},       {GatewayRefusal::Overloaded, 503, true},
+        {GatewayRefusal::NoEndpoint, 503, true},    {GatewayRefusal::UnknownRoute, 404, false},
+        {GatewayRefusal::Unauthorised, 401, false}, {GatewayRefusal::TimedOut, 504, false},
+        {GatewayRefusal::Failed, 502, false},
+};
+
+std::string valueOf(const http::HeaderList &headers, std::string_view name)
+{
+    return std::string(http::findHeader(headers, name).value_or("-"));
+}
+
+http::RelayRequest callersRequest()
+{
+    return {"POST",
+            "/quote/x?page=1",
+            {{"Host", "desk:80"},
+             {"X-Request-Id", "r-1"},
+             {"Authorization", "Bearer secret"},
+             {"X-Tenant", "forged"},
+             {"X-Hop-Count", "forged"},
+             {"X-Deadline-Ms", "1500"},
+             {"X-Token-Count", "800,400"},
+             {"X-Length-Hint", "120"},
+             {"Last-Event-Id", "7"},
+             {"Connection", "keep-alive, X-Private"},
+             {"X-Private", "1"},
+             {"Transfer-Encoding", "chunked"},
+             {"X-Prompt-Prefix", "ab:800"}},
+            "body"};
+}
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(entriesAreRead, EntryCases, test)
+{
+    const auto endpoint = platform::decodeServerEntry("i-1", test.text_);
+    BOOST_TEST((endpoint ? textOf(*endpoint) : "") == test.endpoint_);
+    if (!endpoint)
+        BOOST_TEST(!endpoint.lastReason_.empty());
+}
+
+BOOST_DATA_TEST_CASE(kindsSayWhatMayRepeat, KindCases, test)
+{
+    const std::string text = std::string(R"({"Version":3,"Routes":[{"Name":"r","Host":"h",)")
+                             + R"("PathPrefix":"/p/","TimeoutMs":100,"Service":"s","Kind":")"
+                             + test.kind_ + R"(","StreamResume":)" + test.resume_ + "}]}";
+    const auto state = platform::decodeDesiredState(text);
+    BOOST_REQUIRE_MESSAGE(state, state.lastReason_);
+    BOOST_TEST(static_cast<int>(state->routes_[0].repeat_) == static_cast<int>(test.repeat_));
+    BOOST_TEST(state->routes_[0].stream_ == test.stream_);
+    BOOST_TEST(state->version_.value_ == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(engineIsRead)
+{
+    const auto state = platform::decodeDesiredState(
+            R"({"Version":1,"Routes":[],"Services":[{"Name":"m","HealthCheck":"/h","Engine":{
+            "Slots":192,"KvTokenBytes":590000,"LinkMbps":8000,"PipeMbps":800,"step_ms":1.5,
+            "read_per_s":164000,"loads_at_once":6,"Models":[{"Name":"x","LoadS":14.0}],
+            "Layers":80,"LayerMb":1750,"usual":{"prompt":774,"answer":210},
+            "Kinds":[{"Name":"k","SizeMb":72000,"pace":2.4,"ReadFactor":3.2}],
+            "delays":[{"From":"a","Target":"b","delay_ms":0.75}]}},{"Name":"p"}],
+            "Tenants":[{"Name":"t","ApiKeys":["k1"],"Priority":1}],
+            "Limits":{"MaxBodyBytes":100,"IdleTimeoutMs":15000}})");
+    BOOST_REQUIRE_MESSAGE(state, state.lastReason_);
+    const EngineSpec &engine = *state->targets_[0].engine_;
+    BOOST_TEST(engine.layers_ == 80U);
+    BOOST_TEST(engine.layerBytes_.value_ == 1'750'000'000U);
+    BOOST_TEST(engine.stepTime_.count() == 1500);
+    BOOST_TEST(engine.pipeBytesPerSecond_ == 1e8);
+    BOOST_TEST(engine.loadTime_.count() == 14'000'000);
+    BOOST_TEST(engine.kinds_.at({"k"}).readFactor_ == 3.2);
+    BOOST_TEST((engine.delays_.at({{"a"}, {"b"}}).count()) == 750);
+    BOOST_TEST(!state->targets_[1].engine_.has_value());
+    BOOST_TEST(state->organisations_[0].priority_->value_ == 1U);
+    BOOST_TEST(state->limits_.maxBodyBytes_ == 100U);
+    BOOST_TEST(state->limits_.idleTimeout_.count() == 15'000'000);
+}
+
+BOOST_DATA_TEST_CASE(answersAreRead, AnswerCases, test)
+{
+    const AnswerHead head = platform::decodeAnswerHead({test.status_, test.headers_});
+    BOOST_TEST(head.success_ == test.success_);
+    BOOST_TEST(head.notRun_ == test.notRun_);
+    BOOST_TEST((head.load_ ? static_cast<int>(*head.load_) : -1) == test.load_);
+}
+
+BOOST_DATA_TEST_CASE(refusalsKeepTheirPromise, RefusalCases, test)
+{
+    GatewayRequest request;
+    request.id_ = {"r-1"};
+    const auto head = platform::encodeRefusal(request, {{1}, test.refusal_, milliseconds(400)});
+    BOOST_TEST(head.status_ == test.status_);
+    BOOST_TEST(valueOf(head.headers_, "X-Request-Id") == "r-1");
+    BOOST_TEST(valueOf(head.headers_, "Retry-After") == (test.retryAfter_ ? "0.400" : "-"));
+}
+
+BOOST_AUTO_TEST_CASE(requestsAreHandedOn)
+{
+    const GatewayRequest decoded = platform::decodeCallerRequest(callersRequest(), {1});
+    BOOST_TEST(decoded.host_ == "desk");
+    BOOST_TEST(decoded.path_ == "/quote/x");
+    BOOST_TEST(decoded.apiKey_.value_or("") == "secret");
+    BOOST_TEST(decoded.patience_->count() == 1'500'000);
+    BOOST_TEST(decoded.prompt_.value_ == 800);
+    BOOST_TEST(decoded.answer_.value_ == 120);
+    BOOST_TEST(decoded.resumeAfter_->value_ == 7U);
+
+    SendRequest send;
+    send.endpoint_ = {"i-1"};
+    send.address_ = {"10.0.0.1", 80};
+    send.path_
+            = {{{"i-1"}, {"10.0.0.1", 80}, {{0}, {20}}}, {{"i-2"}, {"10.0.0.2", 81}, {{20}, {80}}}};
+    send.patience_ = milliseconds(1200);
+    send.organisation_ = {"firm"};
+    send.priority_ = {2};
+    send.resumeAfter_ = EventId {9};
+    const http::RelayCallRequest call = platform::encodeSend(callersRequest(), send);
+    const http::HeaderList &headers = call.request_.headers_;
+    BOOST_TEST(call.request_.target_ == "/quote/x?page=1");
+    BOOST_TEST(call.request_.body_ == "body");
+    BOOST_TEST(call.echoValue_ == "r-1");
+    BOOST_TEST(valueOf(headers, "Authorization") == "-");
+    BOOST_TEST(valueOf(headers, "X-Private") == "-");
+    BOOST_TEST(valueOf(headers, "Transfer-Encoding") == "-");
+    BOOST_TEST(valueOf(headers, "X-Tenant") == "firm");
+    BOOST_TEST(valueOf(headers, "X-Expect-Instance") == "i-1");
+    BOOST_TEST(valueOf(headers, "X-Deadline-Ms") == "1200");
+    BOOST_TEST(valueOf(headers, "X-Request-Priority") == "6");
+    BOOST_TEST(valueOf(headers, "Last-Event-Id") == "9");
+    BOOST_TEST(valueOf(headers, "X-Hop-Count") == "10.0.0.1:80=0-20,10.0.0.2:81=20-80");
+    BOOST_TEST(valueOf(headers, "X-Token-Count") == "800,400");
+    BOOST_TEST(valueOf(headers, "X-Prompt-Prefix") == "ab:800");
+}
+
+BOOST_AUTO_TEST_CASE(ordersNameWhatTheyExpect)
+{
+    BOOST_TEST(
+            platform::encodePlaceOrder({{20}, {31}}, {4})
+            == R"({"Operation":"place","From":20,"Target":31,"Method":"wait","Precondition":4})");
+    BOOST_TEST(static_cast<int>(platform::orderOutcomeOf(409))
+               == static_cast<int>(OrderOutcome::Conflict));
+    const auto report = platform::decodeServerReport(
+            R"({"Busy":true,"Sequence":3,"Layers":{"From":1,"Target":2},"born":77,"Models":[]})");
+    BOOST_REQUIRE(report);
+    BOOST_TEST(report->busy_);
+    BOOST_TEST(report->orders_.value_ == 3U);
+    BOOST_TEST(report->born_ == 77U);
+    BOOST_TEST(report->layers_->end_.value_ == 2U);
+    BOOST_TEST(!platform::decodeServerReport("{}"));
+}
--- a/src/policy/internal/pathplan.cpp
+++ b/src/policy/internal/pathplan.cpp
@@ -160,6 +160,7 @@
     std::uint32_t end = search.engine_.layers_;
     for (const Arrival *part = &last; part != nullptr; part = part->before_) {
         const PathNode &node = search.nodes_[part->node_];
+        planned.readingAhead_ = std::max(planned.readingAhead_, node.readingAhead_);
         if (part->before_ != nullptr && search.nodes_[part->before_->node_].domain_ != node.domain_)
             ++planned.crossings_;
         planned.path_.push_back({node.endpoint_, node.address_, {{part->from_}, {end}}});
--- a/src/policy/pathplan.h
+++ b/src/policy/pathplan.h
@@ -46,6 +46,8 @@
     double fill_ = 0;
     //! Hops from one failure domain to another.
     std::uint32_t crossings_ = 0;
+    //! Longest reading that stands before this request's at an endpoint of the path.
+    Duration readingAhead_ {};
 };
 
 //! The cheapest path that runs every layer once and in order; nothing if some layer is held
