Gateways as processes before a stand-in of the platform; leaner digests

Change: standins/platform/ is the store (newest, read, join, owners), model servers (report, orders with their count, paths, streams) and a plain server; processes-gateway runs two gateways before it: requests that are served and refused, a broken stream that goes on elsewhere, a new desired state and no way back, a drained endpoint that is replaced, a silent store that ends keyed service, a stop that cuts nothing, metrics. Digests go to other domains every third time. Logs go to standard output.

Found on the way, both in the test itself: a hexadecimal escape that took in the next letter, and a wait that reaped the process twice.

--- a/lab/processfleet.cpp
+++ b/lab/processfleet.cpp
@@ -191,9 +191,9 @@
     const std::string out = folder_ + "/" + name + ".log";
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
-    posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, "/dev/null", O_WRONLY, 0);
-    posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, out.c_str(),
+    posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, out.c_str(),
                                      O_WRONLY | O_CREAT | O_APPEND, 0600);
+    posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
     const int failed
             = posix_spawn(&child.pid_, arguments[0], &actions, nullptr, arguments.data(), environ);
     posix_spawn_file_actions_destroy(&actions);
--- /dev/null
+++ b/lab/tests/tst_gatewayprocess.cpp
@@ -0,0 +1,306 @@
+//! Two gateways as processes before the platform's stand-in.
+#include <fcntl.h>
+#include <signal.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+#include <functional>
+
+#include <boost/asio.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "platform/platformstandin.h"
+#include "processfleet.h"
+
+extern char **environ;
+
+using namespace gypsumcroft;
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr std::chrono::seconds Patience {20};
+
+//! Waits for an event; false if it does not come about in time.
+bool waitFor(const std::function<bool()> &condition)
+{
+    const auto end = std::chrono::steady_clock::now() + Patience;
+    while (std::chrono::steady_clock::now() < end) {
+        if (condition())
+            return true;
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    }
+    return false;
+}
+
+struct Answer
+{
+    std::string status_;
+    std::string text_;
+    //! The answer's end was seen, so that it can be told from a cut one.
+    bool whole_ = false;
+};
+
+Answer ask(const Address &to, const std::string &method, const std::string &path,
+           const std::string &id, const std::string &key)
+{
+    asio::io_context context;
+    tcp::socket socket(context);
+    boost::system::error_code error;
+    socket.connect({asio::ip::make_address(to.host_), to.port_}, error);
+    const std::string request
+            = method + " " + path + " HTTP/1.1\r\nHost: desk\r\nX-Request-Id: " + id
+              + "\r\nX-Deadline-Ms: 4000\r\nX-Token-Count: 100,20\r\nAuthorization: Bearer " + key
+              + "\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+    asio::write(socket, asio::buffer(request), error);
+    Answer answer;
+    asio::read(socket, asio::dynamic_buffer(answer.text_), error);
+    answer.status_ = answer.text_.substr(0, 12);
+    answer.whole_ = answer.text_.find("Content-Length") != std::string::npos
+                    || answer.text_.ends_with("0\r\n\r\n");
+    return answer;
+}
+
+//! Data of the events in an answer, joined by commas.
+std::string eventsOf(const std::string &text)
+{
+    std::string events;
+    for (std::size_t at = text.find("data: "); at != std::string::npos;
+         at = text.find("data: ", at + 1)) {
+        const std::size_t begin = at + 6;
+        events += (events.empty() ? "" : ",") + text.substr(begin, text.find('\n', begin) - begin);
+    }
+    return events;
+}
+
+struct Gateway
+{
+    Gateway(const std::string &binary, const std::string &folder, const std::string &name,
+            const Address &store)
+        : callers_ {"127.0.0.1", lab::freePort()}, ready_ {"127.0.0.1", lab::freePort()},
+          metrics_ {"127.0.0.1", lab::freePort()}, log_(folder + "/" + name + ".log")
+    {
+        const std::string settings = folder + "/" + name + ".json";
+        const auto text = [](const Address &address) {
+            return '"' + address.host_ + ":" + std::to_string(address.port_) + '"';
+        };
+        std::ofstream(settings)
+                << R"({"role":"gateway","instance":")" << name << R"(","failureDomain":"a",)"
+                << R"("mesh":)" << text(metrics_) << R"(,"metrics":)" << text(metrics_)
+                << R"(,"callers":)" << text(callers_) << R"(,"ready":)" << text(ready_)
+                << R"(,"store":{"address":)" << text(store) << R"(,"partitions":12},)"
+                << R"("bounds":{"strictRevoke":true,"revokeMs":3000,"applyMs":2000,)"
+                << R"("retrySlack":100,"graceS":8}})";
+        std::vector<std::string> words {binary, "gateway", "--settings", settings};
+        std::vector<char *> arguments;
+        arguments.reserve(words.size() + 1);
+        for (std::string &word : words)
+            arguments.push_back(word.data());
+        arguments.push_back(nullptr);
+        posix_spawn_file_actions_t actions;
+        posix_spawn_file_actions_init(&actions);
+        posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log_.c_str(),
+                                         O_WRONLY | O_CREAT | O_APPEND, 0600);
+        posix_spawn(&pid_, binary.c_str(), &actions, nullptr, arguments.data(), environ);
+        posix_spawn_file_actions_destroy(&actions);
+    }
+
+    ~Gateway()
+    {
+        if (pid_ > 0) {
+            kill(pid_, SIGKILL);
+            waitpid(pid_, nullptr, 0);
+        }
+    }
+
+    bool isReady() const { return ask(ready_, "GET", "/ready", "", "").status_ == "HTTP/1.1 200"; }
+
+    //! Sends SIGTERM and waits for the end; the exit code, or -1.
+    int stop()
+    {
+        kill(pid_, SIGTERM);
+        int status = -1;
+        const bool ended = waitFor([&] { return waitpid(pid_, &status, WNOHANG) == pid_; });
+        if (ended)
+            pid_ = -1;
+        return ended && WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+    }
+
+    std::string log() const
+    {
+        std::ifstream file(log_);
+        return {std::istreambuf_iterator<char>(file), {}};
+    }
+
+    Address callers_;
+    Address ready_;
+    Address metrics_;
+    std::string log_;
+    pid_t pid_ = -1;
+};
+
+struct Fixture
+{
+    Fixture()
+    {
+        const auto &suite = boost::unit_test::framework::master_test_suite();
+        BOOST_REQUIRE(suite.argc > 1);
+        std::string name = (std::filesystem::temp_directory_path() / "gateway-XXXXXX").string();
+        BOOST_REQUIRE(mkdtemp(name.data()) != nullptr);
+        folder_ = name;
+        platform_.putConfig(1, "key", false);
+        for (const char *gateway : {"g1", "g2"})
+            gateways_.push_back(
+                    std::make_unique<Gateway>(suite.argv[1], folder_, gateway, platform_.store()));
+        BOOST_REQUIRE(waitFor([&] { return gateways_[0]->isReady() && gateways_[1]->isReady(); }));
+        BOOST_REQUIRE(waitFor([&] { return quote("warm-up").whole_; }));
+    }
+
+    ~Fixture()
+    {
+        gateways_.clear();
+        std::filesystem::remove_all(folder_);
+    }
+
+    Answer quote(const std::string &id)
+    {
+        Answer answer = ask(gateways_[0]->callers_, "POST", "/quote/x", id, "key");
+        answer.whole_ = answer.whole_ && answer.status_ == "HTTP/1.1 200";
+        return answer;
+    }
+
+    std::size_t runsOf(const std::string &id)
+    {
+        const auto runs = platform_.runs();
+        return static_cast<std::size_t>(std::count_if(
+                runs.begin(), runs.end(), [&](const auto &run) { return run.request_ == id; }));
+    }
+
+    standins::PlatformStandin platform_ {3};
+    std::string folder_;
+    std::vector<std::unique_ptr<Gateway>> gateways_;
+};
+
+struct RequestCase
+{
+    const char *name_;
+    const char *method_;
+    const char *path_;
+    const char *key_;
+    const char *status_;
+    std::size_t runs_;
+};
+
+const RequestCase RequestCases[] = {
+        {"a quote", "POST", "/quote/x", "key", "HTTP/1.1 200", 1},
+        {"a booking", "POST", "/book/x", "key", "HTTP/1.1 200", 1},
+        {"a lookup", "GET", "/look/x", "key", "HTTP/1.1 200", 1},
+        {"no such route", "GET", "/none/x", "key", "HTTP/1.1 404", 0},
+        {"an unknown key", "POST", "/book/x", "other", "HTTP/1.1 401", 0},
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(thePathIsWhole, Fixture)
+{
+    for (const RequestCase &test : RequestCases) {
+        for (const auto &gateway : gateways_) {
+            const std::string id
+                    = std::string(test.name_) + std::to_string(gateway->callers_.port_);
+            const Answer answer = ask(gateway->callers_, test.method_, test.path_, id, test.key_);
+            BOOST_TEST(answer.status_ == test.status_, test.name_);
+            BOOST_TEST(answer.whole_, test.name_);
+            BOOST_TEST(runsOf(id) == test.runs_, test.name_);
+        }
+    }
+    BOOST_TEST(eventsOf(quote("events").text_) == "1,2,3,4,5,6");
+    for (const standins::ServerRun &run : platform_.runs())
+        BOOST_TEST(run.tenant_ == "firm");
+}
+
+BOOST_FIXTURE_TEST_CASE(aBrokenStreamGoesOnElsewhere, Fixture)
+{
+    platform_.breakNextStream(3);
+    const Answer answer = quote("broken");
+    BOOST_TEST(answer.whole_);
+    BOOST_TEST(eventsOf(answer.text_) == "1,2,3,4,5,6");
+    BOOST_TEST(runsOf("broken") == 2U);
+    BOOST_TEST(platform_.runs().back().lastEvent_ == "3");
+}
+
+BOOST_FIXTURE_TEST_CASE(aNewStateIsTakenUp, Fixture)
+{
+    const Address to = gateways_[0]->callers_;
+    BOOST_TEST(ask(to, "GET", "/extra/x", "before", "key").status_ == "HTTP/1.1 404");
+    platform_.putConfig(2, "new-key", true);
+    BOOST_TEST(waitFor([&] {
+        return ask(to, "GET", "/extra/x", "after", "new-key").status_ == "HTTP/1.1 200";
+    }));
+    BOOST_TEST(ask(to, "GET", "/extra/x", "old-key", "key").status_ == "HTTP/1.1 401");
+    platform_.putConfig(1, "key", false);
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    BOOST_TEST(ask(to, "GET", "/extra/x", "no-revert", "new-key").status_ == "HTTP/1.1 200");
+}
+
+// A drained endpoint's layers are placed on a spare one, and it gets nothing new.
+BOOST_FIXTURE_TEST_CASE(aDrainedEndpointIsReplaced, Fixture)
+{
+    std::string drained;
+    for (const std::string &server : platform_.modelServers()) {
+        if (drained.empty() && platform_.layersOf(server) == "0-2")
+            drained = server;
+    }
+    BOOST_REQUIRE(!drained.empty());
+    platform_.setDraining(drained);
+    const auto isReplaced = [&] {
+        for (const std::string &server : platform_.modelServers()) {
+            if (server != drained && platform_.layersOf(server) == "0-2")
+                return true;
+        }
+        return false;
+    };
+    BOOST_TEST(waitFor(isReplaced));
+    BOOST_TEST(waitFor([&] { return quote("after-drain").whole_; }));
+    BOOST_TEST(platform_.runs().back().path_.find(drained) == std::string::npos);
+}
+
+// Keys may have been taken away while the store was silent: nothing is run then.
+BOOST_FIXTURE_TEST_CASE(staleKeysAreNotServed, Fixture)
+{
+    platform_.setStoreDown(true);
+    const Address to = gateways_[0]->callers_;
+    BOOST_TEST(ask(to, "GET", "/look/x", "fresh", "key").status_ == "HTTP/1.1 200");
+    BOOST_TEST(waitFor([&] { return !gateways_[0]->isReady(); }));
+    BOOST_TEST(waitFor(
+            [&] { return ask(to, "GET", "/look/x", "stale", "key").status_ == "HTTP/1.1 503"; }));
+    platform_.setStoreDown(false);
+    BOOST_TEST(waitFor(
+            [&] { return ask(to, "GET", "/look/x", "again", "key").status_ == "HTTP/1.1 200"; }));
+    BOOST_TEST(gateways_[0]->log().find("event=dependency-lost") != std::string::npos);
+    BOOST_TEST(gateways_[0]->log().find("event=dependency-regained") != std::string::npos);
+}
+
+// A stream in hand is finished after the signal, and the process ends by itself.
+BOOST_FIXTURE_TEST_CASE(aStopCutsNothing, Fixture)
+{
+    Answer answer;
+    std::jthread caller([&] { answer = quote("last"); });
+    BOOST_REQUIRE(waitFor([&] { return runsOf("last") == 1; }));
+    BOOST_TEST(gateways_[0]->stop() == 0);
+    caller.join();
+    BOOST_TEST(answer.whole_);
+    BOOST_TEST(eventsOf(answer.text_) == "1,2,3,4,5,6");
+    BOOST_TEST(gateways_[0]->log().find("event=stopped instance=g1 cut=0") != std::string::npos);
+}
+
+BOOST_FIXTURE_TEST_CASE(metricsAreServed, Fixture)
+{
+    const std::string metrics = ask(gateways_[0]->metrics_, "GET", "/metrics", "", "").text_;
+    for (const char *name : {"gypsumcroft_requests_received", "gypsumcroft_requests_answered",
+                             "gypsumcroft_retries", "gypsumcroft_config_age_ms"})
+        BOOST_TEST(metrics.find(name) != std::string::npos, name);
+}
--- a/src/app/internal/commands.cpp
+++ b/src/app/internal/commands.cpp
@@ -9,6 +9,7 @@
 
 #include "controllers/config.h"
 #include "documents/configdocuments.h"
+#include "documents/gatewaysettings.h"
 #include "documents/settings.h"
 #include "http/client.h"
 #include "logclient.h"
@@ -176,6 +177,10 @@
             addFinding(findings, file, "can't be read");
             continue;
         }
+        if (isGatewaySettings(*text)) {
+            decodeGatewaySettings(*text, file, findings);
+            continue;
+        }
         if (detail::looksLikeSettings(*text)) {
             decodeSettings(*text, file, findings);
             continue;
--- a/src/app/internal/gatewaycontrol.cpp
+++ b/src/app/internal/gatewaycontrol.cpp
@@ -50,7 +50,7 @@
 
 Result<Address> GatewayControlLoop::listen(const Address &mesh)
 {
-    const auto bound = datagrams_.bind(mesh);
+    auto bound = datagrams_.bind(mesh);
     if (!bound)
         return bound;
     control_.address_ = *bound;
--- a/src/app/internal/log.cpp
+++ b/src/app/internal/log.cpp
@@ -59,7 +59,7 @@
 void startLogging(LogLevel least)
 {
     auto backend = boost::make_shared<detail::Backend>();
-    backend->add_stream(boost::shared_ptr<std::ostream>(&std::clog, boost::null_deleter()));
+    backend->add_stream(boost::shared_ptr<std::ostream>(&std::cout, boost::null_deleter()));
     backend->auto_flush(true);
     detail::sink() = boost::make_shared<detail::Sink>(backend);
     detail::sink()->set_formatter(logging::expressions::stream << logging::expressions::smessage);
--- a/src/app/internal/main.cpp
+++ b/src/app/internal/main.cpp
@@ -83,7 +83,7 @@
 std::optional<Settings> decodeFor(std::string_view text, const std::string &place,
                                   Findings &findings)
 {
-    const auto settings = decodeSettings(text, place, findings);
+    auto settings = decodeSettings(text, place, findings);
     if (settings && settings->role_ != Role)
         addFinding(findings, place + "/role", "does not fit the sub-command");
     return settings;
--- a/src/app/log.h
+++ b/src/app/log.h
@@ -7,7 +7,7 @@
 
 namespace gypsumcroft {
 
-//! Sends lines of this level and above to the standard error stream. Call once.
+//! Sends lines of this level and above to the standard output. Call once.
 void startLogging(LogLevel least);
 //! Writes what is still waiting.
 void stopLogging();
--- a/src/controllers/internal/peers.cpp
+++ b/src/controllers/internal/peers.cpp
@@ -6,6 +6,14 @@
 
 namespace gypsumcroft {
 
+namespace detail {
+namespace {
+
+constexpr std::uint64_t DigestsPerFarOne = 3;
+
+} // namespace
+} // namespace detail
+
 bool applyDigest(PeersState &state, GatewayDigestMessage digest, TimePoint now)
 {
     PeerGateway &peer = state.peers_[digest.instance_];
@@ -26,11 +34,17 @@
     });
 }
 
-std::vector<Address> digestTargets(const PeersState &state, const Address &self)
+std::vector<Address> digestTargets(const PeersState &state, const Address &self,
+                                   const FailureDomainId &domain, std::uint64_t sequence)
 {
-    std::set<Address> targets(state.introduced_.begin(), state.introduced_.end());
-    for (const auto &[instance, peer] : state.peers_)
-        targets.insert(peer.digest_.gateway_);
+    const bool toAll = sequence % detail::DigestsPerFarOne == 0;
+    std::set<Address> targets;
+    if (toAll)
+        targets.insert(state.introduced_.begin(), state.introduced_.end());
+    for (const auto &[instance, peer] : state.peers_) {
+        if (toAll || peer.digest_.domain_ == domain)
+            targets.insert(peer.digest_.gateway_);
+    }
     targets.erase(self);
     std::vector<Address> list(targets.begin(), targets.end());
     list.resize(std::min(list.size(), state.limits_.most_));
--- a/src/controllers/peers.h
+++ b/src/controllers/peers.h
@@ -40,8 +40,11 @@
 
 void forgetSilentPeers(PeersState &state, TimePoint now);
 
-//! Where this process's digests go: peers that were heard of and those introduced, without self.
-std::vector<Address> digestTargets(const PeersState &state, const Address &self);
+//! Where this process's digest with this sequence number goes: peers that were heard of and those
+//! introduced, without self. Peers in other domains get every third one: bytes between domains are
+//! dear, and most of what they hold is their own domain's.
+std::vector<Address> digestTargets(const PeersState &state, const Address &self,
+                                   const FailureDomainId &domain, std::uint64_t sequence);
 
 //! What all peers together hold of each endpoint.
 std::shared_ptr<const EndpointShares> sharesOfPeers(const PeersState &state);
--- a/src/controllers/tests/tst_gatewaystate.cpp
+++ b/src/controllers/tests/tst_gatewaystate.cpp
@@ -444,3 +444,42 @@
         BOOST_TEST((found == shares->end() ? 0 : found->second.tokenLayers_) == step.tokens_);
     }
 }
+
+namespace {
+
+struct TargetCase
+{
+    const char *name_;
+    std::uint64_t sequence_;
+    std::vector<const char *> to_;
+};
+
+std::ostream &operator<<(std::ostream &out, const TargetCase &test)
+{
+    return out << test.name_;
+}
+
+// near stands in the same domain, far in another, new was introduced by the platform only.
+const TargetCase TargetCases[] = {
+        {"most digests stay in the domain", 1, {"near"}},
+        {"the next one too", 2, {"near"}},
+        {"every third goes to all", 3, {"far", "near", "new"}},
+};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(digestsAreSent, TargetCases, test)
+{
+    PeersState state;
+    state.introduced_ = {{"new", 7000}, {"self", 7000}};
+    GatewayDigestMessage near = digest("near", 1, 1, 0);
+    near.domain_ = {"a"};
+    GatewayDigestMessage far = digest("far", 1, 1, 0);
+    far.domain_ = {"b"};
+    applyDigest(state, near, at(0));
+    applyDigest(state, far, at(0));
+    const auto targets = digestTargets(state, {"self", 7000}, {"a"}, test.sequence_);
+    BOOST_REQUIRE(targets.size() == test.to_.size());
+    for (std::size_t i = 0; i < targets.size(); ++i)
+        BOOST_TEST(targets[i].host_ == test.to_[i]);
+}
--- a/src/core/messages.h
+++ b/src/core/messages.h
@@ -326,6 +326,7 @@
 struct GatewayDigestMessage
 {
     InstanceId instance_;
+    FailureDomainId domain_;
     Address gateway_;
     Incarnation incarnation_;
     std::uint64_t sequence_ = 0;
--- a/src/gateway/internal/control.cpp
+++ b/src/gateway/internal/control.cpp
@@ -78,13 +78,14 @@
 void sendDigest(GatewayControl &state, TimePoint now)
 {
     SendDigest send;
-    send.to_ = digestTargets(state.peers_, state.address_);
     const auto down = downEndpoints(state.probes_);
     GatewayDigestMessage &digest = send.digest_;
     digest.instance_ = state.self_;
     digest.gateway_ = state.address_;
     digest.incarnation_ = state.incarnation_;
+    digest.domain_ = state.domain_;
     digest.sequence_ = ++state.digestSequence_;
+    send.to_ = digestTargets(state.peers_, state.address_, state.domain_, digest.sequence_);
     digest.shares_ = state.ownShares_;
     auto told = std::make_shared<EndpointShares>();
     for (const EndpointShare &share : state.ownShares_)
--- a/src/wire/internal/codec.cpp
+++ b/src/wire/internal/codec.cpp
@@ -171,8 +171,8 @@
 template <typename Archive>
 void serialize(Archive &archive, GatewayDigestMessage &digest)
 {
-    archive(digest.instance_, digest.gateway_, digest.incarnation_, digest.sequence_,
-            digest.shares_, digest.held_, digest.moves_, digest.down_);
+    archive(digest.instance_, digest.domain_, digest.gateway_, digest.incarnation_,
+            digest.sequence_, digest.shares_, digest.held_, digest.moves_, digest.down_);
 }
 
 template <typename Archive>
--- /dev/null
+++ b/standins/platform/platformstandin.cpp
@@ -0,0 +1,380 @@
+#include "platform/platformstandin.h"
+
+#include <algorithm>
+#include <optional>
+
+#include <boost/asio.hpp>
+#include <boost/json.hpp>
+#include <openssl/evp.h>
+
+namespace gypsumcroft::standins {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace {
+
+constexpr std::uint32_t ModelLayers = 4;
+constexpr int EventsOfStream = 6;
+constexpr std::chrono::milliseconds EventGap {15};
+constexpr std::chrono::milliseconds LoadTime {60};
+constexpr std::uint32_t Partitions = 12;
+
+std::string base64(const std::string &bytes)
+{
+    std::string text((bytes.size() + 2) / 3 * 4, '\0');
+    EVP_EncodeBlock(reinterpret_cast<unsigned char *>(text.data()),
+                    reinterpret_cast<const unsigned char *>(bytes.data()),
+                    static_cast<int>(bytes.size()));
+    return text;
+}
+
+std::string bigEndian(std::uint64_t value, int bytes)
+{
+    std::string text;
+    for (int i = bytes - 1; i >= 0; --i)
+        text += static_cast<char>(value >> (8 * i) & 0xffU);
+    return text;
+}
+
+std::string parameter(const std::string &target, const std::string &name)
+{
+    const auto at = target.find(name + "=");
+    if (at == std::string::npos)
+        return {};
+    const auto begin = at + name.size() + 1;
+    return target.substr(begin, target.find('&', begin) - begin);
+}
+
+std::string header(const http::RelayRequest &request, std::string_view name)
+{
+    return std::string(http::findHeader(request.headers_, name).value_or(""));
+}
+
+struct Server
+{
+    std::string id_;
+    std::unique_ptr<http::RelayServer> http_;
+    Address address_;
+    std::optional<std::pair<std::uint32_t, std::uint32_t>> layers_;
+    std::uint64_t orders_ = 0;
+    bool loading_ = false;
+    bool model_ = true;
+    bool draining_ = false;
+};
+
+using ExchangePtr = std::shared_ptr<http::RelayExchange>;
+
+} // namespace
+
+struct PlatformStandin::Impl
+{
+    void after(std::chrono::milliseconds delay, std::function<void()> action)
+    {
+        auto timer = std::make_shared<asio::steady_timer>(context_, delay);
+        timer->async_wait([timer, action = std::move(action)](boost::system::error_code error) {
+            if (!error)
+                action();
+        });
+    }
+
+    template <typename Action>
+    auto locked(const Action &action)
+    {
+        const std::lock_guard lock(mutex_);
+        return action();
+    }
+
+    void onStore(const http::RelayRequest &request, const ExchangePtr &exchange);
+    void onRead(const http::RelayRequest &request, const ExchangePtr &exchange);
+    void onModel(Server &server, const http::RelayRequest &request, const ExchangePtr &exchange);
+    void onOrder(Server &server, const http::RelayRequest &request, const ExchangePtr &exchange);
+    void stream(const ExchangePtr &exchange, int next, int last, int breakAt);
+    std::string report(const Server &server);
+    std::string entry(const Server &server);
+    void record(const Server &server, const http::RelayRequest &request);
+    Server &addServer(const std::string &id, bool model);
+
+    asio::io_context context_;
+    std::mutex mutex_;
+    std::vector<std::unique_ptr<Server>> servers_;
+    std::unique_ptr<http::RelayServer> store_;
+    std::vector<std::string> configs_;
+    std::vector<std::string> members_;
+    std::vector<ServerRun> runs_;
+    bool storeDown_ = false;
+    int breakAfter_ = -1;
+    std::jthread thread_;
+};
+
+void PlatformStandin::Impl::record(const Server &server, const http::RelayRequest &request)
+{
+    runs_.push_back({server.id_, header(request, "X-Request-Id"), header(request, "X-Tenant"),
+                     header(request, "X-Hop-Count"), header(request, "Last-Event-Id")});
+}
+
+std::string PlatformStandin::Impl::entry(const Server &server)
+{
+    json::object entry {
+            {"Service", server.model_ ? "model" : "desk"},
+            {"Address", server.address_.host_ + ":" + std::to_string(server.address_.port_)},
+            {"Zone", "a"},
+            {"Version", "v1"},
+            {"Slots", 4},
+            {"State", server.draining_ ? "draining" : "ready"},
+            {"born", 1}};
+    if (server.model_)
+        entry["Kind"] = "half";
+    if (server.layers_)
+        entry["Layers"] = {{"From", server.layers_->first}, {"Target", server.layers_->second}};
+    return json::serialize(entry);
+}
+
+std::string PlatformStandin::Impl::report(const Server &server)
+{
+    json::object report {{"Busy", server.loading_}, {"Sequence", server.orders_}, {"born", 1}};
+    if (server.layers_)
+        report["Layers"] = {{"From", server.layers_->first}, {"Target", server.layers_->second}};
+    return json::serialize(report);
+}
+
+void PlatformStandin::Impl::onRead(const http::RelayRequest &request, const ExchangePtr &exchange)
+{
+    const std::uint64_t from = std::stoull(parameter(request.target_, "From"));
+    const auto answer = [this, exchange, from] {
+        std::string bytes = bigEndian(configs_.size(), 8) + bigEndian(0, 8);
+        for (std::uint64_t i = from; i < configs_.size(); ++i) {
+            const std::string record = std::string("\x06"
+                                                   "config")
+                                       + configs_[i];
+            bytes += bigEndian(record.size(), 4) + record;
+        }
+        exchange->answer({200, {}}, bytes);
+    };
+    if (from < configs_.size())
+        return answer();
+    // Looks again in short steps: a stand-in need not be prompt.
+    const std::chrono::milliseconds wait(std::stoi(parameter(request.target_, "WaitMs")));
+    const auto until = std::chrono::steady_clock::now() + wait;
+    auto look = std::make_shared<std::function<void()>>();
+    *look = [this, from, until, answer, look] {
+        const std::lock_guard lock(mutex_);
+        if (from < configs_.size() || std::chrono::steady_clock::now() >= until) {
+            answer();
+            return;
+        }
+        after(std::chrono::milliseconds(10), *look);
+    };
+    after(std::chrono::milliseconds(10), *look);
+}
+
+void PlatformStandin::Impl::onStore(const http::RelayRequest &request, const ExchangePtr &exchange)
+{
+    const std::lock_guard lock(mutex_);
+    if (storeDown_)
+        return exchange->breakOff();
+    if (request.target_.starts_with("/log-read"))
+        return onRead(request, exchange);
+    json::object answer;
+    if (request.target_.starts_with("/log-newest")) {
+        json::array items;
+        if (parameter(request.target_, "Topic") == "keyed.op" && !configs_.empty())
+            items.push_back({{"Key", "config"}, {"Value", base64(configs_.back())}, {"Offset", 0}});
+        if (parameter(request.target_, "Topic") == "keyed.servers") {
+            for (const auto &server : servers_)
+                items.push_back(
+                        {{"Key", server->id_}, {"Value", base64(entry(*server))}, {"Offset", 0}});
+            items.push_back({{"Key", "i-odd"}, {"Value", base64("no entry")}, {"Offset", 0}});
+        }
+        answer = {{"Items", items}, {"HasMore", false}, {"EndOffset", configs_.size()}};
+    } else if (request.target_.starts_with("/log-join")) {
+        const std::string member(
+                json::parse(request.body_).as_object().at("Member").as_string().c_str());
+        auto found = std::find(members_.begin(), members_.end(), member);
+        if (found == members_.end())
+            found = members_.insert(members_.end(), member);
+        json::array parts;
+        for (auto part = static_cast<std::uint32_t>(found - members_.begin()); part < Partitions;
+             part += static_cast<std::uint32_t>(members_.size()))
+            parts.push_back({"placement", part, 0});
+        answer = {{"Generation", members_.size()}, {"TtlMs", 2000}, {"parts", parts}};
+    } else {
+        json::array rows;
+        for (std::size_t i = 0; i < members_.size(); ++i)
+            rows.push_back({"placement", i, members_[i], 0});
+        answer = {{"parts", rows}};
+    }
+    exchange->answer({200, {{"Content-Type", "application/json"}}}, json::serialize(answer));
+}
+
+void PlatformStandin::Impl::onOrder(Server &server, const http::RelayRequest &request,
+                                    const ExchangePtr &exchange)
+{
+    const json::object order = json::parse(request.body_).as_object();
+    if (server.loading_ || order.at("Precondition").to_number<std::uint64_t>() != server.orders_)
+        return exchange->answer({409, {}}, {});
+    server.loading_ = true;
+    server.layers_.reset();
+    ++server.orders_;
+    exchange->answer({202, {}}, {});
+    const std::pair layers {order.at("From").to_number<std::uint32_t>(),
+                            order.at("Target").to_number<std::uint32_t>()};
+    after(LoadTime, [this, &server, layers] {
+        const std::lock_guard lock(mutex_);
+        server.loading_ = false;
+        server.layers_ = layers;
+    });
+}
+
+void PlatformStandin::Impl::stream(const ExchangePtr &exchange, int next, int last, int breakAt)
+{
+    if (next == breakAt)
+        return exchange->breakOff();
+    if (next > last)
+        return exchange->finish();
+    exchange->write("id: " + std::to_string(next) + "\ndata: " + std::to_string(next) + "\n\n");
+    after(EventGap,
+          [this, exchange, next, last, breakAt] { stream(exchange, next + 1, last, breakAt); });
+}
+
+void PlatformStandin::Impl::onModel(Server &server, const http::RelayRequest &request,
+                                    const ExchangePtr &exchange)
+{
+    const std::lock_guard lock(mutex_);
+    if (request.target_ == "/report")
+        return exchange->answer({200, {}}, report(server));
+    if (request.target_ == "/order")
+        return onOrder(server, request, exchange);
+    const http::HeaderList echo {{"X-Request-Id", header(request, "X-Request-Id")},
+                                 {"Content-Type", "text/event-stream"}};
+    if (header(request, "X-Expect-Instance") != server.id_)
+        return exchange->answer({421, {}}, {});
+    record(server, request);
+    if (!server.model_)
+        return exchange->answer({200, echo}, "done " + header(request, "X-Request-Id"));
+    const std::string last = header(request, "Last-Event-Id");
+    const int first = last.empty() ? 1 : std::stoi(last) + 1;
+    const int breakAt = std::exchange(breakAfter_, -1);
+    exchange->begin({200, echo});
+    stream(exchange, first, EventsOfStream, breakAt < 0 ? -1 : first + breakAt);
+}
+
+Server &PlatformStandin::Impl::addServer(const std::string &id, bool model)
+{
+    servers_.push_back(std::make_unique<Server>());
+    Server &server = *servers_.back();
+    server.id_ = id;
+    server.model_ = model;
+    server.http_ = std::make_unique<http::RelayServer>(
+            context_,
+            [this, &server](const http::RelayRequest &request, const ExchangePtr &exchange) {
+                onModel(server, request, exchange);
+            });
+    server.address_ = *server.http_->listen({"127.0.0.1", 0});
+    return server;
+}
+
+PlatformStandin::PlatformStandin(std::size_t modelServers) : impl_(std::make_unique<Impl>())
+{
+    for (std::size_t i = 1; i <= modelServers; ++i)
+        impl_->addServer("i-model" + std::to_string(i), true);
+    impl_->addServer("i-desk", false);
+    impl_->store_ = std::make_unique<http::RelayServer>(
+            impl_->context_,
+            [this](const http::RelayRequest &request, const ExchangePtr &exchange) {
+                impl_->onStore(request, exchange);
+            });
+    store_ = *impl_->store_->listen({"127.0.0.1", 0});
+    impl_->thread_ = std::jthread([this] {
+        const auto guard = asio::make_work_guard(impl_->context_);
+        impl_->context_.run();
+    });
+}
+
+PlatformStandin::~PlatformStandin()
+{
+    impl_->context_.stop();
+    impl_->thread_.join();
+}
+
+void PlatformStandin::putConfig(std::uint64_t version, const std::string &keys, bool withExtraRoute)
+{
+    const auto route = [](const char *prefix, const char *kind, const char *service) {
+        return json::object {{"Name", prefix},       {"Host", "desk"},
+                             {"PathPrefix", prefix}, {"Kind", kind},
+                             {"TimeoutMs", 5000},    {"TargetLatencyMs", 500},
+                             {"Priority", 0},        {"Service", service},
+                             {"MaxAttempts", 2},     {"AllowAnonymous", false},
+                             {"StreamResume", true}};
+    };
+    json::array routes {route("/quote/", "stream", "model"),
+                        route("/book/", "non_idempotent", "desk"),
+                        route("/look/", "idempotent", "desk")};
+    if (withExtraRoute)
+        routes.push_back(route("/extra/", "idempotent", "desk"));
+    const json::object engine {
+            {"Slots", 8},
+            {"KvTokenBytes", 40000},
+            {"step_ms", 1.0},
+            {"read_per_s", 100000.0},
+            {"loads_at_once", 2},
+            {"Models", {{{"Name", "m"}, {"LoadS", 1.0}}}},
+            {"Layers", ModelLayers},
+            {"LayerMb", 1000.0},
+            {"usual", {{"prompt", 800}, {"answer", 200}}},
+            {"Kinds",
+             {{{"Name", "half"}, {"SizeMb", 2200.0}, {"pace", 1.0}, {"ReadFactor", 1.0}}}}};
+    const json::object config {
+            {"Version", version},
+            {"Routes", routes},
+            {"Services", {{{"Name", "model"}, {"Engine", engine}}, {{"Name", "desk"}}}},
+            {"Tenants", {{{"Name", "firm"}, {"ApiKeys", {keys}}}}}};
+    impl_->locked([&] { impl_->configs_.push_back(json::serialize(config)); });
+}
+
+void PlatformStandin::setStoreDown(bool down)
+{
+    impl_->locked([&] { impl_->storeDown_ = down; });
+}
+
+void PlatformStandin::breakNextStream(int afterEvents)
+{
+    impl_->locked([&] { impl_->breakAfter_ = afterEvents; });
+}
+
+void PlatformStandin::setDraining(const std::string &server)
+{
+    impl_->locked([&] {
+        for (const auto &known : impl_->servers_)
+            known->draining_ = known->draining_ || known->id_ == server;
+    });
+}
+
+std::vector<ServerRun> PlatformStandin::runs()
+{
+    return impl_->locked([&] { return impl_->runs_; });
+}
+
+std::string PlatformStandin::layersOf(const std::string &server)
+{
+    return impl_->locked([&]() -> std::string {
+        for (const auto &known : impl_->servers_) {
+            if (known->id_ == server && known->layers_)
+                return std::to_string(known->layers_->first) + "-"
+                       + std::to_string(known->layers_->second);
+        }
+        return "none";
+    });
+}
+
+std::vector<std::string> PlatformStandin::modelServers() const
+{
+    std::vector<std::string> names;
+    for (const auto &server : impl_->servers_) {
+        if (server->model_)
+            names.push_back(server->id_);
+    }
+    return names;
+}
+
+} // namespace gypsumcroft::standins
--- /dev/null
+++ b/standins/platform/platformstandin.h
@@ -0,0 +1,58 @@
+//! Stand-in of the users' platform in the test's own process: the store, model servers that hold
+//! layers, and a plain server. It speaks what the platform's pages say, as far as gateways use it.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+
+#include "core/ids.h"
+#include "http/relayserver.h"
+
+namespace gypsumcroft::standins {
+
+//! One request as a server ran it.
+struct ServerRun
+{
+    std::string server_;
+    std::string request_;
+    std::string tenant_;
+    std::string path_;
+    std::string lastEvent_;
+};
+
+class PlatformStandin
+{
+public:
+    //! Model servers hold no layers at first, each has room for half of the model's.
+    explicit PlatformStandin(std::size_t modelServers);
+    ~PlatformStandin();
+    PlatformStandin(const PlatformStandin &) = delete;
+    PlatformStandin &operator=(const PlatformStandin &) = delete;
+
+    Address store() const { return store_; }
+    //! Puts a desired state in force: its version, and the routes' prefixes by kind.
+    void putConfig(std::uint64_t version, const std::string &keys, bool withExtraRoute);
+    //! The store answers nothing from now on, or again.
+    void setStoreDown(bool down);
+    //! The next stream breaks off after so many events.
+    void breakNextStream(int afterEvents);
+    void setDraining(const std::string &server);
+    std::vector<ServerRun> runs();
+    //! Layers that a model server holds, "none" or "FIRST-END".
+    std::string layersOf(const std::string &server);
+    std::vector<std::string> modelServers() const;
+
+private:
+    struct Impl;
+    std::unique_ptr<Impl> impl_;
+    Address store_;
+};
+
+} // namespace gypsumcroft::standins
