--- a/lab/bench.cpp
+++ b/lab/bench.cpp
@@ -12,6 +12,8 @@
 #include "fleet.h"
 #include "policy/claims.h"
 #include "policy/fairqueue.h"
+#include "policy/pathplan.h"
+#include "policy/placement.h"
 #include "policy/routeplan.h"
 #include "policy/subset.h"
 #include "wire/codec.h"
@@ -185,6 +187,75 @@
                                            500));
 }
 
+//! A model of 80 layers on three kinds of accelerator in nine failure domains.
+EngineSpec gatewayEngine()
+{
+    EngineSpec engine;
+    engine.layers_ = 80;
+    engine.layerBytes_ = {1'750'000'000};
+    engine.tokenBytes_ = {590'000};
+    engine.activationBytes_ = {29'500};
+    engine.slots_ = 192;
+    engine.stepTime_ = Duration(1020);
+    engine.readTokensPerSecond_ = 164'000;
+    engine.usualPrompt_ = {774};
+    engine.usualAnswer_ = {210};
+    engine.kinds_ = {{{"a"}, {{72'000'000'000}, 2.4, 3.2}},
+                     {{"b"}, {{14'400'000'000}, 5.3, 7.9}},
+                     {{"c"}, {{21'600'000'000}, 16, 8.2}}};
+    return engine;
+}
+
+std::vector<PlacementNode> gatewayFleet(int members)
+{
+    static constexpr const char *Kinds[] = {"a", "b", "b", "b", "b", "c", "c", "c", "c"};
+    const int domains = members < 300 ? 3 : 9;
+    std::vector<PlacementNode> nodes;
+    for (int i = 0; i < members; ++i) {
+        PlacementNode node;
+        node.endpoint_ = {"i-" + std::to_string(i)};
+        node.domain_ = {"d" + std::to_string(i % domains)};
+        node.kind_ = {Kinds[i / domains % 9]};
+        nodes.push_back(std::move(node));
+    }
+    return nodes;
+}
+
+void benchGateway(int members)
+{
+    const EngineSpec engine = gatewayEngine();
+    std::vector<PlacementNode> fleet = gatewayFleet(members);
+    const std::string suffix = "." + std::to_string(members);
+    std::vector<PlacementMove> moves;
+    print("place_all_us" + suffix,
+          microseconds([&] { moves = planPlacement(engine, fleet, fleet.size()); }, 1));
+    std::vector<PathNode> nodes;
+    for (const PlacementMove &move : moves) {
+        for (PlacementNode &node : fleet) {
+            if (node.endpoint_ == move.endpoint_)
+                node.layers_ = move.layers_;
+        }
+    }
+    for (const PlacementNode &node : fleet) {
+        const AcceleratorSpec &kind = engine.kinds_.at(node.kind_);
+        PathNode path {node.endpoint_, {"10.0.0.1", 80}, node.domain_, *node.layers_};
+        path.stepFactor_ = kind.stepFactor_;
+        path.readFactor_ = kind.readFactor_;
+        path.room_ = requestRoom(engine, kind,
+                                 node.layers_->end_.value_ - node.layers_->first_.value_);
+        nodes.push_back(std::move(path));
+    }
+    print("place_none_us" + suffix,
+          microseconds([&] { planPlacement(engine, fleet, engine.loadsAtOnce_); }, 3));
+    const PathDemand demand {{"d0"}, {774}, {105}, false};
+    print("path_plan_us" + suffix, microseconds([&] { planPath(engine, nodes, demand); }, 10));
+    GatewayDigestMessage digest;
+    digest.instance_ = {"gateway-1"};
+    for (const PlacementNode &node : fleet)
+        digest.shares_.push_back({node.endpoint_, 1e6, Duration(5000), 10, 0});
+    print("gateway_digest_bytes" + suffix, static_cast<double>(encodeDatagram(digest).size()));
+}
+
 } // namespace
 
 int main()
@@ -193,6 +264,8 @@
         benchRoutes(members);
     for (const int organisations : {10, 420})
         benchQueue(organisations);
+    for (const int members : {43, 300, 3100})
+        benchGateway(members);
     benchLedger();
     benchBytes();
 }
--- a/src/controllers/tests/tst_gatewaystate.cpp
+++ b/src/controllers/tests/tst_gatewaystate.cpp
@@ -331,6 +331,7 @@
         };
         std::vector<std::string> prefixes;
         const int count = *rc::gen::inRange(0, 6);
+        prefixes.reserve(static_cast<std::size_t>(count));
         for (int i = 0; i < count; ++i)
             prefixes.push_back(path());
         const auto table = buildRouteTable(stateWith(1, prefixes));
--- a/src/http/tests/tst_serverend.cpp
+++ b/src/http/tests/tst_serverend.cpp
@@ -37,12 +37,12 @@
 std::vector<std::unique_ptr<tcp::socket>> connectAndAsk(asio::io_context &context,
                                                         const Address &address, std::size_t count)
 {
-    static const std::string Request = "GET / HTTP/1.1\r\nHost: test\r\n\r\n";
+    static const std::string request = "GET / HTTP/1.1\r\nHost: test\r\n\r\n";
     std::vector<std::unique_ptr<tcp::socket>> sockets;
     for (std::size_t i = 0; i < count; ++i) {
         auto socket = std::make_unique<tcp::socket>(context);
         socket->connect({asio::ip::make_address(address.host_), address.port_});
-        asio::write(*socket, asio::buffer(Request));
+        asio::write(*socket, asio::buffer(request));
         char answer[64];
         socket->read_some(asio::buffer(answer));
         sockets.push_back(std::move(socket));
--- a/src/platform/internal/documents.cpp
+++ b/src/platform/internal/documents.cpp
@@ -93,10 +93,10 @@
 
 const json::array &list(const json::object &object, std::string_view name)
 {
-    static const json::array None;
+    static const json::array none;
     const json::value *found = object.if_contains(name);
     if (found == nullptr || found->is_null())
-        return None;
+        return none;
     if (!found->is_array())
         throw BadMember(std::string(name) + " is no list");
     return found->as_array();
--- a/src/wire/tests/tst_meshend.cpp
+++ b/src/wire/tests/tst_meshend.cpp
@@ -50,7 +50,7 @@
     }
     {
         std::atomic<std::size_t> received {0};
-        Mesh mesh(pointers, {[&](Message) { ++received; }, [](const Address &) {},
+        Mesh mesh(pointers, {[&](const Message &) { ++received; }, [](const Address &) {},
                              [](const std::string &) {}});
         const auto address = mesh.listen({"127.0.0.1", 0});
         BOOST_REQUIRE_MESSAGE(address, address.lastReason_);
