--- a/src/http/internal/relayserver.cpp
+++ b/src/http/internal/relayserver.cpp
@@ -81,7 +81,7 @@
             asio::post(socket_.get_executor(), std::exchange(onGone_, nullptr));
     }
 
-    void send(std::string bytes)
+    void send(std::string_view bytes)
     {
         if (closed_)
             return;
@@ -341,14 +341,16 @@
     : connection_(std::move(connection)), exchange_(connection_->exchange_)
 { }
 
-void RelayExchange::answer(const RelayHead &head, std::string body)
+void RelayExchange::answer(const RelayHead &head, const std::string &body)
 {
     if (connection_->exchange_ != exchange_ || connection_->answer_ != detail::Answer::None)
         return;
     connection_->answer_ = detail::Answer::Whole;
     const std::string framing = "Content-Length: " + std::to_string(body.size()) + "\r\n";
     std::string text = detail::headText(*connection_, head, framing);
-    connection_->send(connection_->headRequest_ ? std::move(text) : text + body);
+    if (!connection_->headRequest_)
+        text += body;
+    connection_->send(text);
     connection_->wake_.cancel();
 }
 
@@ -360,7 +362,7 @@
     connection_->send(detail::headText(*connection_, head, "Transfer-Encoding: chunked\r\n"));
 }
 
-void RelayExchange::write(std::string bytes)
+void RelayExchange::write(std::string_view bytes)
 {
     if (connection_->exchange_ == exchange_ && connection_->answer_ == detail::Answer::Begun
         && !bytes.empty())
--- a/src/http/relayserver.h
+++ b/src/http/relayserver.h
@@ -26,10 +26,10 @@
 public:
     explicit RelayExchange(std::shared_ptr<detail::RelayConnection> connection);
     //! Sends a whole answer.
-    void answer(const RelayHead &head, std::string body);
+    void answer(const RelayHead &head, const std::string &body);
     //! Begins an answer of unknown length.
     void begin(const RelayHead &head);
-    void write(std::string bytes);
+    void write(std::string_view bytes);
     void finish();
     //! Closes the connection, so that the answer can't be taken for a whole one.
     void breakOff();
--- a/src/platform/internal/storeclient.cpp
+++ b/src/platform/internal/storeclient.cpp
@@ -165,7 +165,8 @@
     newestPage(topic, {}, {}, std::move(callback));
 }
 
-void StoreClient::newestPage(const std::string &topic, KeyedTopic gathered, std::string after,
+void StoreClient::newestPage(const std::string &topic, KeyedTopic gathered,
+                             const std::string &after,
                              std::function<void(Result<KeyedTopic>)> callback)
 {
     http::HttpRequest request;
--- a/src/platform/storeclient.h
+++ b/src/platform/storeclient.h
@@ -75,7 +75,7 @@
                  std::function<void(Result<std::vector<std::string>>)> callback);
 
 private:
-    void newestPage(const std::string &topic, KeyedTopic gathered, std::string after,
+    void newestPage(const std::string &topic, KeyedTopic gathered, const std::string &after,
                     std::function<void(Result<KeyedTopic>)> callback);
 
     Address store_;
