--- a/src/app/internal/gatewaytraffic.cpp
+++ b/src/app/internal/gatewaytraffic.cpp
@@ -214,7 +214,7 @@
 {
     const auto found = exchanges_.find(deliver.exchange_);
     OpenCall &call = calls_.at(deliver.send_);
-    found->second.exchange_->answer(call.head_, std::move(call.bytes_));
+    found->second.exchange_->answer(call.head_, call.bytes_);
     exchanges_.erase(found);
 }
 
