One reader of addresses in settings; dead members removed

Cause: reading the whole change again: gateway settings had a copy of readAddress, a send had a member that nobody read, and the control loop declared a function that does not exist. Change: the settings decoders share readAddress; the rest is gone. Behaviour is the same.

--- a/src/app/internal/gatewaycontrol.h
+++ b/src/app/internal/gatewaycontrol.h
@@ -31,7 +31,6 @@
     const GatewayControl &state() const { return control_; }
 
 private:
-    void readConfig();
     void readNewestConfig();
     void tailConfig();
     void takeConfig(const std::vector<platform::KeyedRecord> &records, TimePoint asked);
--- a/src/documents/internal/gatewaysettings.cpp
+++ b/src/documents/internal/gatewaysettings.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 
-#include "documents/settings.h"
 #include "objectreader.h"
 
 namespace gypsumcroft {
@@ -13,17 +12,6 @@
 constexpr std::int64_t LongestMs = 600000;
 constexpr std::uint32_t MaxPartitions = 10000;
 
-std::optional<Address> addressIn(ObjectReader &reader, std::string_view name, bool required)
-{
-    const auto text = reader.text(name, required);
-    if (!text)
-        return std::nullopt;
-    auto address = parseAddress(*text);
-    if (!address)
-        reader.fault(name, "must be an IP number and a port, such as 127.0.0.1:8080");
-    return address;
-}
-
 Duration millisecondsIn(ObjectReader &reader, std::string_view name, Duration fallback)
 {
     const auto value = reader.integer(name, false, 0, LongestMs);
@@ -79,7 +67,7 @@
     if (value == nullptr)
         return;
     ObjectReader store(*value, reader.placeOf("store"), findings);
-    settings.store_ = addressIn(store, "address", true).value_or(Address {});
+    settings.store_ = readAddress(store, "address", true).value_or(Address {});
     settings.topicPartitions_ = static_cast<std::uint32_t>(
             store.integer("partitions", false, 1, MaxPartitions).value_or(1));
     const Duration shortest = millisecondsIn(store, "shortestLifetimeMs", {});
@@ -104,10 +92,10 @@
         reader.fault("role", "must be 'gateway'");
     settings.instance_ = {reader.text("instance", true).value_or("")};
     settings.domain_ = {reader.text("failureDomain", true).value_or("")};
-    settings.mesh_ = detail::addressIn(reader, "mesh", true).value_or(Address {});
-    settings.callers_ = detail::addressIn(reader, "callers", true).value_or(Address {});
-    settings.ready_ = detail::addressIn(reader, "ready", true).value_or(Address {});
-    settings.metrics_ = detail::addressIn(reader, "metrics", false);
+    settings.mesh_ = detail::readAddress(reader, "mesh", true).value_or(Address {});
+    settings.callers_ = detail::readAddress(reader, "callers", true).value_or(Address {});
+    settings.ready_ = detail::readAddress(reader, "ready", true).value_or(Address {});
+    settings.metrics_ = detail::readAddress(reader, "metrics", false);
     detail::readStore(reader, settings, findings);
     detail::readBounds(reader, settings, findings);
     reader.finish();
--- a/src/documents/internal/objectreader.h
+++ b/src/documents/internal/objectreader.h
@@ -11,6 +11,7 @@
 #include <boost/json.hpp>
 
 #include "core/findings.h"
+#include "core/ids.h"
 
 namespace gypsumcroft::detail {
 
@@ -47,4 +48,7 @@
     std::set<std::string, std::less<>> known_;
 };
 
+//! Reads an IP number with a port; a finding if the member is something else.
+std::optional<Address> readAddress(ObjectReader &reader, std::string_view name, bool required);
+
 } // namespace gypsumcroft::detail
--- a/src/filters/gatewaystate.h
+++ b/src/filters/gatewaystate.h
@@ -159,7 +159,6 @@
     TimePoint lastNews_;
     //! Its endpoints were asked since the last news.
     bool doubted_ = false;
-    bool answering_ = false;
     //! Time that each endpoint of the path needs to read the prompt; empty once it is read.
     std::vector<Duration> reading_;
     AnswerHead head_;
--- a/src/gateway/internal/traffic.cpp
+++ b/src/gateway/internal/traffic.cpp
@@ -354,7 +354,6 @@
     if (context == nullptr)
         return;
     context->send_->head_ = head;
-    context->send_->answering_ = true;
     if (!head.load_)
         return;
     EndpointUse &use = state.uses_[context->send_->endpoint_];
