Races of operators name the version they edit; processes-config-races mended

Cause: the scenario started two publications one after the other and counted a refusal a race, but nothing made them compete: a publisher that starts once the other's record is judged rightly wins as well. With the second started 300 ms late the scenario failed every time as seen ("a race had more than one winner", requests=93 whole=90 cut=3; the cut streams are those of the entries that the scenario kills, they are the same in passing runs).

--- a/lab/measureprocesses.cpp
+++ b/lab/measureprocesses.cpp
@@ -203,7 +203,7 @@
         driver.runUntil(
                 [&] {
                     driver.reapPublishers();
-                    return driver.publishers_.empty();
+                    return !driver.arePublishing();
                 },
                 std::chrono::seconds(10));
     }
--- a/lab/processdriver.h
+++ b/lab/processdriver.h
@@ -2,7 +2,9 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -34,9 +36,16 @@
 
     //! Publishes a document with the product's own sub-command; true when it was accepted.
     bool publish(const std::string &document, const std::string &name);
-    void publishAsync(const std::string &document, const std::string &name);
-    //! Publications begun with publishAsync: how many were accepted and refused so far.
+    //! With "replaces" the document is refused unless that version of its object is in force.
+    void publishAsync(const std::string &document, const std::string &name,
+                      std::optional<std::uint64_t> replaces = {});
+    //! Takes the verdicts of publications that have ended.
     void reapPublishers();
+    bool arePublishing() const { return !publishers_.empty(); }
+    //! Whether the publication of this name was accepted; none until it has ended.
+    std::optional<bool> verdictOf(const std::string &name) const;
+    //! Version of an object after the last publication that was accepted; 0 if there is none.
+    std::uint64_t versionOf(const std::string &object) const;
 
     //! Waits until every entry knows the configuration and sees all agents ready.
     bool waitReady();
@@ -44,13 +53,15 @@
     void fault(const std::string &standin, const std::string &json);
 
     std::vector<CallerRecord> records_;
-    std::uint32_t accepted_ = 0;
-    std::uint32_t refused_ = 0;
-    std::vector<pid_t> publishers_;
 
 private:
     void fill(std::size_t index, const http::ClientResult &result, bool events);
+    std::string outputOf(const std::string &name) const;
+    void takeVerdict(const std::string &name, bool accepted);
 
+    std::map<pid_t, std::string> publishers_;
+    std::map<std::string, bool> verdicts_;
+    std::map<std::string, std::uint64_t> versions_;
     ProcessFleet &fleet_;
     boost::asio::io_context context_ {1};
     http::Client client_;
--- a/src/app/commands.h
+++ b/src/app/commands.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <chrono>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -17,6 +18,8 @@
     Address log_;
     std::string file_;
     std::chrono::milliseconds timeout_ {30000};
+    //! The version that the document was made from; the one in force when the log is read if unset.
+    std::optional<LogOffset> replaces_;
 };
 
 //! Appends a document and waits until the log's order has accepted or refused it.
--- a/src/app/internal/commands.cpp
+++ b/src/app/internal/commands.cpp
@@ -64,7 +64,8 @@
 public:
     Publisher(const PublishOptions &options, ConfigDocument document)
         : options_(options), document_(std::move(document)), id_ {randomPublishId()},
-          log_(context_, options.log_), deadline_(monotonicNow() + options.timeout_)
+          log_(context_, options.log_), deadline_(monotonicNow() + options.timeout_),
+          replaces_(options.replaces_)
     { }
 
     int run()
--- a/src/app/internal/main.cpp
+++ b/src/app/internal/main.cpp
@@ -19,6 +19,7 @@
 DEFINE_string(lift, "", "fingerprint to clear (quarantine)");
 DEFINE_string(level, "info", "least level of log lines: debug, info, warning or error");
 DEFINE_int32(timeout_ms, 30000, "how long to wait for the log's verdict (publish)");
+DEFINE_int64(replaces, -1, "refuse unless this version is in force; -1: the newest (publish)");
 
 namespace gypsumcroft {
 namespace {
@@ -116,7 +117,11 @@
         std::cerr << "usage: gypsumcroft publish --log HOST:PORT FILE\n";
         return ExitUsage;
     }
-    return runPublish({*log, arguments.front(), std::chrono::milliseconds(FLAGS_timeout_ms)});
+    PublishOptions options {
+            *log, arguments.front(), std::chrono::milliseconds(FLAGS_timeout_ms), {}};
+    if (FLAGS_replaces >= 0)
+        options.replaces_ = LogOffset {static_cast<std::uint64_t>(FLAGS_replaces)};
+    return runPublish(options);
 }
 
 int operatorRequest(const std::string &method, const std::string &path)
