Urgent work keeps its room in floods: windows by rank, a reserve at the agent

In floods of quotes a class that was not heard of for 4 s was tried again by everybody at once. Change: the agent keeps one slot in eight from background work that holds half the slots; a window has a size for each rank, and busy narrows the rank and those below; one request tries a class again; three mean deviations of the first token's time instead of two.

--- a/src/agent/tests/tst_traffic.cpp
+++ b/src/agent/tests/tst_traffic.cpp
@@ -114,8 +114,61 @@
     return out << test.name_;
 }
 
+//! Of eight slots one is kept from a flood of background work.
+struct ReserveCase
+{
+    const char *name_;
+    std::uint32_t heldByBackground_;
+    std::uint32_t heldByUrgent_;
+    Rank rank_;
+    std::size_t runs_;
+};
+
+const ReserveCase ReserveCases[] = {
+        {"background while two slots are free", 6, 0, Rank::Background, 1},
+        {"background before the last slot", 7, 0, Rank::Background, 0},
+        {"standard at the last slot", 7, 0, Rank::Standard, 1},
+        {"urgent at the last slot", 7, 0, Rank::Urgent, 1},
+        {"background in a flood of others", 3, 4, Rank::Background, 1},
+        {"background that holds half", 4, 3, Rank::Background, 0},
+        {"nothing is free", 7, 1, Rank::Urgent, 0},
+};
+
+std::ostream &operator<<(std::ostream &out, const ReserveCase &test)
+{
+    return out << test.name_;
+}
+
+StepMessage stepOfRank(const std::string &request, Rank rank)
+{
+    StepMessage message = step(1, 0, request.c_str());
+    message.plan_.rank_ = rank;
+    return message;
+}
+
+//! Opens streams while nothing holds them back.
+void holdSlots(AgentTraffic &state, const AgentView &view, Rank rank, std::uint32_t count)
+{
+    for (std::uint32_t i = 0; i < count; ++i) {
+        const std::string request = std::string(rankName(rank)) + std::to_string(i);
+        onStep(state, view, stepOfRank(request, rank), Start);
+    }
+}
+
 } // namespace
 
+BOOST_DATA_TEST_CASE(backgroundFloodLeavesASlot, ReserveCases)
+{
+    AgentTraffic state = newState();
+    AgentView view = readyView();
+    view.report_.slots_ = {8};
+    holdSlots(state, view, Rank::Background, sample.heldByBackground_);
+    holdSlots(state, view, Rank::Urgent, sample.heldByUrgent_);
+    state.effects_.clear();
+    onStep(state, view, stepOfRank("new", sample.rank_), Start);
+    BOOST_TEST(countEffects<RunStep>(state) == sample.runs_);
+}
+
 BOOST_DATA_TEST_CASE(eachStepRunsOnce, StepCases)
 {
     AgentTraffic state = newState();
--- a/src/entry/internal/traffic.cpp
+++ b/src/entry/internal/traffic.cpp
@@ -356,11 +356,11 @@
                        [&](const RouteHop &hop) { return hop.agent_ == agent; });
 }
 
-void shrinkWindows(EntryTraffic &state, const EndpointId &endpoint, TimePoint now)
+void shrinkWindowAt(EntryTraffic &state, const EndpointId &endpoint, Rank rank, TimePoint now)
 {
     const auto window = state.windows_.find(endpoint);
     if (window != state.windows_.end())
-        shrinkWindow(window->second, now);
+        shrinkWindow(window->second, rank, now);
 }
 
 //! Busy narrows the window; an endpoint that can't take the request is passed over for a while.
@@ -368,19 +368,19 @@
                       RefusalCode code, TimePoint now)
 {
     if (code == RefusalCode::Busy)
-        return shrinkWindows(state, endpoint, now);
+        return shrinkWindowAt(state, endpoint, context.work_.rank_, now);
     if (code == RefusalCode::Leaving)
         emit(state, ReportFailure {endpoint, FailureKind::Leaving, {}});
     if (code == RefusalCode::Leaving || code == RefusalCode::EndpointFailed)
         context.avoid_.push_back({endpoint, now + state.limits_.avoidFor_});
 }
 
-void growWindows(EntryTraffic &state, const RoutingView &view, const Route &route)
+void growWindows(EntryTraffic &state, const RoutingView &view, const RequestContext &context)
 {
-    for (const RouteHop &hop : route) {
+    for (const RouteHop &hop : context.route_) {
         const auto index = view.byEndpoint_.find(hop.endpoint_);
         if (index != view.byEndpoint_.end())
-            growWindow(state.windows_[hop.endpoint_],
+            growWindow(state.windows_[hop.endpoint_], context.work_.rank_,
                        view.endpoints_[index->second].report_.slots_);
     }
 }
@@ -388,7 +388,7 @@
 void finishStream(EntryTraffic &state, RequestContext &context, const RoutingView &view,
                   TimePoint now)
 {
-    growWindows(state, view, context.route_);
+    growWindows(state, view, context);
     releaseWork(state, context);
     countSuccess(state.retryBudget_, state.limits_.retry_);
     ++state.counters_.completed_;
@@ -486,7 +486,7 @@
     if (result.endpointDied_)
         emit(state, ReportFailure {result.endpoint_, FailureKind::Died, {context->fingerprint_}});
     if (result.outcome_) {
-        detail::growWindows(state, view, context->route_);
+        detail::growWindows(state, view, *context);
         detail::endWithOutcome(state, *context, *result.outcome_, now);
         detail::pump(state, view, now);
         return;
--- a/src/filters/internal/agentfilters.cpp
+++ b/src/filters/internal/agentfilters.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "policy/window.h"
+
 namespace gypsumcroft {
 
 namespace detail {
@@ -86,13 +88,32 @@
                        [](const auto &entry) { return entry.second.plan_.suspect_; });
 }
 
+//! Background work that holds most slots floods; less of it is the share that its floor grants.
+bool isFloodedByBackground(const AgentView &view, const AgentTraffic &state)
+{
+    const auto held
+            = std::count_if(state.streams_.begin(), state.streams_.end(), [](const auto &entry) {
+                  return entry.second.plan_.rank_ == Rank::Background;
+              });
+    return static_cast<std::uint64_t>(held) * 2 >= view.report_.slots_.value_;
+}
+
+//! Entries see each other's load late; only here is it known that a flood leaves slots for the
+//! rest.
+std::size_t slotsFor(const StreamPlan &plan, const AgentView &view, const AgentTraffic &state)
+{
+    const std::uint32_t slots = view.report_.slots_.value_;
+    const bool flooding = plan.rank_ == Rank::Background && isFloodedByBackground(view, state);
+    return flooding ? slots - slotsReserved(view.report_.slots_).value_ : slots;
+}
+
 FilterVerdict takeSlot(StepContext &context, const AgentView &view, AgentTraffic &state,
                        TimePoint now)
 {
     const StepMessage &step = context.step_;
     if (state.streams_.contains(step.plan_.request_))
         return proceed();
-    const bool full = busySlots(state) >= view.report_.slots_.value_;
+    const bool full = busySlots(state) >= slotsFor(step.plan_, view, state);
     const bool alone = !step.plan_.suspect_ || !hasOtherSuspect(state);
     if (!full && alone) {
         AgentStream stream;
--- a/src/filters/internal/entryfilters.cpp
+++ b/src/filters/internal/entryfilters.cpp
@@ -152,26 +152,26 @@
     const auto found = state.windows_.find(endpoint.endpoint_);
     if (found != state.windows_.end())
         return found->second;
-    DispatchWindow window;
-    window.size_ = std::max(1.0, static_cast<double>(endpoint.report_.slots_.value_));
+    const DispatchWindow window = windowOfSize(endpoint.report_.slots_.value_);
     return state.windows_.emplace(endpoint.endpoint_, window).first->second;
 }
 
 //! Slots that background work leaves free, so that a flood of it keeps nobody else waiting.
 std::uint32_t slotsLeftFree(const RequestContext &context, const EndpointView &endpoint)
 {
-    constexpr std::uint32_t ReservedShare = 8;
     const bool flooding = context.work_.rank_ == Rank::Background && !context.belowFloor_;
-    return flooding ? endpoint.report_.slots_.value_ / ReservedShare : 0;
+    return flooding ? slotsReserved(endpoint.report_.slots_).value_ : 0;
 }
 
-//! Room in the own window, and a slot that nobody held at the last report.
+//! Room in the own window, and a slot that nobody held at the last report. A rank below its floor
+//! is not held back by what more urgent work did to its window.
 bool hasRoomAt(const RequestContext &context, const EndpointView &endpoint,
                const DispatchWindow &window)
 {
     const std::uint32_t held = window.outstanding_ + endpoint.slotsOfOthers_.value_
                                + slotsLeftFree(context, endpoint);
-    return hasRoom(window) && held < endpoint.report_.slots_.value_;
+    const Rank rank = context.belowFloor_ ? Rank::Urgent : context.work_.rank_;
+    return hasRoom(window, rank) && held < endpoint.report_.slots_.value_;
 }
 
 bool mayUse(const RequestContext &context, const EndpointView &endpoint)
@@ -212,7 +212,7 @@
 }
 
 //! A class that lately brought first tokens later than this request can wait is passed over; after
-//! a while without news it is tried again.
+//! a while without news one request tries it again.
 bool isTooSlow(const RequestContext &context, const EntryTraffic &state, const SpeedClass &speed,
                TimePoint now)
 {
@@ -225,6 +225,15 @@
     return usualService(found->second.time_) > patienceForService(context.work_.patience_);
 }
 
+//! Whoever tries a class holds the others back until its first token is counted.
+void noteDispatch(EntryTraffic &state, const RequestContext &context, TimePoint now)
+{
+    auto &services = state.classServices_[static_cast<std::size_t>(context.work_.rank_)];
+    const auto found = services.find(context.speed_.least_);
+    if (found != services.end())
+        found->second.countedAt_ = now;
+}
+
 //! The cheapest route within one speed class.
 std::optional<PlannedRoute> planStream(const std::vector<StageCandidate> &candidates,
                                        const RequestContext &context, const RoutingView &view,
@@ -281,6 +290,7 @@
         return hold();
     context.route_ = plan->route_;
     context.speed_ = plan->speed_;
+    noteDispatch(state, context, now);
     emit(state,
          logEvent(LogLevel::Info,
                   LogLine("route")
--- a/src/policy/internal/admission.cpp
+++ b/src/policy/internal/admission.cpp
@@ -11,7 +11,7 @@
 constexpr Duration MinRetryAfter = std::chrono::seconds(1);
 constexpr double MicrosPerSecond = 1e6;
 constexpr int ServiceSmoothing = 16;
-constexpr int ServiceDeviations = 2;
+constexpr int ServiceDeviations = 3;
 constexpr Duration MaxWaitMargin = std::chrono::milliseconds(150);
 
 } // namespace detail
--- a/src/policy/internal/window.cpp
+++ b/src/policy/internal/window.cpp
@@ -7,29 +7,51 @@
 namespace detail {
 
 constexpr double DecreaseFactor = 0.7;
+//! One slot in eight: urgent arrivals within the time that a background stream takes to end.
+constexpr std::uint32_t ReservedPart = 8;
 constexpr Duration DecreaseInterval = std::chrono::milliseconds(100);
 
 } // namespace detail
 
-bool hasRoom(const DispatchWindow &window)
+Slots slotsReserved(Slots slots)
 {
-    return static_cast<double>(window.outstanding_) + 1.0 <= window.size_;
+    return {slots.value_ / detail::ReservedPart};
 }
 
-void growWindow(DispatchWindow &window, Slots limit)
+DispatchWindow windowOfSize(double size)
+{
+    DispatchWindow window;
+    window.sizes_.fill(std::max(1.0, size));
+    return window;
+}
+
+bool hasRoom(const DispatchWindow &window, Rank rank)
+{
+    return static_cast<double>(window.outstanding_) + 1.0
+           <= window.sizes_[static_cast<std::size_t>(rank)];
+}
+
+void growWindow(DispatchWindow &window, Rank rank, Slots limit)
 {
     const double most = std::max<double>(1.0, limit.value_);
-    window.size_ = std::min(most, window.size_ + 1.0);
+    const auto own = static_cast<std::size_t>(rank);
+    window.sizes_[own] = std::min(most, window.sizes_[own] + 1.0);
+    for (std::size_t i = 0; i < own; ++i)
+        window.sizes_[i] = std::max(window.sizes_[i], window.sizes_[own]);
 }
 
-void shrinkWindow(DispatchWindow &window, TimePoint now)
+void shrinkWindow(DispatchWindow &window, Rank rank, TimePoint now)
 {
-    if (now < window.decreaseAfter_)
+    const auto own = static_cast<std::size_t>(rank);
+    if (now < window.decreaseAfter_[own])
         return;
     //! What is outstanding now is already too much; a far larger window would say nothing.
-    const double held = std::min(window.size_, static_cast<double>(window.outstanding_));
-    window.size_ = std::max(1.0, held * detail::DecreaseFactor);
-    window.decreaseAfter_ = now + detail::DecreaseInterval;
+    const double held = std::min(window.sizes_[own], static_cast<double>(window.outstanding_));
+    const double size = std::max(1.0, held * detail::DecreaseFactor);
+    for (std::size_t i = own; i < RankCount; ++i) {
+        window.sizes_[i] = std::min(window.sizes_[i], size);
+        window.decreaseAfter_[i] = now + detail::DecreaseInterval;
+    }
 }
 
 } // namespace gypsumcroft
--- a/src/policy/tests/tst_limits.cpp
+++ b/src/policy/tests/tst_limits.cpp
@@ -136,23 +136,54 @@
     }
 }
 
-BOOST_AUTO_TEST_CASE(windowGrowsToTheSlotsAndShrinksOnceAnInterval)
+BOOST_DATA_TEST_CASE(windowGrowsToTheSlotsAndShrinksOnceAnInterval,
+                     boost::unit_test::data::xrange(RankCount), index)
 {
+    const Rank rank = AllRanks[index];
     DispatchWindow window;
+    const double &size = window.sizes_[index];
     for (int i = 0; i < 20; ++i)
-        growWindow(window, {8});
-    BOOST_TEST(window.size_ == 8);
+        growWindow(window, rank, {8});
+    BOOST_TEST(size == 8);
     window.outstanding_ = 7;
-    BOOST_TEST(hasRoom(window));
+    BOOST_TEST(hasRoom(window, rank));
     window.outstanding_ = 8;
-    BOOST_TEST(!hasRoom(window));
-    shrinkWindow(window, Start);
-    const double once = window.size_;
-    shrinkWindow(window, Start + Duration(1));
-    BOOST_TEST(window.size_ == once);
+    BOOST_TEST(!hasRoom(window, rank));
+    shrinkWindow(window, rank, Start);
+    const double once = size;
+    shrinkWindow(window, rank, Start + Duration(1));
+    BOOST_TEST(size == once);
     for (int i = 0; i < 50; ++i)
-        shrinkWindow(window, Start + std::chrono::seconds(i + 1));
-    BOOST_TEST(window.size_ == 1);
+        shrinkWindow(window, rank, Start + std::chrono::seconds(i + 1));
+    BOOST_TEST(size == 1);
+}
+
+struct WindowCase
+{
+    const char *name_;
+    Rank busy_;
+    std::array<bool, RankCount> roomLeft_;
+};
+
+std::ostream &operator<<(std::ostream &out, const WindowCase &row)
+{
+    return out << row.name_;
+}
+
+const WindowCase WindowCases[] = {
+        {"background busy", Rank::Background, {true, true, false}},
+        {"standard busy", Rank::Standard, {true, false, false}},
+        {"urgent busy", Rank::Urgent, {false, false, false}},
+};
+
+BOOST_DATA_TEST_CASE(busyNarrowsTheRankAndThoseBelow, boost::unit_test::data::make(WindowCases),
+                     row)
+{
+    DispatchWindow window = windowOfSize(8);
+    window.outstanding_ = 7;
+    shrinkWindow(window, row.busy_, Start);
+    for (const Rank rank : AllRanks)
+        BOOST_TEST(hasRoom(window, rank) == row.roomLeft_[static_cast<std::size_t>(rank)]);
 }
 
 BOOST_DATA_TEST_CASE(guiltNeedsTwoEndpoints, SuspectCases)
