A stopping gateway gives its lease up at once

Ruled out: the order itself, which a new holder gives 0.2 s after it holds. Change: on SIGTERM the gateway leaves the group, joins no more, ignores grants on their way, places nothing and leaves its part of the retry slack to those that stay (its own requests' ratio it keeps). A question for peers that fails is logged as the other questions to the platform are. Shown: processes-gateway with the call taken out: the other never gains the lease; with it, it does while the holder still drains. The group deals its parts over two rounds of joins, which is what remains of the gap.

--- a/lab/tests/tst_gatewayprocess.cpp
+++ b/lab/tests/tst_gatewayprocess.cpp
@@ -297,6 +297,21 @@
     BOOST_TEST(gateways_[0]->log().find("event=stopped instance=g1 cut=0") != std::string::npos);
 }
 
+// The stand-in never drops silent members, so only leaving moves the lease.
+BOOST_FIXTURE_TEST_CASE(aStoppingHolderHandsItsLeaseOver, Fixture)
+{
+    const auto holds = [](const Gateway &gateway) {
+        return gateway.log().find("event=lease-gained") != std::string::npos;
+    };
+    BOOST_REQUIRE(waitFor([&] { return holds(*gateways_[0]) || holds(*gateways_[1]); }));
+    const bool first = holds(*gateways_[0]);
+    Gateway &holder = *gateways_[first ? 0 : 1];
+    const Gateway &other = *gateways_[first ? 1 : 0];
+    BOOST_REQUIRE(kill(holder.pid_, SIGTERM) == 0);
+    BOOST_TEST(waitFor([&] { return holds(other); }));
+    BOOST_TEST(holder.log().find("event=stopped") == std::string::npos);
+}
+
 BOOST_FIXTURE_TEST_CASE(metricsAreServed, Fixture)
 {
     const std::string metrics = ask(gateways_[0]->metrics_, "GET", "/metrics", "", "").text_;
--- a/src/app/internal/gatewaycontrol.cpp
+++ b/src/app/internal/gatewaycontrol.cpp
@@ -69,6 +69,12 @@
     perform();
 }
 
+void GatewayControlLoop::beginStop()
+{
+    onLeaving(control_);
+    perform();
+}
+
 void GatewayControlLoop::onDatagram(Datagram datagram)
 {
     if (auto *digest = std::get_if<GatewayDigestMessage>(&datagram))
@@ -189,6 +195,8 @@
 {
     if (const auto *group = std::get_if<JoinGroup>(&effect))
         join(*group);
+    else if (std::holds_alternative<LeaveGroup>(effect))
+        leave();
     else if (std::holds_alternative<AskPeers>(effect))
         askPeers();
     else if (const auto *send = std::get_if<SendDigest>(&effect))
@@ -226,11 +234,21 @@
     });
 }
 
+void GatewayControlLoop::leave()
+{
+    store_.leave(LeaseTopic, member_, [](const std::optional<std::string> &reason) {
+        if (reason)
+            GC_LOG_WARNING(LogLine("leave-failed").add("reason", *reason));
+    });
+}
+
 void GatewayControlLoop::askPeers()
 {
     store_.members(LeaseTopic, [this](const Result<std::vector<std::string>> &members) {
-        if (!members)
-            return;
+        if (!members) {
+            onPlatformSilent(control_, "members", members.lastReason_, monotonicNow());
+            return perform();
+        }
         std::vector<Address> peers;
         for (const std::string &member : *members) {
             if (const auto address = parseAddress(member.substr(0, member.find(MemberSeparator))))
--- a/src/app/internal/gatewaycontrol.h
+++ b/src/app/internal/gatewaycontrol.h
@@ -27,6 +27,8 @@
     Result<Address> listen(const Address &mesh);
     void start();
     void note(TrafficNote note);
+    //! The process is stopping; the lease goes to another.
+    void beginStop();
     bool isReady() const { return isGatewayReady(control_, monotonicNow()); }
     const GatewayControl &state() const { return control_; }
 
@@ -41,6 +43,7 @@
     void perform();
     void perform(GatewayControlEffect &effect);
     void join(const JoinGroup &join);
+    void leave();
     void askPeers();
     void onDatagram(Datagram datagram);
     void ask(const AskEndpoint &ask);
--- a/src/app/internal/gatewayprocess.cpp
+++ b/src/app/internal/gatewayprocess.cpp
@@ -131,6 +131,7 @@
     stopping_ = true;
     stopAt_ = monotonicNow() + settings_.grace_ - KillMargin;
     GC_LOG_INFO(LogLine("draining").add("instance", settings_.instance_));
+    control_.beginStop();
     onTraffic(Duration(), [this] { traffic_.beginStop(); });
     onTraffic(std::min(StopNotice, settings_.grace_ / 2), [this] {
         traffic_.stopAccepting();
--- a/src/controllers/internal/lease.cpp
+++ b/src/controllers/internal/lease.cpp
@@ -1,12 +1,14 @@
 #include "controllers/lease.h"
 
+#include <utility>
+
 namespace gypsumcroft {
 
 bool takeJoinDue(LeaseState &state, TimePoint now)
 {
     if (state.joinSentAt_ && now - *state.joinSentAt_ < state.limits_.answerTimeout_)
         return false;
-    if (now < state.nextJoinAt_)
+    if (state.left_ || now < state.nextJoinAt_)
         return false;
     state.joinSentAt_ = now;
     state.nextJoinAt_ = now + state.limits_.renewEvery_;
@@ -16,7 +18,7 @@
 bool applyJoin(LeaseState &state, GroupGeneration generation, bool granted, TimePoint sent)
 {
     state.joinSentAt_.reset();
-    if (generation < state.generation_)
+    if (state.left_ || generation < state.generation_)
         return false;
     const bool changed = granted != state.holding_;
     state.generation_ = generation;
@@ -32,6 +34,13 @@
     state.nextJoinAt_ = now + state.limits_.renewEvery_;
 }
 
+bool leaveLease(LeaseState &state)
+{
+    state.left_ = true;
+    state.grantedAt_.reset();
+    return std::exchange(state.holding_, false);
+}
+
 bool holdsLease(const LeaseState &state, TimePoint now)
 {
     return state.holding_ && state.grantedAt_
--- a/src/controllers/lease.h
+++ b/src/controllers/lease.h
@@ -30,6 +30,8 @@
     LeaseLimits limits_;
     GroupGeneration generation_;
     bool holding_ = false;
+    //! This process is stopping: it joins no more, and answers on their way grant nothing.
+    bool left_ = false;
     std::optional<TimePoint> grantedAt_;
     std::optional<TimePoint> joinSentAt_;
     TimePoint nextJoinAt_;
@@ -44,6 +46,9 @@
 //! A join failed; the lease runs on until it lapses.
 void applyJoinFailure(LeaseState &state, TimePoint now);
 
+//! Gives the lease up for good. Returns true if this process held it.
+bool leaveLease(LeaseState &state);
+
 //! True while nobody else can hold the lease. Time that the process slept counts.
 bool holdsLease(const LeaseState &state, TimePoint now);
 
--- a/src/controllers/tests/tst_gatewaystate.cpp
+++ b/src/controllers/tests/tst_gatewaystate.cpp
@@ -185,7 +185,7 @@
         {"a word of an earlier life is not heard", 1000, 0, 2000, 1, "x=4-8"},
 };
 
-enum class LeaseEvent { Granted, Denied, Failed, Nothing };
+enum class LeaseEvent { Granted, Denied, Failed, Left, Nothing };
 
 struct LeaseStep
 {
@@ -226,6 +226,11 @@
          {{0, LeaseEvent::Granted, 3, true},
           {700, LeaseEvent::Denied, 4, false},
           {800, LeaseEvent::Granted, 3, false}}},
+        {"who leaves holds it no more",
+         {{0, LeaseEvent::Granted, 1, true},
+          {100, LeaseEvent::Left, 0, false},
+          {110, LeaseEvent::Granted, 1, false},
+          {120, LeaseEvent::Granted, 2, false}}},
 };
 
 //! One event of an endpoint's probing and what follows.
@@ -394,6 +399,10 @@
                       at(step.atMs_));
         if (step.event_ == LeaseEvent::Failed)
             applyJoinFailure(state, at(step.atMs_));
+        if (step.event_ == LeaseEvent::Left) {
+            leaveLease(state);
+            BOOST_TEST(!takeJoinDue(state, at(step.atMs_ + 5000)));
+        }
         BOOST_TEST(holdsLease(state, at(step.atMs_)) == step.holds_);
     }
 }
--- a/src/gateway/control.h
+++ b/src/gateway/control.h
@@ -21,6 +21,10 @@
     GroupGeneration generation_;
 };
 
+//! Give the membership up, so that the lease moves at once.
+struct LeaveGroup
+{ };
+
 //! Ask the platform who the other gateways are.
 struct AskPeers
 { };
@@ -35,8 +39,8 @@
 struct GatewayViewChanged
 { };
 
-using GatewayControlEffect = std::variant<JoinGroup, AskPeers, AskEndpoint, OrderLayers, SendDigest,
-                                          GatewayViewChanged, LogEvent>;
+using GatewayControlEffect = std::variant<JoinGroup, LeaveGroup, AskPeers, AskEndpoint, OrderLayers,
+                                          SendDigest, GatewayViewChanged, LogEvent>;
 
 //! Bounds that the platform sets for this installation.
 struct GatewayBounds
@@ -100,6 +104,10 @@
               TimePoint now);
 void onJoinFailed(GatewayControl &state, TimePoint now);
 
+//! The process is stopping: it places no more layers and leaves its part of the retry slack to
+//! those that stay.
+void onLeaving(GatewayControl &state);
+
 //! How many entries there are, as the platform says.
 void onEntryCount(GatewayControl &state, std::uint32_t entries);
 
--- a/src/gateway/internal/control.cpp
+++ b/src/gateway/internal/control.cpp
@@ -196,6 +196,19 @@
     }
 }
 
+void onLeaving(GatewayControl &state)
+{
+    const bool held = leaveLease(state.lease_);
+    if (held)
+        state.effects_.emplace_back(logEvent(
+                LogLevel::Info, LogLine("lease-left").add("generation", state.lease_.generation_)));
+    for (auto &[target, placing] : state.placing_)
+        stopPlacing(placing);
+    state.bounds_.retrySlack_ = 0;
+    state.effects_.emplace_back(LeaveGroup {});
+    detail::viewChanged(state);
+}
+
 void onJoinFailed(GatewayControl &state, TimePoint now)
 {
     applyJoinFailure(state.lease_, now);
--- a/src/platform/internal/storeclient.cpp
+++ b/src/platform/internal/storeclient.cpp
@@ -233,6 +233,23 @@
                  });
 }
 
+void StoreClient::leave(const std::string &group, const std::string &member,
+                        std::function<void(std::optional<std::string>)> callback)
+{
+    http::HttpRequest request;
+    request.method_ = "POST";
+    request.path_ = "/log-leave";
+    request.headers_["Content-Type"] = "application/json";
+    request.body_ = json::serialize(json::object {{"group", group}, {"Member", member}});
+    client_.send(store_, std::move(request), {detail::AnswerTimeout, false},
+                 [callback = std::move(callback)](const http::ClientResult &answer) {
+                     const bool left
+                             = answer.response_ && answer.response_->status_ == detail::StatusOk;
+                     callback(left ? std::nullopt
+                                   : std::optional<std::string>(detail::reasonOf(answer)));
+                 });
+}
+
 void StoreClient::members(const std::string &group,
                           std::function<void(Result<std::vector<std::string>>)> callback)
 {
--- a/src/platform/storeclient.h
+++ b/src/platform/storeclient.h
@@ -70,6 +70,10 @@
     void read(const std::string &topic, std::uint64_t from, Duration wait,
               std::function<void(Result<KeyedSpan>)> callback);
     void join(const JoinRequest &request, std::function<void(Result<Membership>)> callback);
+    //! The group deals the member's partitions to the others. The callback gets a reason on
+    //! failure.
+    void leave(const std::string &group, const std::string &member,
+               std::function<void(std::optional<std::string>)> callback);
     //! Names of a group's members that hold a partition.
     void members(const std::string &group,
                  std::function<void(Result<std::vector<std::string>>)> callback);
--- a/standins/platform/platformstandin.cpp
+++ b/standins/platform/platformstandin.cpp
@@ -101,6 +101,7 @@
     std::unique_ptr<http::RelayServer> store_;
     std::vector<std::string> configs_;
     std::vector<std::string> members_;
+    std::uint64_t generation_ = 0;
     std::vector<ServerRun> runs_;
     bool storeDown_ = false;
     int breakAfter_ = -1;
@@ -191,13 +192,18 @@
         const std::string member(
                 json::parse(request.body_).as_object().at("Member").as_string().c_str());
         auto found = std::find(members_.begin(), members_.end(), member);
-        if (found == members_.end())
+        if (found == members_.end()) {
             found = members_.insert(members_.end(), member);
+            ++generation_;
+        }
         json::array parts;
         for (auto part = static_cast<std::uint32_t>(found - members_.begin()); part < Partitions;
              part += static_cast<std::uint32_t>(members_.size()))
             parts.push_back({"placement", part, 0});
-        answer = {{"Generation", members_.size()}, {"TtlMs", 2000}, {"parts", parts}};
+        answer = {{"Generation", generation_}, {"TtlMs", 2000}, {"parts", parts}};
+    } else if (request.target_.starts_with("/log-leave")) {
+        generation_ += std::erase(
+                members_, json::parse(request.body_).as_object().at("Member").as_string().c_str());
     } else {
         json::array rows;
         for (std::size_t i = 0; i < members_.size(); ++i)
