The relay server reads into bytes of its own

Cause: a read that is under way while a request is in hand pointed into the connection's buffer; taking the next request out of the buffer moved the buffer's front, and what the read brought was then counted where the bytes of the request just taken lay. A request could run a second time, or be made of the bytes of two. Ruled out: the relay client (matches ids, drops connections that aren't quiet). Change: reads have an array of their own, copied into the buffer. Before: the new table in tst_relay took /a /b /c for /a /b /b, and a body abcd for abPO. After: all three rows hold, under the address sanitizer.

--- a/src/http/internal/relayserver.cpp
+++ b/src/http/internal/relayserver.cpp
@@ -1,5 +1,6 @@
 #include "http/relayserver.h"
 
+#include <array>
 #include <cstdio>
 #include <unordered_set>
 
@@ -57,10 +58,11 @@
             return;
         reading_ = true;
         socket_.async_read_some(
-                buffer_.prepare(ReadBytes),
+                asio::buffer(incoming_),
                 [self = shared_from_this()](boost::system::error_code error, std::size_t size) {
                     self->reading_ = false;
-                    self->buffer_.commit(size);
+                    self->buffer_.commit(asio::buffer_copy(self->buffer_.prepare(size),
+                                                           asio::buffer(self->incoming_, size)));
                     if (error)
                         self->close();
                     else if (self->inHand_ && self->buffer_.size() < MaxReadAhead)
@@ -114,6 +116,8 @@
     tcp::socket socket_;
     asio::steady_timer wake_;
     std::shared_ptr<RelayShared> shared_;
+    //! A read may be under way while the buffer is consumed, so it has a place of its own.
+    std::array<char, ReadBytes> incoming_;
     beast::flat_buffer buffer_;
     std::string waiting_;
     std::string sending_;
--- a/src/http/tests/tst_relay.cpp
+++ b/src/http/tests/tst_relay.cpp
@@ -1,6 +1,8 @@
 #include <chrono>
 #include <functional>
+#include <string>
 #include <thread>
+#include <vector>
 
 #include <boost/asio.hpp>
 #include <boost/test/data/test_case.hpp>
@@ -301,3 +303,64 @@
         held->answer({200, {}}, "late");
     }
 }
+
+//! Requests that a caller writes before the earlier ones are answered, in pieces.
+struct PipelineCase
+{
+    const char *name_;
+    std::vector<std::string> pieces_;
+    const char *targets_;
+};
+
+std::ostream &operator<<(std::ostream &out, const PipelineCase &test)
+{
+    return out << test.name_;
+}
+
+const PipelineCase PipelineCases[] = {
+        {"one behind each",
+         {"GET /a HTTP/1.1\r\nHost: x\r\n\r\n", "GET /b HTTP/1.1\r\nHost: x\r\n\r\n",
+          "GET /c HTTP/1.1\r\nHost: x\r\n\r\n"},
+         "/a /b /c"},
+        {"one of another length",
+         {"GET /a HTTP/1.1\r\nHost: x\r\n\r\n", "GET /long HTTP/1.1\r\nHost: x\r\n\r\n",
+          "GET /c HTTP/1.1\r\nHost: x\r\n\r\n"},
+         "/a /long /c"},
+        {"a body in two pieces",
+         {"GET /a HTTP/1.1\r\nHost: x\r\n\r\n",
+          "POST /b HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nab",
+          "cdGET /c HTTP/1.1\r\nHost: x\r\n\r\n"},
+         "/a /b:abcd /c"},
+};
+
+// Each piece is written while the request before it is in hand.
+BOOST_DATA_TEST_CASE(pipelinedRequestsKeepTheirBytes, PipelineCases, test)
+{
+    asio::io_context context;
+    tcp::socket caller(context);
+    std::string targets;
+    std::size_t written = 0;
+    const auto writeNext = [&] {
+        if (written < test.pieces_.size())
+            asio::write(caller, asio::buffer(test.pieces_[written++]));
+    };
+    const auto later = [&](std::function<void()> action) {
+        auto timer = std::make_shared<asio::steady_timer>(context, std::chrono::milliseconds(30));
+        timer->async_wait(
+                [timer, action = std::move(action)](boost::system::error_code) { action(); });
+    };
+    http::RelayServer server(context, [&](const http::RelayRequest &request,
+                                          const std::shared_ptr<http::RelayExchange> &exchange) {
+        targets += (targets.empty() ? "" : " ") + request.target_
+                   + (request.body_.empty() ? "" : ":" + request.body_);
+        writeNext();
+        later([exchange] { exchange->answer({200, {}}, "ok"); });
+        later([&] { later(writeNext); });
+    });
+    const auto address = server.listen({"127.0.0.1", 0});
+    BOOST_REQUIRE(address);
+    caller.connect({asio::ip::make_address(address->host_), address->port_});
+    writeNext();
+    runUntil(context, [&] { return targets.size() >= std::string(test.targets_).size(); });
+    BOOST_TEST(targets == test.targets_);
+}
