One piece for the retry limits, starting a program, and a delayed call

Cause: the change had written three things again: RetryShareLimits was kept as three members twice and put together in three functions, programs were started by posix_spawn in three places of the lab, a delayed call stood in both loops of the gateway. Ruled out: the table rows and structs of alike shape; they say other things. Change: GatewayBounds and GatewayView hold RetryShareLimits; startProgram in the lab; callLater beside Ticker. The output of publications is appended, not truncated (their names are unique), and a gateway's standard error now goes to its log file in processes-gateway. No assertion changed. Checked: build, linter on the files changed, imports, ctest of the labels unit, differential and process.

--- a/lab/processdriver.cpp
+++ b/lab/processdriver.cpp
@@ -1,7 +1,5 @@
 #include "processdriver.h"
 
-#include <fcntl.h>
-#include <spawn.h>
 #include <sys/wait.h>
 
 #include <algorithm>
@@ -12,8 +10,6 @@
 
 #include "app/apikey.h"
 
-extern char **environ;
-
 namespace gypsumcroft::lab {
 
 namespace asio = boost::asio;
@@ -212,20 +208,8 @@
     if (replaces)
         words.push_back("--replaces=" + std::to_string(*replaces));
     words.push_back(file);
-    std::vector<char *> arguments;
-    arguments.reserve(words.size() + 1);
-    for (std::string &word : words)
-        arguments.push_back(word.data());
-    arguments.push_back(nullptr);
-    posix_spawn_file_actions_t actions;
-    posix_spawn_file_actions_init(&actions);
-    posix_spawn_file_actions_addopen(&actions, 1, outputOf(name).c_str(),
-                                     O_WRONLY | O_CREAT | O_TRUNC, 0644);
-    posix_spawn_file_actions_adddup2(&actions, 1, 2);
-    pid_t pid = 0;
-    if (posix_spawn(&pid, arguments[0], &actions, nullptr, arguments.data(), environ) == 0)
-        publishers_[pid] = name;
-    posix_spawn_file_actions_destroy(&actions);
+    if (const auto pid = startProgram(std::move(words), outputOf(name)))
+        publishers_[*pid] = name;
 }
 
 void ProcessDriver::takeVerdict(const std::string &name, bool accepted)
--- a/lab/processfleet.cpp
+++ b/lab/processfleet.cpp
@@ -60,6 +60,25 @@
     throw std::runtime_error("no port is free");
 }
 
+std::optional<pid_t> startProgram(std::vector<std::string> words, const std::string &output)
+{
+    std::vector<char *> arguments;
+    arguments.reserve(words.size() + 1);
+    for (std::string &word : words)
+        arguments.push_back(word.data());
+    arguments.push_back(nullptr);
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, output.c_str(),
+                                     O_WRONLY | O_CREAT | O_APPEND, 0600);
+    posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+    pid_t pid = 0;
+    const int failed
+            = posix_spawn(&pid, arguments[0], &actions, nullptr, arguments.data(), environ);
+    posix_spawn_file_actions_destroy(&actions);
+    return failed == 0 ? std::optional<pid_t>(pid) : std::nullopt;
+}
+
 ProcessFleet::ProcessFleet(ProgramPaths paths, ProcessFleetOptions options)
     : paths_(std::move(paths)), options_(options), folder_(detail::makeFolder())
 {
@@ -184,21 +203,10 @@
 void ProcessFleet::spawn(const std::string &name)
 {
     ChildProcess &child = children_.at(name);
-    std::vector<char *> arguments;
-    for (std::string &word : child.command_)
-        arguments.push_back(word.data());
-    arguments.push_back(nullptr);
-    const std::string out = folder_ + "/" + name + ".log";
-    posix_spawn_file_actions_t actions;
-    posix_spawn_file_actions_init(&actions);
-    posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, out.c_str(),
-                                     O_WRONLY | O_CREAT | O_APPEND, 0600);
-    posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
-    const int failed
-            = posix_spawn(&child.pid_, arguments[0], &actions, nullptr, arguments.data(), environ);
-    posix_spawn_file_actions_destroy(&actions);
-    if (failed != 0)
+    const auto pid = startProgram(child.command_, folder_ + "/" + name + ".log");
+    if (!pid)
         throw std::runtime_error("can't start " + child.command_[0]);
+    child.pid_ = *pid;
     child.running_ = true;
 }
 
--- a/lab/processfleet.h
+++ b/lab/processfleet.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -91,6 +92,10 @@
     std::vector<Address> entryMesh_;
 };
 
+//! Starts a program whose standard output and error are appended to a file; nothing if it can't be
+//! started.
+std::optional<pid_t> startProgram(std::vector<std::string> words, const std::string &output);
+
 //! A TCP port of loopback that was free a moment ago.
 std::uint16_t freePort();
 
--- a/lab/tests/tst_gatewayprocess.cpp
+++ b/lab/tests/tst_gatewayprocess.cpp
@@ -1,7 +1,5 @@
 //! Two gateways as processes before the platform's stand-in.
-#include <fcntl.h>
 #include <signal.h>
-#include <spawn.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -15,8 +13,6 @@
 #include "platform/platformstandin.h"
 #include "processfleet.h"
 
-extern char **environ;
-
 using namespace gypsumcroft;
 namespace asio = boost::asio;
 using asio::ip::tcp;
@@ -95,18 +91,7 @@
                 << R"(,"store":{"address":)" << text(store) << R"(,"partitions":12},)"
                 << R"("bounds":{"strictRevoke":true,"revokeMs":3000,"applyMs":2000,)"
                 << R"("retrySlack":100,"graceS":8}})";
-        std::vector<std::string> words {binary, "gateway", "--settings", settings};
-        std::vector<char *> arguments;
-        arguments.reserve(words.size() + 1);
-        for (std::string &word : words)
-            arguments.push_back(word.data());
-        arguments.push_back(nullptr);
-        posix_spawn_file_actions_t actions;
-        posix_spawn_file_actions_init(&actions);
-        posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log_.c_str(),
-                                         O_WRONLY | O_CREAT | O_APPEND, 0600);
-        posix_spawn(&pid_, binary.c_str(), &actions, nullptr, arguments.data(), environ);
-        posix_spawn_file_actions_destroy(&actions);
+        pid_ = lab::startProgram({binary, "gateway", "--settings", settings}, log_).value_or(-1);
     }
 
     ~Gateway()
--- a/src/app/internal/gatewaycontrol.cpp
+++ b/src/app/internal/gatewaycontrol.cpp
@@ -91,11 +91,7 @@
 
 void GatewayControlLoop::later(Duration delay, std::function<void()> action)
 {
-    auto timer = std::make_shared<asio::steady_timer>(context_, delay);
-    timer->async_wait([timer, action = std::move(action)](boost::system::error_code error) {
-        if (!error)
-            action();
-    });
+    callLater(context_, delay, std::move(action));
 }
 
 void GatewayControlLoop::readNewestConfig()
--- a/src/app/internal/gatewayprocess.cpp
+++ b/src/app/internal/gatewayprocess.cpp
@@ -116,11 +116,7 @@
 
 void GatewayProcess::onTraffic(Duration delay, std::function<void()> action)
 {
-    auto timer = std::make_shared<asio::steady_timer>(*runtime_.traffic().front(), delay);
-    timer->async_wait([timer, action = std::move(action)](boost::system::error_code error) {
-        if (!error)
-            action();
-    });
+    callLater(*runtime_.traffic().front(), delay, std::move(action));
 }
 
 //! Readiness goes off at once; new connections are served until the balancer has noticed.
--- a/src/app/internal/runtime.h
+++ b/src/app/internal/runtime.h
@@ -105,6 +105,16 @@
     std::atomic<bool> woken_ {false};
 };
 
+//! Calls an action once, after the delay.
+inline void callLater(asio::io_context &context, Duration delay, std::function<void()> action)
+{
+    auto timer = std::make_shared<asio::steady_timer>(context, delay);
+    timer->async_wait([timer, action = std::move(action)](boost::system::error_code error) {
+        if (!error)
+            action();
+    });
+}
+
 //! Calls an action again and again on an io_context; the action returns the time until the next.
 class Ticker
 {
--- a/src/controllers/gatewayview.h
+++ b/src/controllers/gatewayview.h
@@ -10,6 +10,7 @@
 #include "controllers/endpointlist.h"
 #include "controllers/peers.h"
 #include "controllers/routetable.h"
+#include "policy/retryshare.h"
 
 namespace gypsumcroft {
 
@@ -49,9 +50,7 @@
     FailureDomainId domain_;
     //! Entries that share the retry budget and the endpoints, this one included.
     std::uint32_t entries_ = 1;
-    double retryRatio_ = 0.2;
-    double retrySlack_ = 0;
-    Duration retryWindow_ = std::chrono::seconds(10);
+    RetryShareLimits retry_;
 };
 
 //! What traffic tells control: an endpoint failed, or stood on a path that fell silent.
--- a/src/documents/internal/gatewaysettings.cpp
+++ b/src/documents/internal/gatewaysettings.cpp
@@ -52,9 +52,9 @@
     const Duration revoke = millisecondsIn(bounds, "revokeMs", {});
     read.freshness_.revokeAfter_ = flagIn(bounds, "strictRevoke", true) ? revoke : Duration();
     read.freshness_.applyAfter_ = millisecondsIn(bounds, "applyMs", read.freshness_.applyAfter_);
-    read.retryRatio_ = fractionIn(bounds, "retryRatio", read.retryRatio_);
-    read.retrySlack_ = fractionIn(bounds, "retrySlack", read.retrySlack_);
-    read.retryWindow_ = std::chrono::microseconds(
+    read.retry_.ratio_ = fractionIn(bounds, "retryRatio", read.retry_.ratio_);
+    read.retry_.slack_ = fractionIn(bounds, "retrySlack", read.retry_.slack_);
+    read.retry_.window_ = std::chrono::microseconds(
             static_cast<std::int64_t>(fractionIn(bounds, "retryWindowS", 10) * 1e6));
     settings.grace_ = std::chrono::microseconds(
             static_cast<std::int64_t>(fractionIn(bounds, "graceS", 8) * 1e6));
--- a/src/filters/internal/gatewayfilters.cpp
+++ b/src/filters/internal/gatewayfilters.cpp
@@ -89,8 +89,7 @@
         }
         point -= target.weight_;
     }
-    const RetryShareLimits limits {view.retryRatio_, view.retrySlack_, view.retryWindow_};
-    countRequest(state.retryShares_[context.target_], limits, now);
+    countRequest(state.retryShares_[context.target_], view.retry_, now);
     return proceedGateway();
 }
 
--- a/src/gateway/control.h
+++ b/src/gateway/control.h
@@ -46,9 +46,7 @@
 struct GatewayBounds
 {
     FreshnessLimits freshness_;
-    double retryRatio_ = 0.2;
-    double retrySlack_ = 0;
-    Duration retryWindow_ = std::chrono::seconds(10);
+    RetryShareLimits retry_;
     //! A process that has had no answer from the platform for so long is not ready.
     Duration readyWithin_ = std::chrono::seconds(3);
     Duration digestInterval_ = std::chrono::milliseconds(200);
--- a/src/gateway/internal/control.cpp
+++ b/src/gateway/internal/control.cpp
@@ -204,7 +204,7 @@
                 LogLevel::Info, LogLine("lease-left").add("generation", state.lease_.generation_)));
     for (auto &[target, placing] : state.placing_)
         stopPlacing(placing);
-    state.bounds_.retrySlack_ = 0;
+    state.bounds_.retry_.slack_ = 0;
     state.effects_.emplace_back(LeaveGroup {});
     detail::viewChanged(state);
 }
@@ -320,9 +320,7 @@
     view.freshness_ = state.bounds_.freshness_;
     view.domain_ = state.domain_;
     view.entries_ = state.entries_;
-    view.retryRatio_ = state.bounds_.retryRatio_;
-    view.retrySlack_ = state.bounds_.retrySlack_;
-    view.retryWindow_ = state.bounds_.retryWindow_;
+    view.retry_ = state.bounds_.retry_;
     return view;
 }
 
--- a/src/gateway/internal/traffic.cpp
+++ b/src/gateway/internal/traffic.cpp
@@ -127,15 +127,14 @@
 bool budgetLeft(GatewayTraffic &state, const GatewayView &view, const Context &context,
                 TimePoint now)
 {
-    const RetryShareLimits limits {view.retryRatio_, view.retrySlack_, view.retryWindow_};
-    return mayRetry(state.retryShares_[context.target_], limits, view.entries_, now);
+    return mayRetry(state.retryShares_[context.target_], view.retry_, view.entries_, now);
 }
 
 bool takeBudget(GatewayTraffic &state, const GatewayView &view, const Context &context,
                 TimePoint now)
 {
-    const RetryShareLimits limits {view.retryRatio_, view.retrySlack_, view.retryWindow_};
-    const bool taken = takeRetry(state.retryShares_[context.target_], limits, view.entries_, now);
+    const bool taken
+            = takeRetry(state.retryShares_[context.target_], view.retry_, view.entries_, now);
     ++(taken ? state.counters_.retries_ : state.counters_.retriesWithoutBudget_);
     return taken;
 }
--- a/src/gateway/tests/tst_traffic.cpp
+++ b/src/gateway/tests/tst_traffic.cpp
@@ -79,7 +79,7 @@
     view.confirmedAt_ = at(confirmedMs);
     view.freshness_.revokeAfter_ = seconds(5);
     view.domain_ = {"a"};
-    view.retrySlack_ = 100;
+    view.retry_.slack_ = 100;
     return view;
 }
 
