A caller's next request behind a queued wake-up: a regression table

Change: nextRequestBehindQueuedWakeUpRunsOnce in tst_relay: four requests one after the other, the handler holds the thread up for 20 ms after its answer; same length, shorter, longer, with bodies, each answered whole and streamed.

--- a/src/http/tests/tst_relay.cpp
+++ b/src/http/tests/tst_relay.cpp
@@ -5,6 +5,8 @@
 #include <vector>
 
 #include <boost/asio.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
@@ -364,3 +366,90 @@
     runUntil(context, [&] { return targets.size() >= std::string(test.targets_).size(); });
     BOOST_TEST(targets == test.targets_);
 }
+
+//! Requests on one connection, each sent as soon as the answer before it is whole.
+struct NextRequestCase
+{
+    const char *name_;
+    //! Target and body.
+    std::vector<std::pair<const char *, const char *>> requests_;
+    //! Answer by begin(), write() and finish() instead of answer().
+    bool begun_;
+};
+
+std::ostream &operator<<(std::ostream &out, const NextRequestCase &test)
+{
+    return out << test.name_;
+}
+
+const NextRequestCase NextRequestCases[] = {
+        {"same length", {{"/a", ""}, {"/b", ""}, {"/c", ""}, {"/d", ""}}, false},
+        {"shorter", {{"/aaaa", ""}, {"/bbb", ""}, {"/cc", ""}, {"/d", ""}}, false},
+        {"longer", {{"/a", ""}, {"/bb", ""}, {"/ccc", ""}, {"/dddd", ""}}, false},
+        {"with a body", {{"/a", "1"}, {"/b", "22"}, {"/c", "3"}, {"/d", "4444"}}, false},
+        {"same length, streamed", {{"/a", ""}, {"/b", ""}, {"/c", ""}, {"/d", ""}}, true},
+        {"shorter, streamed", {{"/aaaa", ""}, {"/bbb", ""}, {"/cc", ""}, {"/d", ""}}, true},
+        {"longer, streamed", {{"/a", ""}, {"/bb", ""}, {"/ccc", ""}, {"/dddd", ""}}, true},
+        {"with a body, streamed", {{"/a", "1"}, {"/b", "22"}, {"/c", "3"}, {"/d", "4444"}}, true},
+};
+
+std::string requestText(const std::string &target, const std::string &body)
+{
+    return "POST " + target + " HTTP/1.1\r\nHost: x\r\nContent-Length: "
+           + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+//! Body of the next answer on a connection; "none" when it ends first.
+std::string readAnswer(tcp::socket &socket, boost::beast::flat_buffer &buffer)
+{
+    namespace beast = boost::beast;
+    beast::http::response<beast::http::string_body> answer;
+    boost::system::error_code error;
+    beast::http::read(socket, buffer, answer, error);
+    return error ? "none" : answer.body();
+}
+
+// The thread is held up after each answer, so the next request is there before the end of the one
+// in hand is noticed.
+BOOST_DATA_TEST_CASE(nextRequestBehindQueuedWakeUpRunsOnce, NextRequestCases, test)
+{
+    asio::io_context context;
+    std::vector<std::string> ran;
+    http::RelayServer server(context, [&](const http::RelayRequest &request,
+                                          const std::shared_ptr<http::RelayExchange> &exchange) {
+        const std::string text = request.target_ + " " + request.body_;
+        ran.push_back(text);
+        if (test.begun_) {
+            exchange->begin({200, {}});
+            exchange->write(text);
+            exchange->finish();
+        } else {
+            exchange->answer({200, {}}, text);
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    });
+    const auto address = server.listen({"127.0.0.1", 0});
+    BOOST_REQUIRE(address);
+    std::vector<std::string> expected;
+    for (const auto &[target, body] : test.requests_)
+        expected.push_back(std::string(target) + " " + body);
+    std::vector<std::string> answers;
+    asio::io_context own;
+    tcp::socket socket(own);
+    socket.connect({asio::ip::make_address(address->host_), address->port_});
+    std::jthread caller([&] {
+        boost::beast::flat_buffer buffer;
+        boost::system::error_code error;
+        for (const auto &[target, body] : test.requests_) {
+            asio::write(socket, asio::buffer(requestText(target, body)), error);
+            answers.push_back(readAnswer(socket, buffer));
+        }
+        asio::post(context, [&context] { context.stop(); });
+    });
+    context.run_for(std::chrono::seconds(5));
+    boost::system::error_code ignored;
+    socket.shutdown(tcp::socket::shutdown_both, ignored);
+    caller.join();
+    BOOST_TEST(answers == expected, boost::test_tools::per_element());
+    BOOST_TEST(ran == expected, boost::test_tools::per_element());
+}
