The streamed rows of the queued wake-up's table meet the fault as well

There the end is written by a later handler than the one that finishes, and only a hold-up behind that one lets the next request overtake the wake-up. Change: last event and end come in one handler, the hold-up in the next. Conclusion: the table covers both ways in which an answer ends.

--- a/src/http/tests/tst_relay.cpp
+++ b/src/http/tests/tst_relay.cpp
@@ -419,14 +419,20 @@
                                           const std::shared_ptr<http::RelayExchange> &exchange) {
         const std::string text = request.target_ + " " + request.body_;
         ran.push_back(text);
-        if (test.begun_) {
-            exchange->begin({200, {}});
-            exchange->write(text);
-            exchange->finish();
-        } else {
+        const auto holdUp = [] { std::this_thread::sleep_for(std::chrono::milliseconds(20)); };
+        if (!test.begun_) {
             exchange->answer({200, {}}, text);
+            return holdUp();
         }
-        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+        exchange->begin({200, {}});
+        // The last event and the end come together, so that the end is written by a later handler.
+        const auto timer
+                = std::make_shared<asio::steady_timer>(context, std::chrono::milliseconds(10));
+        timer->async_wait([&context, timer, exchange, text, holdUp](boost::system::error_code) {
+            exchange->write(text);
+            exchange->finish();
+            asio::post(context, holdUp);
+        });
     });
     const auto address = server.listen({"127.0.0.1", 0});
     BOOST_REQUIRE(address);
