--- /dev/null
+++ b/src/http/tests/tst_relayclient.cpp
@@ -0,0 +1,395 @@
+#include <chrono>
+#include <functional>
+#include <list>
+#include <string>
+#include <vector>
+
+#include <boost/asio.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "http/relayclient.h"
+
+using namespace gypsumcroft;
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr std::size_t RequestBytes = 4096;
+
+//! What a server writes when a request has come in.
+struct Reply
+{
+    std::string answer_;
+    //! A second answer to this request; it comes once the next request is in.
+    std::string late_;
+};
+
+//! Answers requests with the replies in their order, whichever connections they come on.
+class ReplyingServer
+{
+public:
+    ReplyingServer(asio::io_context &context, std::vector<Reply> replies)
+        : acceptor_(context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)),
+          replies_(std::move(replies))
+    {
+        accept();
+    }
+    Address address() const { return {"127.0.0.1", acceptor_.local_endpoint().port()}; }
+
+private:
+    struct Connection
+    {
+        explicit Connection(tcp::socket socket) : socket_(std::move(socket)) { }
+        tcp::socket socket_;
+        char request_[RequestBytes] = {};
+    };
+
+    void accept()
+    {
+        acceptor_.async_accept([this](boost::system::error_code error, tcp::socket socket) {
+            if (error)
+                return;
+            read(connections_.emplace_back(std::move(socket)));
+            accept();
+        });
+    }
+
+    void read(Connection &connection)
+    {
+        connection.socket_.async_read_some(
+                asio::buffer(connection.request_),
+                [this, &connection](boost::system::error_code error, std::size_t) {
+                    if (error || next_ == replies_.size())
+                        return;
+                    if (last_ != nullptr)
+                        write(*last_, replies_[next_ - 1].late_);
+                    last_ = &connection;
+                    write(connection, replies_[next_++].answer_);
+                    read(connection);
+                });
+    }
+
+    static void write(Connection &connection, const std::string &bytes)
+    {
+        boost::system::error_code ignored;
+        asio::write(connection.socket_, asio::buffer(bytes), ignored);
+    }
+
+    tcp::acceptor acceptor_;
+    std::vector<Reply> replies_;
+    std::size_t next_ = 0;
+    std::list<Connection> connections_;
+    Connection *last_ = nullptr;
+};
+
+//! Writes a beginning and then a piece again and again, until the caller closes.
+class EndlessServer
+{
+public:
+    EndlessServer(asio::io_context &context, std::string beginning, std::string piece,
+                  std::chrono::milliseconds gap)
+        : acceptor_(context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)),
+          socket_(context), gap_(context), gapTime_(gap), beginning_(std::move(beginning)),
+          piece_(std::move(piece))
+    {
+        acceptor_.async_accept(socket_, [this](boost::system::error_code) {
+            socket_.async_read_some(
+                    asio::buffer(request_),
+                    [this](boost::system::error_code, std::size_t) { write(beginning_); });
+        });
+    }
+    Address address() const { return {"127.0.0.1", acceptor_.local_endpoint().port()}; }
+    std::size_t written() const { return written_; }
+    bool callerClosed() const { return callerClosed_; }
+
+private:
+    void write(const std::string &bytes)
+    {
+        asio::async_write(socket_, asio::buffer(bytes),
+                          [this](boost::system::error_code error, std::size_t size) {
+                              written_ += size;
+                              callerClosed_ = static_cast<bool>(error);
+                              if (!error)
+                                  writeLater();
+                          });
+    }
+
+    void writeLater()
+    {
+        if (gapTime_ == std::chrono::milliseconds::zero())
+            return write(piece_);
+        gap_.expires_after(gapTime_);
+        gap_.async_wait([this](boost::system::error_code error) {
+            if (!error)
+                write(piece_);
+        });
+    }
+
+    tcp::acceptor acceptor_;
+    tcp::socket socket_;
+    asio::steady_timer gap_;
+    std::chrono::milliseconds gapTime_;
+    std::string beginning_;
+    std::string piece_;
+    char request_[RequestBytes] = {};
+    std::size_t written_ = 0;
+    bool callerClosed_ = false;
+};
+
+bool runUntil(asio::io_context &context, std::chrono::seconds limit,
+              const std::function<bool()> &condition)
+{
+    const auto end = std::chrono::steady_clock::now() + limit;
+    while (!condition() && std::chrono::steady_clock::now() < end)
+        context.run_one_for(std::chrono::milliseconds(50));
+    return condition();
+}
+
+http::RelayCallRequest requestOf(const Address &to, const std::string &id)
+{
+    http::RelayCallRequest call;
+    call.to_ = to;
+    call.request_.method_ = "GET";
+    call.request_.target_ = "/";
+    if (id.empty())
+        return call;
+    call.request_.headers_ = {{"X-Id", id}};
+    call.echoHeader_ = "X-Id";
+    call.echoValue_ = id;
+    return call;
+}
+
+//! What a call has brought so far.
+struct CallRecord
+{
+    std::string head_;
+    std::string body_;
+    std::string end_;
+    std::size_t size_ = 0;
+};
+
+http::RelayCallHandlers recordInto(CallRecord &record)
+{
+    constexpr std::size_t MostShown = 100;
+    http::RelayCallHandlers handlers;
+    handlers.onHead_
+            = [&](const http::RelayHead &got) { record.head_ = std::to_string(got.status_) + " "; };
+    handlers.onBody_ = [&](std::string_view bytes) {
+        record.size_ += bytes.size();
+        record.body_ += bytes.substr(0, MostShown);
+    };
+    handlers.onDone_ = [&] { record.end_ = "done"; };
+    handlers.onFailed_ = [&](http::RelayFailure failure, const std::string &) {
+        static constexpr const char *Names[] = {"not-sent", "broken", "garbled"};
+        record.end_ = Names[static_cast<int>(failure)];
+    };
+    return handlers;
+}
+
+std::string textOf(const CallRecord &record)
+{
+    return record.head_ + record.body_ + (record.body_.empty() ? "" : " ") + record.end_;
+}
+
+std::string answerOf(const std::string &status, const std::string &id, const std::string &body)
+{
+    return "HTTP/1.1 " + status + " Any\r\n" + (id.empty() ? "" : "X-Id: " + id + "\r\n")
+           + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+const std::string NotRun = "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+const std::string EventStream = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+                                "Transfer-Encoding: chunked\r\n\r\n6\r\ndata:\n\r\n";
+
+//! Calls that are sent one after the other, by their ids, and what each of them comes to.
+struct KeptCase
+{
+    const char *name_;
+    std::vector<const char *> calls_;
+    std::vector<Reply> replies_;
+    const char *seen_;
+    std::uint64_t connections_;
+};
+
+std::ostream &operator<<(std::ostream &out, const KeptCase &test)
+{
+    return out << test.name_;
+}
+
+const KeptCase KeptCases[] = {
+        {"a connection is used again",
+         {"a", "b"},
+         {{answerOf("200", "a", "one"), ""}, {answerOf("200", "b", "two"), ""}},
+         "200 one done, 200 two done",
+         1},
+        {"a late second answer with its id is passed over",
+         {"a", "b"},
+         {{answerOf("200", "a", "one"), answerOf("200", "a", "bad")},
+          {answerOf("200", "b", "two"), ""}},
+         "200 one done, 200 two done",
+         1},
+        {"the first answer on a connection needs no id",
+         {"a"},
+         {{answerOf("200", "", "one"), ""}},
+         "200 one done",
+         1},
+        {"a late second answer without an id is nobody's",
+         {"a", "b"},
+         {{answerOf("200", "a", "one"), answerOf("200", "", "bad")},
+          {answerOf("200", "b", "two"), ""}},
+         "200 one done, garbled",
+         1},
+        {"a late refusal without an id says nothing of the next request",
+         {"a", "b"},
+         {{answerOf("200", "a", "one"), NotRun}, {answerOf("200", "b", "two"), ""}},
+         "200 one done, garbled",
+         1},
+        {"a late stream without an id is nobody's",
+         {"a", "b"},
+         {{answerOf("200", "a", "one"), EventStream}, {answerOf("200", "b", "two"), ""}},
+         "200 one done, garbled",
+         1},
+        {"an answer without an id behind one to another request",
+         {"a"},
+         {{answerOf("200", "other", "bad") + answerOf("200", "", "worse"), ""}},
+         "garbled",
+         1},
+        {"a server that echoes nothing gets a connection for each request",
+         {"a", "b"},
+         {{answerOf("200", "", "one"), answerOf("200", "", "bad")},
+          {answerOf("200", "", "two"), ""}},
+         "200 one done, 200 two done",
+         2},
+        {"requests without an id share no connection",
+         {"", ""},
+         {{answerOf("200", "", "one"), answerOf("200", "", "bad")},
+          {answerOf("200", "", "two"), ""}},
+         "200 one done, 200 two done",
+         2},
+        {"a request without an id takes no used connection",
+         {"a", ""},
+         {{answerOf("200", "a", "one"), answerOf("200", "a", "bad")},
+          {answerOf("200", "", "two"), ""}},
+         "200 one done, 200 two done",
+         2},
+        {"a late refusal of an earlier attempt",
+         {"a", "a"},
+         {{answerOf("500", "a", "one"), answerOf("503", "a", "bad")},
+          {answerOf("200", "a", "two"), ""}},
+         "500 one done, 200 two done",
+         2},
+        {"a late answer of an attempt before the last request",
+         {"a", "b", "a"},
+         {{answerOf("500", "a", "one"), ""},
+          {answerOf("200", "b", "two"), answerOf("503", "a", "bad")},
+          {answerOf("200", "a", "three"), ""}},
+         "500 one done, 200 two done, 200 three done",
+         2},
+        {"other requests still use the connections of both attempts",
+         {"a", "a", "b"},
+         {{answerOf("500", "a", "one"), ""},
+          {answerOf("200", "a", "two"), ""},
+          {answerOf("200", "b", "three"), ""}},
+         "500 one done, 200 two done, 200 three done",
+         2},
+};
+
+//! A server that writes without end, and what the call comes to.
+struct EndlessCase
+{
+    const char *name_;
+    std::string beginning_;
+    std::string piece_;
+    //! Pause before each piece.
+    std::chrono::milliseconds gap_;
+    const char *end_;
+};
+
+std::ostream &operator<<(std::ostream &out, const EndlessCase &test)
+{
+    return out << test.name_;
+}
+
+const std::string Long(16384, 'y');
+const std::string OwnHead = "HTTP/1.1 200 OK\r\nX-Id: me\r\n";
+const std::string StrayHead = "HTTP/1.1 200 OK\r\nX-Id: other\r\n";
+constexpr std::chrono::milliseconds AtOnce {0};
+constexpr std::chrono::milliseconds Slowly {50};
+
+const EndlessCase EndlessCases[] = {
+        {"bytes that are no answer", "y", Long, AtOnce, "garbled"},
+        {"a header without end", OwnHead + "X-Long: ", Long, AtOnce, "garbled"},
+        {"headers without end", OwnHead, "X-More: " + Long + "\r\n", AtOnce, "garbled"},
+        {"a head that trickles", OwnHead + "X-Long: ", "y", Slowly, "garbled"},
+        {"interim answers", "", "HTTP/1.1 100 Continue\r\n\r\n", AtOnce, "garbled"},
+        {"interim answers that trickle", "", "HTTP/1.1 102 Processing\r\n\r\n", Slowly, "garbled"},
+        {"an interim head that trickles", "HTTP/1.1 100 Continue\r\nX-Long: ", "y", Slowly,
+         "garbled"},
+        {"answers to other requests", "", answerOf("200", "other", "bad"), AtOnce, "garbled"},
+        {"a body of another request, with a length",
+         StrayHead + "Content-Length: 9000000000\r\n\r\n", Long, AtOnce, "garbled"},
+        {"a body of another request, without a length", StrayHead + "\r\n", Long, AtOnce,
+         "garbled"},
+        {"a body of another request, in chunks", StrayHead + "Transfer-Encoding: chunked\r\n\r\n",
+         "4000\r\n" + Long + "\r\n", AtOnce, "garbled"},
+        {"a body of another request, that trickles", StrayHead + "Content-Length: 900000\r\n\r\n",
+         "y", Slowly, "garbled"},
+        {"a chunk's size without end", OwnHead + "Transfer-Encoding: chunked\r\n\r\n1;a=", Long,
+         AtOnce, "garbled"},
+        {"a trailer without end", OwnHead + "Transfer-Encoding: chunked\r\n\r\n0\r\n",
+         "X-More: " + Long + "\r\n", AtOnce, "garbled"},
+};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(answersGoToTheirOwnRequest, KeptCases, test)
+{
+    asio::io_context context;
+    ReplyingServer server(context, test.replies_);
+    http::RelayClient client(context);
+    std::string seen;
+    for (const char *id : test.calls_) {
+        CallRecord record;
+        auto call = client.send(requestOf(server.address(), id), recordInto(record));
+        runUntil(context, std::chrono::seconds(2), [&] { return !record.end_.empty(); });
+        call.cancel();
+        seen += (seen.empty() ? "" : ", ") + textOf(record);
+    }
+    BOOST_TEST(seen == test.seen_);
+    BOOST_TEST(client.opened() == test.connections_);
+}
+
+BOOST_DATA_TEST_CASE(bytesWithoutEndEndTheCall, EndlessCases, test)
+{
+    //! What the kernel buffers on a connection, and a margin.
+    constexpr std::size_t MostWritten = 16UL * 1024 * 1024;
+    asio::io_context context;
+    EndlessServer server(context, test.beginning_, test.piece_, test.gap_);
+    http::RelayClient client(context);
+    CallRecord record;
+    auto call = client.send(requestOf(server.address(), "me"), recordInto(record));
+    runUntil(context, std::chrono::seconds(4), [&] { return !record.end_.empty(); });
+    BOOST_TEST(record.end_ == test.end_);
+    BOOST_TEST(server.written() < MostWritten);
+    BOOST_TEST(runUntil(context, std::chrono::seconds(1), [&] { return server.callerClosed(); }));
+    call.cancel();
+}
+
+// A body of the call's own is the caller's to bound: cancelling closes the connection.
+BOOST_AUTO_TEST_CASE(cancellingEndsABodyWithoutEnd)
+{
+    constexpr std::size_t Enough = 100000;
+    asio::io_context context;
+    EndlessServer server(context, OwnHead + "\r\n", Long, AtOnce);
+    http::RelayClient client(context);
+    CallRecord record;
+    auto call = client.send(requestOf(server.address(), "me"), recordInto(record));
+    BOOST_TEST(runUntil(context, std::chrono::seconds(4), [&] { return record.size_ > Enough; }));
+    call.cancel();
+    const std::size_t size = record.size_;
+    BOOST_TEST(runUntil(context, std::chrono::seconds(1), [&] { return server.callerClosed(); }));
+    BOOST_TEST(record.size_ == size);
+    BOOST_TEST(record.end_ == "");
+}
