An answer without the id counts only as the first on its connection

Cause: RelayClient took an answer without the echoed id for the call's own, although servers echo it. On a kept connection it can be a late second answer to any request before. Callers would get a whole 200 of another request; a late "503, not executed" would have a request refused as not run, or sent again, that is being run. On any other connection nothing tells, and of the two defaults only "unknown" is safe: the connection is closed and the call ends as Garbled. Change: ownerOf() says Call, OtherRequest or Unknown. A connection whose server did not echo is not kept, so a server that never echoes still serves, one connection a request. A request without an id takes no kept connection. Ruled out: judging an id-less answer by its status or by how early it comes; a late answer has the same statuses and comes at any time. Conclusion: answers on kept connections are attributed by id, never by place.

--- a/src/http/internal/relayclient.cpp
+++ b/src/http/internal/relayclient.cpp
@@ -38,6 +38,8 @@
     tcp::socket socket_;
     beast::flat_buffer buffer_;
     Clock::time_point until_;
+    //! It has carried an answer, so that another one need not be for the request in hand.
+    bool used_ = false;
 };
 using ConnectionPtr = std::unique_ptr<KeptConnection>;
 
@@ -51,6 +53,19 @@
 
 namespace {
 
+enum class AnswerOwner : std::uint8_t { Call, OtherRequest, Unknown };
+
+//! An answer without the id can only be told by its place: the first one on a connection.
+AnswerOwner ownerOf(const RelayCallState &call, const RelayHead &head)
+{
+    const RelayCallRequest &request = call.request_;
+    const auto echo = request.echoHeader_.empty() ? std::nullopt
+                                                  : findHeader(head.headers_, request.echoHeader_);
+    if (echo)
+        return *echo == request.echoValue_ ? AnswerOwner::Call : AnswerOwner::OtherRequest;
+    return call.connection_->used_ ? AnswerOwner::Unknown : AnswerOwner::Call;
+}
+
 std::string requestText(const RelayCallRequest &call)
 {
     const RelayRequest &request = call.request_;
@@ -175,7 +190,7 @@
         co_await asio::post(self->context_, asio::use_awaitable);
         if (call->cancelled_)
             co_return;
-        if (!call->request_.freshConnection_)
+        if (!call->request_.freshConnection_ && !call->request_.echoHeader_.empty())
             call->connection_ = self->takeIdle(call->request_.to_);
         if (!call->connection_) {
             const std::string reason = co_await self->connect(*call);
@@ -219,7 +234,12 @@
                 continue;
             RelayHead head {static_cast<std::uint16_t>(parser.get().result_int()),
                             detail::headersOf(parser)};
-            const bool own = isOwn(call, head);
+            const detail::AnswerOwner owner = detail::ownerOf(call, head);
+            if (owner == detail::AnswerOwner::Unknown)
+                co_return giveUp(call, "an answer that names no request");
+            const bool own = owner == detail::AnswerOwner::Call;
+            call.connection_->used_ = true;
+            const bool echoed = findHeader(head.headers_, call.request_.echoHeader_).has_value();
             if (own)
                 call.handlers_.onHead_(std::move(head));
             if (call.cancelled_ || !co_await readBody(call, parser, own))
@@ -228,18 +248,10 @@
                 ++stray;
                 continue;
             }
-            finish(self, call, parser);
+            finish(self, call, parser, echoed);
             co_return;
         }
-        call.handlers_.onFailed_(RelayFailure::Garbled, "answers of other requests");
-    }
-
-    static bool isOwn(const detail::RelayCallState &call, const RelayHead &head)
-    {
-        if (call.request_.echoHeader_.empty())
-            return true;
-        const auto echo = findHeader(head.headers_, call.request_.echoHeader_);
-        return !echo || *echo == call.request_.echoValue_;
+        giveUp(call, "answers of other requests");
     }
 
     //! False when the call has ended on the way.
@@ -271,10 +283,12 @@
         co_return true;
     }
 
-    static void finish(Impl &self, detail::RelayCallState &call, detail::AnswerParser &parser)
+    //! A connection is kept if later answers on it can be told apart.
+    static void finish(Impl &self, detail::RelayCallState &call, detail::AnswerParser &parser,
+                       bool echoed)
     {
         const auto kept = detail::keptTime(parser);
-        if (kept && call.connection_->buffer_.size() == 0) {
+        if (kept && echoed && call.connection_->buffer_.size() == 0) {
             call.connection_->until_ = detail::Clock::now() + *kept;
             self.keep(call.request_.to_, std::move(call.connection_));
         }
@@ -282,6 +296,13 @@
         call.handlers_.onDone_();
     }
 
+    //! What has come is of no use; the request may have run.
+    static void giveUp(detail::RelayCallState &call, const char *reason)
+    {
+        call.connection_.reset();
+        call.handlers_.onFailed_(RelayFailure::Garbled, reason);
+    }
+
     static void fail(detail::RelayCallState &call, boost::system::error_code error)
     {
         const bool broken = error == asio::error::connection_reset || error == asio::error::eof
--- a/src/http/relayclient.h
+++ b/src/http/relayclient.h
@@ -29,7 +29,9 @@
     RelayRequest request_;
     //! Never uses a kept connection.
     bool freshConnection_ = false;
-    //! The server echoes this header; an answer without its value belongs to another request.
+    //! The server echoes this header; an answer with another value belongs to another request, and
+    //! one without the header counts only as the first on its connection. A request without it
+    //! gets a connection of its own.
     std::string echoHeader_;
     std::string echoValue_;
 };
