A request sent again takes a connection that has not carried it

Cause: the echoed id tells requests apart, not attempts. A connection that had carried the first attempt was used again for the second; a late second answer of the first one has the right id and ended the second attempt. With a late "503, not executed" the caller is told that nothing ran while the endpoint runs it, or the request goes out a third time. Change: a connection remembers the ids it has carried (hashes) and is passed over for them. It carries 256 requests at most, which bounds what it remembers. Ruled out: a fresh connection for each repeat. It would not cover a caller that uses an id again, and opens more connections than needed. Conclusion: a late answer of an attempt can no longer reach another attempt.

--- a/src/http/internal/relayclient.cpp
+++ b/src/http/internal/relayclient.cpp
@@ -1,5 +1,6 @@
 #include "http/relayclient.h"
 
+#include <algorithm>
 #include <charconv>
 #include <unordered_map>
 
@@ -23,6 +24,8 @@
 constexpr std::uint32_t MaxHeaderBytes = 64 * 1024;
 //! Answers to other requests that are passed over before the connection is given up.
 constexpr int MaxStrayAnswers = 2;
+//! Requests that one connection carries; their ids are remembered as long as it is open.
+constexpr std::size_t MaxCarriedRequests = 256;
 //! A kept connection is used for this part of the time that its server keeps it.
 constexpr double KeptPart = 0.7;
 //! For servers that don't say how long they keep a connection.
@@ -40,6 +43,8 @@
     Clock::time_point until_;
     //! It has carried an answer, so that another one need not be for the request in hand.
     bool used_ = false;
+    //! Hashes of the ids that it has carried.
+    std::vector<std::size_t> carried_;
 };
 using ConnectionPtr = std::unique_ptr<KeptConnection>;
 
@@ -108,6 +113,15 @@
     return std::chrono::milliseconds(static_cast<int>(KeptPart * 1000 * seconds));
 }
 
+//! The id tells requests apart, not attempts: a late answer to an earlier attempt would end this
+//! one.
+bool hasCarried(const KeptConnection &connection, const std::string &id)
+{
+    const std::size_t hash = std::hash<std::string>()(id);
+    return std::find(connection.carried_.begin(), connection.carried_.end(), hash)
+           != connection.carried_.end();
+}
+
 //! A kept connection that is readable was closed by the server or carries a stray answer.
 bool isQuiet(tcp::socket &socket)
 {
@@ -127,22 +141,24 @@
         : context_(context), options_(options)
     { }
 
-    detail::ConnectionPtr takeIdle(const Address &to)
+    //! The newest kept connection that is in order and has carried no other attempt of the call.
+    detail::ConnectionPtr takeIdle(const RelayCallRequest &call, detail::Clock::time_point now)
     {
-        auto &idle = idle_[to];
-        while (!idle.empty()) {
-            detail::ConnectionPtr connection = std::move(idle.back());
-            idle.pop_back();
-            if (detail::Clock::now() < connection->until_ && detail::isQuiet(connection->socket_))
+        auto &idle = idle_[call.to_];
+        for (std::size_t i = idle.size(); i-- > 0;) {
+            if (detail::hasCarried(*idle[i], call.echoValue_))
+                continue;
+            detail::ConnectionPtr connection = std::move(idle[i]);
+            idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(i));
+            if (now < connection->until_ && detail::isQuiet(connection->socket_))
                 return connection;
         }
         return nullptr;
     }
 
-    void keep(const Address &to, detail::ConnectionPtr connection)
+    void keep(const Address &to, detail::ConnectionPtr connection, detail::Clock::time_point now)
     {
         auto &idle = idle_[to];
-        const auto now = detail::Clock::now();
         std::erase_if(idle, [&](const auto &kept) { return kept->until_ <= now; });
         if (idle.size() < options_.maxIdlePerServer_)
             idle.push_back(std::move(connection));
@@ -191,7 +207,7 @@
         if (call->cancelled_)
             co_return;
         if (!call->request_.freshConnection_ && !call->request_.echoHeader_.empty())
-            call->connection_ = self->takeIdle(call->request_.to_);
+            call->connection_ = self->takeIdle(call->request_, detail::Clock::now());
         if (!call->connection_) {
             const std::string reason = co_await self->connect(*call);
             if (call->cancelled_)
@@ -201,6 +217,7 @@
                 co_return;
             }
         }
+        call->connection_->carried_.push_back(std::hash<std::string>()(call->request_.echoValue_));
         const std::string text = detail::requestText(call->request_);
         boost::system::error_code error;
         co_await asio::async_write(call->connection_->socket_, asio::buffer(text),
@@ -288,9 +305,11 @@
                        bool echoed)
     {
         const auto kept = detail::keptTime(parser);
-        if (kept && echoed && call.connection_->buffer_.size() == 0) {
-            call.connection_->until_ = detail::Clock::now() + *kept;
-            self.keep(call.request_.to_, std::move(call.connection_));
+        const bool worn = call.connection_->carried_.size() >= detail::MaxCarriedRequests;
+        if (kept && echoed && !worn && call.connection_->buffer_.size() == 0) {
+            const auto now = detail::Clock::now();
+            call.connection_->until_ = now + *kept;
+            self.keep(call.request_.to_, std::move(call.connection_), now);
         }
         call.connection_.reset();
         call.handlers_.onDone_();
--- a/src/http/tests/tst_relayclient.cpp
+++ b/src/http/tests/tst_relayclient.cpp
@@ -377,6 +377,25 @@
     call.cancel();
 }
 
+// The ids that a connection has carried are remembered, so it carries a bounded number of them.
+BOOST_AUTO_TEST_CASE(aConnectionIsUsedForABoundedNumberOfRequests)
+{
+    constexpr std::size_t Calls = 300;
+    std::vector<Reply> replies;
+    for (std::size_t i = 0; i < Calls; ++i)
+        replies.push_back({answerOf("200", std::to_string(i), "ok"), ""});
+    asio::io_context context;
+    ReplyingServer server(context, replies);
+    http::RelayClient client(context);
+    for (std::size_t i = 0; i < Calls; ++i) {
+        CallRecord record;
+        auto call = client.send(requestOf(server.address(), std::to_string(i)), recordInto(record));
+        runUntil(context, std::chrono::seconds(2), [&] { return !record.end_.empty(); });
+        BOOST_REQUIRE(textOf(record) == "200 ok done");
+    }
+    BOOST_TEST(client.opened() == 2U);
+}
+
 // A body of the call's own is the caller's to bound: cancelling closes the connection.
 BOOST_AUTO_TEST_CASE(cancellingEndsABodyWithoutEnd)
 {
