The standin's 421 echoes the request's id, as servers do

Cause: the standin answered another endpoint's request with a bare 421; servers echo the id in each answer, and RelayClient now goes by that on kept connections. Checked: processes-gateway passes (28 s).

--- a/standins/platform/platformstandin.cpp
+++ b/standins/platform/platformstandin.cpp
@@ -254,7 +254,7 @@
     const http::HeaderList echo {{"X-Request-Id", header(request, "X-Request-Id")},
                                  {"Content-Type", "text/event-stream"}};
     if (header(request, "X-Expect-Instance") != server.id_)
-        return exchange->answer({421, {}}, {});
+        return exchange->answer({421, {echo.front()}}, {});
     record(server, request);
     if (!server.model_)
         return exchange->answer({200, echo}, "done " + header(request, "X-Request-Id"));
