Endpoints' bytes without end are bounded, and so is the time of a head

Cause: RelayClient read interim answers (1xx) and the body of another request's answer without a limit, gave a head any time, and let an unfinished chunk size or trailer grow in the read buffer. Callers waited until their deadline, the memory of a trailer was the endpoint's to choose, and after too many answers to other requests the connection stayed open as long as the call's handle. Who waits and what is held now: a head that has begun has HeadTimeout (2 s) and 64 KiB; another request's answer has the same time to its end and 256 KiB, none of it kept; there are 8 interim answers and 2 strays at most; the read buffer holds 128 KiB. Past a limit the connection is closed and the call ends as Garbled. Each read is awaited, so other work on the thread goes on. Change: those limits; readAnswer() in smaller parts; one watch per connection for connecting and for heads. Ruled out: a time limit for the wait between an interim answer and the answer; a row holds that (passes before, too).

--- a/src/http/internal/relayclient.cpp
+++ b/src/http/internal/relayclient.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <span>
 #include <unordered_map>
 
 #include <boost/asio.hpp>
@@ -22,6 +23,14 @@
 
 constexpr std::size_t ReadBytes = 4096;
 constexpr std::uint32_t MaxHeaderBytes = 64 * 1024;
+//! Read ahead of the parser; a chunk's size with its extensions, or a trailer, is no longer.
+constexpr std::size_t MaxBufferedBytes = 128UL * 1024;
+//! Interim answers (1xx) to one request.
+constexpr int MaxInterimAnswers = 8;
+//! Largest body of an answer to another request that is read to its end.
+constexpr std::size_t MaxStrayBytes = 256UL * 1024;
+//! A head that has begun is whole within this time, an answer to another request to its end.
+constexpr std::chrono::milliseconds HeadTimeout {2000};
 //! Answers to other requests that are passed over before the connection is given up.
 constexpr int MaxStrayAnswers = 2;
 //! Requests that one connection carries; their ids are remembered as long as it is open.
@@ -37,16 +46,21 @@
 
 struct KeptConnection
 {
-    explicit KeptConnection(asio::io_context &context) : socket_(context) { }
+    explicit KeptConnection(asio::io_context &context)
+        : socket_(context), buffer_(MaxBufferedBytes), limit_(context)
+    { }
     tcp::socket socket_;
     beast::flat_buffer buffer_;
+    asio::steady_timer limit_;
+    //! Its time was over and it was closed.
+    bool timedOut_ = false;
     Clock::time_point until_;
     //! It has carried an answer, so that another one need not be for the request in hand.
     bool used_ = false;
     //! Hashes of the ids that it has carried.
     std::vector<std::size_t> carried_;
 };
-using ConnectionPtr = std::unique_ptr<KeptConnection>;
+using ConnectionPtr = std::shared_ptr<KeptConnection>;
 
 struct RelayCallState
 {
@@ -58,6 +72,13 @@
 
 namespace {
 
+//! Bytes of a body that have been read, also when an error came behind them.
+struct BodyPiece
+{
+    std::size_t size_ = 0;
+    boost::system::error_code error_;
+};
+
 enum class AnswerOwner : std::uint8_t { Call, OtherRequest, Unknown };
 
 //! An answer without the id can only be told by its place: the first one on a connection.
@@ -71,6 +92,26 @@
     return call.connection_->used_ ? AnswerOwner::Unknown : AnswerOwner::Call;
 }
 
+void closeAfter(const ConnectionPtr &connection, Clock::duration time)
+{
+    connection->limit_.expires_after(time);
+    connection->limit_.async_wait(
+            [weak = std::weak_ptr(connection)](boost::system::error_code error) {
+                const ConnectionPtr connection = weak.lock();
+                if (error || !connection || Clock::now() < connection->limit_.expiry())
+                    return;
+                boost::system::error_code ignored;
+                connection->timedOut_ = true;
+                connection->socket_.close(ignored);
+            });
+}
+
+//! Takes closeAfter() back.
+void keepOpen(KeptConnection &connection)
+{
+    connection.limit_.expires_at(Clock::time_point::max());
+}
+
 std::string requestText(const RelayCallRequest &call)
 {
     const RelayRequest &request = call.request_;
@@ -167,27 +208,17 @@
     //! Opens a connection; the reason when it fails.
     asio::awaitable<std::string> connect(detail::RelayCallState &call)
     {
-        call.connection_ = std::make_unique<detail::KeptConnection>(context_);
+        call.connection_ = std::make_shared<detail::KeptConnection>(context_);
         boost::system::error_code error;
         const auto host = asio::ip::make_address(call.request_.to_.host_, error);
         if (error)
             co_return "not an address";
         tcp::socket &socket = call.connection_->socket_;
-        auto expired = std::make_shared<bool>(false);
-        asio::steady_timer limit(context_, options_.connectTimeout_);
-        limit.async_wait([&socket, expired](boost::system::error_code cancelled) {
-            boost::system::error_code ignored;
-            if (cancelled || *expired)
-                return;
-            *expired = true;
-            socket.close(ignored);
-        });
+        detail::closeAfter(call.connection_, options_.connectTimeout_);
         co_await socket.async_connect({host, call.request_.to_.port_},
                                       asio::redirect_error(asio::use_awaitable, error));
-        const bool timedOut = *expired;
-        *expired = true;
-        limit.cancel();
-        if (timedOut)
+        detail::keepOpen(*call.connection_);
+        if (call.connection_->timedOut_)
             co_return "no connection in time";
         if (error)
             co_return "can't connect: " + error.message();
@@ -233,73 +264,115 @@
 
     static asio::awaitable<void> readAnswer(Impl &self, detail::RelayCallState &call)
     {
-        for (int stray = 0; stray <= detail::MaxStrayAnswers;) {
+        int interim = 0;
+        int strays = 0;
+        while (true) {
             detail::AnswerParser parser;
-            parser.header_limit(detail::MaxHeaderBytes);
-            parser.body_limit(boost::none);
-            if (call.request_.request_.method_ == "HEAD")
-                parser.skip(true);
-            boost::system::error_code error;
-            co_await beast::http::async_read_header(
-                    call.connection_->socket_, call.connection_->buffer_, parser,
-                    asio::redirect_error(asio::use_awaitable, error));
-            if (call.cancelled_)
+            if (!co_await readHead(call, parser))
                 co_return;
-            if (error)
-                co_return fail(call, error);
-            if (parser.get().result_int() / detail::StatusClassSize == detail::InformationalClass)
+            if (parser.get().result_int() / detail::StatusClassSize == detail::InformationalClass) {
+                if (++interim > detail::MaxInterimAnswers)
+                    co_return giveUp(call, "too many interim answers");
                 continue;
+            }
             RelayHead head {static_cast<std::uint16_t>(parser.get().result_int()),
                             detail::headersOf(parser)};
             const detail::AnswerOwner owner = detail::ownerOf(call, head);
+            call.connection_->used_ = true;
             if (owner == detail::AnswerOwner::Unknown)
                 co_return giveUp(call, "an answer that names no request");
-            const bool own = owner == detail::AnswerOwner::Call;
-            call.connection_->used_ = true;
-            const bool echoed = findHeader(head.headers_, call.request_.echoHeader_).has_value();
-            if (own)
-                call.handlers_.onHead_(std::move(head));
-            if (call.cancelled_ || !co_await readBody(call, parser, own))
+            if (owner == detail::AnswerOwner::Call)
+                co_return co_await passOn(self, call, parser, std::move(head));
+            if (++strays > detail::MaxStrayAnswers)
+                co_return giveUp(call, "answers of other requests");
+            if (!co_await passOver(call, parser))
                 co_return;
-            if (!own) {
-                ++stray;
-                continue;
-            }
-            finish(self, call, parser, echoed);
-            co_return;
         }
-        giveUp(call, "answers of other requests");
     }
 
-    //! False when the call has ended on the way.
-    static asio::awaitable<bool> readBody(detail::RelayCallState &call,
-                                          detail::AnswerParser &parser, bool own)
+    //! False when the call has ended on the way. The connection's time runs on to the body.
+    static asio::awaitable<bool> readHead(detail::RelayCallState &call,
+                                          detail::AnswerParser &parser)
+    {
+        parser.header_limit(detail::MaxHeaderBytes);
+        parser.body_limit(boost::none);
+        if (call.request_.request_.method_ == "HEAD")
+            parser.skip(true);
+        detail::KeptConnection &connection = *call.connection_;
+        boost::system::error_code error;
+        detail::keepOpen(connection);
+        if (connection.buffer_.size() == 0)
+            co_await connection.socket_.async_wait(
+                    tcp::socket::wait_read, asio::redirect_error(asio::use_awaitable, error));
+        if (!call.cancelled_ && !error) {
+            detail::closeAfter(call.connection_, detail::HeadTimeout);
+            co_await beast::http::async_read_header(
+                    connection.socket_, connection.buffer_, parser,
+                    asio::redirect_error(asio::use_awaitable, error));
+        }
+        if (!call.cancelled_ && error)
+            fail(call, error);
+        co_return !call.cancelled_ && !error;
+    }
+
+    //! Hands the call's own answer on.
+    static asio::awaitable<void> passOn(Impl &self, detail::RelayCallState &call,
+                                        detail::AnswerParser &parser, RelayHead head)
     {
+        detail::keepOpen(*call.connection_);
+        const bool echoed = findHeader(head.headers_, call.request_.echoHeader_).has_value();
+        call.handlers_.onHead_(std::move(head));
         char bytes[detail::ReadBytes];
+        while (!call.cancelled_ && !parser.is_done()) {
+            const detail::BodyPiece piece = co_await readBody(call, parser, bytes);
+            if (piece.size_ > 0 && !call.cancelled_)
+                call.handlers_.onBody_({bytes, piece.size_});
+            if (piece.error_ && !call.cancelled_)
+                co_return fail(call, piece.error_);
+        }
+        if (!call.cancelled_)
+            finish(self, call, parser, echoed);
+    }
+
+    //! Reads an answer to another request to its end. False when the call has ended on the way.
+    static asio::awaitable<bool> passOver(detail::RelayCallState &call,
+                                          detail::AnswerParser &parser)
+    {
+        char bytes[detail::ReadBytes];
+        std::size_t total = 0;
         while (!parser.is_done()) {
-            parser.get().body().data = bytes;
-            parser.get().body().size = sizeof bytes;
-            boost::system::error_code error;
-            co_await beast::http::async_read_some(call.connection_->socket_,
-                                                  call.connection_->buffer_, parser,
-                                                  asio::redirect_error(asio::use_awaitable, error));
+            const detail::BodyPiece piece = co_await readBody(call, parser, bytes);
             if (call.cancelled_)
                 co_return false;
-            if (error == beast::http::error::need_buffer)
-                error = {};
-            const std::size_t size = sizeof bytes - parser.get().body().size;
-            if (own && size > 0)
-                call.handlers_.onBody_({bytes, size});
-            if (call.cancelled_)
+            if (piece.error_) {
+                fail(call, piece.error_);
                 co_return false;
-            if (error) {
-                fail(call, error);
+            }
+            total += piece.size_;
+            if (total > detail::MaxStrayBytes) {
+                giveUp(call, "another request's answer is too large");
                 co_return false;
             }
         }
         co_return true;
     }
 
+    static asio::awaitable<detail::BodyPiece> readBody(detail::RelayCallState &call,
+                                                       detail::AnswerParser &parser,
+                                                       std::span<char, detail::ReadBytes> bytes)
+    {
+        parser.get().body().data = bytes.data();
+        parser.get().body().size = bytes.size();
+        detail::BodyPiece piece;
+        co_await beast::http::async_read_some(
+                call.connection_->socket_, call.connection_->buffer_, parser,
+                asio::redirect_error(asio::use_awaitable, piece.error_));
+        if (piece.error_ == beast::http::error::need_buffer)
+            piece.error_ = {};
+        piece.size_ = bytes.size() - parser.get().body().size;
+        co_return piece;
+    }
+
     //! A connection is kept if later answers on it can be told apart.
     static void finish(Impl &self, detail::RelayCallState &call, detail::AnswerParser &parser,
                        bool echoed)
@@ -324,13 +397,14 @@
 
     static void fail(detail::RelayCallState &call, boost::system::error_code error)
     {
+        const bool timedOut = call.connection_->timedOut_;
         const bool broken = error == asio::error::connection_reset || error == asio::error::eof
                             || error == asio::error::broken_pipe || error == asio::error::timed_out
                             || error == beast::http::error::end_of_stream
                             || error == beast::http::error::partial_message;
         call.connection_.reset();
         call.handlers_.onFailed_(broken ? RelayFailure::Broken : RelayFailure::Garbled,
-                                 error.message());
+                                 timedOut ? "not whole in time" : error.message());
     }
 
     asio::io_context &context_;
--- a/src/http/tests/tst_relayclient.cpp
+++ b/src/http/tests/tst_relayclient.cpp
@@ -377,6 +377,37 @@
     call.cancel();
 }
 
+//! What comes long before the call's own answer.
+struct PauseCase
+{
+    const char *name_;
+    std::string before_;
+};
+
+std::ostream &operator<<(std::ostream &out, const PauseCase &test)
+{
+    return out << test.name_;
+}
+
+const PauseCase PauseCases[] = {
+        {"an interim answer", "HTTP/1.1 100 Continue\r\n\r\n"},
+        {"an answer to another request", answerOf("200", "other", "bad")},
+};
+
+// Only a head that has begun is timed, not the wait for it.
+BOOST_DATA_TEST_CASE(aPauseBeforeTheAnswerIsNoTrickle, PauseCases, test)
+{
+    constexpr std::chrono::milliseconds Pause {2300};
+    asio::io_context context;
+    EndlessServer server(context, test.before_, answerOf("200", "me", "ok"), Pause);
+    http::RelayClient client(context);
+    CallRecord record;
+    auto call = client.send(requestOf(server.address(), "me"), recordInto(record));
+    runUntil(context, std::chrono::seconds(4), [&] { return !record.end_.empty(); });
+    BOOST_TEST(textOf(record) == "200 ok done");
+    call.cancel();
+}
+
 // The ids that a connection has carried are remembered, so it carries a bounded number of them.
 BOOST_AUTO_TEST_CASE(aConnectionIsUsedForABoundedNumberOfRequests)
 {
