An event is passed on whole or not at all, and a stream has a largest size

Cause: an event longer than MaxEventBytes was passed on in parts. A stream that then went on at another endpoint would have joined the part to the other's next event. A stream of any length was passed on, and a caller that reads slowly leaves all of it in this process. Change: splitEvents() says tooLong_ and drops the bytes; the send ends as Garbled. MaxAnswerBytes (8 MiB, was MaxWholeAnswer) bounds streams as well. Before and after: anEventWithoutEndIsNotPassedOn fails with the splitter as it was ("events.bytes_.empty() has failed") and passes now. http-relay, gateway and processes-gateway pass. No test drives the two limits through GatewayTrafficLoop. Conclusion: INVARIANTS' "whole events only" now holds for long events too.

--- a/src/app/internal/gatewaytraffic.cpp
+++ b/src/app/internal/gatewaytraffic.cpp
@@ -8,8 +8,8 @@
 
 namespace {
 
-//! Largest answer that is held back until it is whole.
-constexpr std::size_t MaxWholeAnswer = 8UL * 1024 * 1024;
+//! Largest answer, in bytes: held back until it is whole, or of a stream that is passed on.
+constexpr std::size_t MaxAnswerBytes = 8UL * 1024 * 1024;
 
 //! Control is told this often what requests hold of the endpoints.
 constexpr Duration SharesInterval = std::chrono::milliseconds(150);
@@ -129,18 +129,16 @@
     if (found == calls_.end())
         return;
     OpenCall &call = found->second;
+    call.received_ += bytes.size();
+    if (call.received_ > MaxAnswerBytes)
+        return giveUpSend(send, "answer too large");
     if (!call.facts_.success_ || !call.facts_.eventStream_) {
         call.bytes_ += bytes;
-        if (call.bytes_.size() <= MaxWholeAnswer)
-            return;
-        call.call_.cancel();
-        withTraffic([&](const GatewayView &view, TimePoint now) {
-            onSendFailed(traffic_, view, send, SendFailure::Garbled, "answer too large", now);
-        });
-        calls_.erase(send);
         return;
     }
     http::WholeEvents events = http::splitEvents(call.splitter_, bytes);
+    if (events.tooLong_)
+        return giveUpSend(send, "event too long");
     if (events.bytes_.empty())
         return;
     call.bytes_ += events.bytes_;
@@ -150,6 +148,15 @@
     });
 }
 
+void GatewayTrafficLoop::giveUpSend(SendId send, const char *reason)
+{
+    calls_.at(send).call_.cancel();
+    withTraffic([&](const GatewayView &view, TimePoint now) {
+        onSendFailed(traffic_, view, send, SendFailure::Garbled, reason, now);
+    });
+    calls_.erase(send);
+}
+
 void GatewayTrafficLoop::perform(GatewayEffect &effect)
 {
     if (const auto *send = std::get_if<SendRequest>(&effect)) {
--- a/src/app/internal/gatewaytraffic.h
+++ b/src/app/internal/gatewaytraffic.h
@@ -52,10 +52,13 @@
         http::EventSplitter splitter_;
         //! Answer, or whole events, that wait to be handed on.
         std::string bytes_;
+        //! Bytes of the answer so far.
+        std::size_t received_ = 0;
     };
 
     void onRequest(http::RelayRequest request, std::shared_ptr<http::RelayExchange> exchange);
     void onBody(SendId send, std::string_view bytes);
+    void giveUpSend(SendId send, const char *reason);
     Duration tick();
     void tellShares(TimePoint now);
     void takeLimits(const GatewayView &view);
--- a/src/http/internal/eventsplitter.cpp
+++ b/src/http/internal/eventsplitter.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <charconv>
-#include <utility>
 
 namespace gypsumcroft::http {
 
@@ -69,8 +68,9 @@
     }
     whole.bytes_ = splitter.partial_.substr(0, start);
     splitter.partial_.erase(0, start);
-    if (splitter.partial_.size() > MaxEventBytes)
-        whole.bytes_ += std::exchange(splitter.partial_, {});
+    whole.tooLong_ = splitter.partial_.size() > MaxEventBytes;
+    if (whole.tooLong_)
+        splitter.partial_ = {};
     return whole;
 }
 
--- a/src/http/tests/tst_relayclient.cpp
+++ b/src/http/tests/tst_relayclient.cpp
@@ -8,6 +8,7 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include "http/eventsplitter.h"
 #include "http/relayclient.h"
 
 using namespace gypsumcroft;
@@ -427,6 +428,23 @@
     BOOST_TEST(client.opened() == 2U);
 }
 
+// A part of an event must not be passed on: a stream that goes on elsewhere would join two events.
+BOOST_AUTO_TEST_CASE(anEventWithoutEndIsNotPassedOn)
+{
+    http::EventSplitter splitter;
+    http::WholeEvents events = http::splitEvents(splitter, "id: 1\n\nid: 2\n");
+    BOOST_TEST(events.bytes_ == "id: 1\n\n");
+    std::size_t taken = 0;
+    while (!events.tooLong_ && taken < 2 * http::MaxEventBytes) {
+        events = http::splitEvents(splitter, Long);
+        BOOST_REQUIRE(events.bytes_.empty());
+        BOOST_REQUIRE(splitter.partial_.size() <= http::MaxEventBytes);
+        taken += Long.size();
+    }
+    BOOST_TEST(events.tooLong_);
+    BOOST_TEST(taken <= http::MaxEventBytes + Long.size());
+}
+
 // A body of the call's own is the caller's to bound: cancelling closes the connection.
 BOOST_AUTO_TEST_CASE(cancellingEndsABodyWithoutEnd)
 {
