Answers without a body have none, also when sent in parts

Callers saw: nothing reported. A streamed answer to HEAD, and 204 and 304 with a body, put bytes on the connection that the caller takes for the beginning of its next answer; a caller of HTTP/1.0 got chunk sizes inside its body; a request without a body, or of HTTP/1.0, got a 100 that nothing waited for. Cause: begin(), write() and finish() always framed in chunks; answer() only knew HEAD. Ruled out by rows that held before: a request cut in its line, head, body or chunk is never run; a length given twice, with chunks or with a sign is refused and what follows is not run; nothing behind the last request is run. Change: how an answer in parts ends is settled when it begins: no body, chunks, or the end of the connection. "HEAD, streamed answer": the chunks came before the answer to /b. After: all cases of test_http-relay hold, under the address sanitizer. Conclusion: found by reading; whether a caller ever met it is not known.

--- a/src/http/internal/relayserver.cpp
+++ b/src/http/internal/relayserver.cpp
@@ -27,11 +27,20 @@
 constexpr std::uint16_t StatusTooLarge = 413;
 constexpr std::uint16_t StatusHeaderTooLarge = 431;
 constexpr std::uint16_t StatusBadRequest = 400;
+constexpr std::uint16_t StatusNotImplemented = 501;
+constexpr std::uint16_t FirstFinalStatus = 200;
+constexpr std::uint16_t StatusNoContent = 204;
+constexpr std::uint16_t StatusNotModified = 304;
+//! The first version that knows chunks and 100-continue.
+constexpr unsigned Http11 = 11;
 
 using Parser = beast::http::request_parser<beast::http::string_body>;
 
 enum class Answer { None, Begun, Whole };
 
+//! How the body of an answer in parts ends.
+enum class Ending { NoBody, Chunks, Close };
+
 //! State that connections share with their server.
 struct RelayShared
 {
@@ -124,9 +133,11 @@
     std::size_t waitingBytes_ = 0;
     std::function<void()> onGone_;
     Answer answer_ = Answer::None;
+    Ending ending_ = Ending::Chunks;
     //! Counts requests, so that a late answer to an earlier one does nothing.
     std::uint64_t exchange_ = 0;
     bool headRequest_ = false;
+    bool knowsChunks_ = true;
     bool keepAlive_ = true;
     bool inHand_ = false;
     bool reading_ = false;
@@ -153,6 +164,19 @@
     return text + "\r\n";
 }
 
+//! False for answers that end with their head, whatever their headers say.
+bool statusHasBody(std::uint16_t status)
+{
+    return status >= FirstFinalStatus && status != StatusNoContent && status != StatusNotModified;
+}
+
+Ending endingOf(const RelayConnection &connection, std::uint16_t status)
+{
+    if (connection.headRequest_ || !statusHasBody(status))
+        return Ending::NoBody;
+    return connection.knowsChunks_ ? Ending::Chunks : Ending::Close;
+}
+
 std::string chunkOf(std::string_view bytes)
 {
     char size[20];
@@ -257,7 +281,8 @@
     const auto start = asio::steady_timer::clock_type::now();
     auto status = co_await readUntil(connection, parser, true, start + limits.headerTimeout_);
     if (status == 0) {
-        if (beast::iequals(parser.get()[beast::http::field::expect], "100-continue"))
+        if (!parser.is_done() && parser.get().version() >= Http11
+            && beast::iequals(parser.get()[beast::http::field::expect], "100-continue"))
             connection.send("HTTP/1.1 100 Continue\r\n\r\n");
         status = co_await readUntil(connection, parser, false,
                                     asio::steady_timer::clock_type::now() + limits.bodyTimeout_);
@@ -280,6 +305,7 @@
         ++connection->exchange_;
         connection->answer_ = Answer::None;
         connection->headRequest_ = parser.get().method() == beast::http::verb::head;
+        connection->knowsChunks_ = parser.get().version() >= Http11;
         connection->keepAlive_ = parser.get().keep_alive() && !connection->shared_->closing_;
         connection->inHand_ = true;
         connection->startRead();
@@ -350,9 +376,11 @@
     if (connection_->exchange_ != exchange_ || connection_->answer_ != detail::Answer::None)
         return;
     connection_->answer_ = detail::Answer::Whole;
-    const std::string framing = "Content-Length: " + std::to_string(body.size()) + "\r\n";
-    std::string text = detail::headText(*connection_, head, framing);
-    if (!connection_->headRequest_)
+    const bool hasBody = detail::statusHasBody(head.status_);
+    std::string text = detail::headText(
+            *connection_, head,
+            hasBody ? "Content-Length: " + std::to_string(body.size()) + "\r\n" : "");
+    if (hasBody && !connection_->headRequest_)
         text += body;
     connection_->send(text);
     connection_->wake_.cancel();
@@ -363,14 +391,23 @@
     if (connection_->exchange_ != exchange_ || connection_->answer_ != detail::Answer::None)
         return;
     connection_->answer_ = detail::Answer::Begun;
-    connection_->send(detail::headText(*connection_, head, "Transfer-Encoding: chunked\r\n"));
+    connection_->ending_ = detail::endingOf(*connection_, head.status_);
+    if (connection_->ending_ == detail::Ending::Close)
+        connection_->keepAlive_ = false;
+    const bool chunked = connection_->knowsChunks_ && detail::statusHasBody(head.status_);
+    connection_->send(
+            detail::headText(*connection_, head, chunked ? "Transfer-Encoding: chunked\r\n" : ""));
 }
 
 void RelayExchange::write(std::string_view bytes)
 {
-    if (connection_->exchange_ == exchange_ && connection_->answer_ == detail::Answer::Begun
-        && !bytes.empty())
+    if (connection_->exchange_ != exchange_ || connection_->answer_ != detail::Answer::Begun
+        || bytes.empty() || connection_->ending_ == detail::Ending::NoBody)
+        return;
+    if (connection_->ending_ == detail::Ending::Chunks)
         connection_->send(detail::chunkOf(bytes));
+    else
+        connection_->send(bytes);
 }
 
 void RelayExchange::finish()
@@ -378,7 +415,8 @@
     if (connection_->exchange_ != exchange_ || connection_->answer_ != detail::Answer::Begun)
         return;
     connection_->answer_ = detail::Answer::Whole;
-    connection_->send("0\r\n\r\n");
+    if (connection_->ending_ == detail::Ending::Chunks)
+        connection_->send("0\r\n\r\n");
     connection_->wake_.cancel();
 }
 
--- a/src/http/tests/tst_relay.cpp
+++ b/src/http/tests/tst_relay.cpp
@@ -453,3 +453,138 @@
     BOOST_TEST(answers == expected, boost::test_tools::per_element());
     BOOST_TEST(ran == expected, boost::test_tools::per_element());
 }
+
+//! Bytes that a caller writes, and all bytes that it gets. The caller then ends its side.
+struct FramingCase
+{
+    const char *name_;
+    std::string bytes_;
+    //! Targets and bodies of the requests that are run.
+    const char *ran_;
+    std::string answers_;
+};
+
+std::ostream &operator<<(std::ostream &out, const FramingCase &test)
+{
+    return out << test.name_;
+}
+
+const std::string Plain = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+const std::string GetB = "GET /b HTTP/1.1\r\nHost: x\r\n\r\n";
+const std::string Refused = "Content-Length: 0\r\nConnection: close\r\n\r\n";
+const std::string BadRequest = "HTTP/1.1 400 Bad Request\r\n" + Refused;
+
+const FramingCase FramingCases[] = {
+        {"HEAD, whole answer", "HEAD /a HTTP/1.1\r\nHost: x\r\n\r\n" + GetB, "/a /b",
+         "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n" + Plain},
+        {"HEAD, streamed answer", "HEAD /stream HTTP/1.1\r\nHost: x\r\n\r\n" + GetB, "/stream /b",
+         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + Plain},
+        {"204, whole answer", "GET /204 HTTP/1.1\r\nHost: x\r\n\r\n" + GetB, "/204 /b",
+         "HTTP/1.1 204 No Content\r\n\r\n" + Plain},
+        {"204, streamed answer", "GET /stream204 HTTP/1.1\r\nHost: x\r\n\r\n" + GetB,
+         "/stream204 /b", "HTTP/1.1 204 No Content\r\n\r\n" + Plain},
+        {"304, whole answer", "GET /304 HTTP/1.1\r\nHost: x\r\n\r\n" + GetB, "/304 /b",
+         "HTTP/1.1 304 Not Modified\r\n\r\n" + Plain},
+        {"304, streamed answer", "GET /stream304 HTTP/1.1\r\nHost: x\r\n\r\n" + GetB,
+         "/stream304 /b", "HTTP/1.1 304 Not Modified\r\n\r\n" + Plain},
+        {"HTTP/1.0, streamed answer", "GET /stream HTTP/1.0\r\nHost: x\r\n\r\n", "/stream",
+         "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nok"},
+        {"HTTP/1.0 kept alive, streamed answer",
+         "GET /stream HTTP/1.0\r\nHost: x\r\nConnection: keep-alive\r\n\r\n", "/stream",
+         "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nok"},
+        {"a coding of a similar name, and a length",
+         "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\nTransfer-Encoding: xchunked\r\n\r\na"
+                 + GetB,
+         "", BadRequest},
+        {"codings in two headers",
+         "POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: "
+         "identity\r\n\r\n0\r\n\r\n"
+                 + GetB,
+         "", BadRequest},
+        {"length and chunks",
+         "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\nTransfer-Encoding: "
+         "chunked\r\n\r\n0\r\n\r\n"
+                 + GetB,
+         "", BadRequest},
+        {"chunks and length",
+         "POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\nContent-Length: "
+         "5\r\n\r\n0\r\n\r\n"
+                 + GetB,
+         "", BadRequest},
+        {"two lengths in one header",
+         "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 1, 2\r\n\r\na" + GetB, "", BadRequest},
+        {"a signed length", "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: +1\r\n\r\na" + GetB, "",
+         BadRequest},
+        {"a chunk of no length",
+         "POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\nx\r\n" + GetB, "",
+         BadRequest},
+        {"a space before the colon",
+         "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length : 1\r\n\r\na" + GetB, "", BadRequest},
+        {"leave to send a body that is there",
+         "POST /a HTTP/1.1\r\nHost: x\r\nExpect: 100-continue\r\nContent-Length: 1\r\n\r\na" + GetB,
+         "/a:a /b", "HTTP/1.1 100 Continue\r\n\r\n" + Plain + Plain},
+        {"leave to send no body",
+         "GET /a HTTP/1.1\r\nHost: x\r\nExpect: 100-continue\r\n\r\n" + GetB, "/a /b",
+         Plain + Plain},
+        {"leave for HTTP/1.0",
+         "POST /a HTTP/1.0\r\nHost: x\r\nExpect: 100-continue\r\nContent-Length: 1\r\n\r\na",
+         "/a:a", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\nok"},
+        {"cut in the request line", GetB + "GET /cut", "/b", Plain},
+        {"cut in the head", GetB + "GET /cut HTTP/1.1\r\nHost: x\r\n", "/b", Plain},
+        {"cut in the body", GetB + "POST /cut HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nabcd",
+         "/b", Plain},
+        {"cut in a chunk",
+         GetB + "POST /cut HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabcd",
+         "/b", Plain},
+        {"cut before the last chunk",
+         GetB + "POST /cut HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n",
+         "/b", Plain},
+        {"what follows a refusal is not run", "nonsense\r\n\r\n" + GetB, "", BadRequest},
+        {"what follows the last request is not run",
+         "GET /a HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n" + GetB, "/a",
+         "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\nok"},
+};
+
+void answerByTarget(const std::string &target, http::RelayExchange &exchange)
+{
+    const http::RelayHead head {static_cast<std::uint16_t>(target.ends_with("204")   ? 204
+                                                           : target.ends_with("304") ? 304
+                                                                                     : 200),
+                                {}};
+    if (!target.starts_with("/stream"))
+        return exchange.answer(head, "ok");
+    exchange.begin(head);
+    exchange.write("ok");
+    exchange.finish();
+}
+
+// No byte of an answer or request may be taken for a part of the next one.
+BOOST_DATA_TEST_CASE(messagesEndWhereTheirFramingSays, FramingCases, test)
+{
+    asio::io_context context;
+    std::string ran;
+    http::RelayServer server(context, [&](const http::RelayRequest &request,
+                                          const std::shared_ptr<http::RelayExchange> &exchange) {
+        ran += (ran.empty() ? "" : " ") + request.target_
+               + (request.body_.empty() ? "" : ":" + request.body_);
+        answerByTarget(request.target_, *exchange);
+    });
+    const auto address = server.listen({"127.0.0.1", 0});
+    BOOST_REQUIRE(address);
+    std::string answers;
+    std::jthread caller([&] {
+        asio::io_context own;
+        tcp::socket socket(own);
+        socket.connect({asio::ip::make_address(address->host_), address->port_});
+        boost::system::error_code error;
+        asio::write(socket, asio::buffer(test.bytes_), error);
+        std::this_thread::sleep_for(std::chrono::milliseconds(60));
+        socket.shutdown(tcp::socket::shutdown_send, error);
+        asio::read(socket, asio::dynamic_buffer(answers), error);
+        asio::post(context, [&context] { context.stop(); });
+    });
+    context.run_for(std::chrono::seconds(10));
+    caller.join();
+    BOOST_TEST(ran == test.ran_);
+    BOOST_TEST(answers == test.answers_);
+}
