A request in an unknown transfer coding is refused

Callers saw: nothing reported. A request with "Transfer-Encoding: gzip" was taken to have no body, and its body was then run as a request; with "chunked, gzip" or "gzip, chunked" the endpoint got bytes without their coding, since the header concerns one connection and isn't passed on. Cause: the parser knows the end of a body only for the one coding "chunked" and passes over all others. Ruled out by rows that held: a length with chunks in either order, codings in two headers, chunk sizes that are none. Change: any other coding gets 501, chunks of HTTP/1.0 get 400; nothing behind them on the connection is run. Conclusion: a request smuggled inside another was possible here.

--- a/src/http/internal/relayserver.cpp
+++ b/src/http/internal/relayserver.cpp
@@ -273,6 +273,19 @@
     co_return true;
 }
 
+//! Status for a request whose end can't be told for sure; 0 if it can.
+std::uint16_t framingRefusal(Parser &parser)
+{
+    const auto &message = parser.get();
+    const auto field = beast::http::field::transfer_encoding;
+    const auto count = message.count(field);
+    if (count == 0)
+        return 0;
+    if (message.version() < Http11)
+        return StatusBadRequest;
+    return count == 1 && beast::iequals(message[field], "chunked") ? 0 : StatusNotImplemented;
+}
+
 asio::awaitable<bool> readRequest(RelayConnection &connection, Parser &parser)
 {
     const RelayServerLimits limits = connection.shared_->limits_;
@@ -280,6 +293,8 @@
     parser.body_limit(limits.maxBodyBytes_);
     const auto start = asio::steady_timer::clock_type::now();
     auto status = co_await readUntil(connection, parser, true, start + limits.headerTimeout_);
+    if (status == 0)
+        status = framingRefusal(parser);
     if (status == 0) {
         if (!parser.is_done() && parser.get().version() >= Http11
             && beast::iequals(parser.get()[beast::http::field::expect], "100-continue"))
--- a/src/http/tests/tst_relay.cpp
+++ b/src/http/tests/tst_relay.cpp
@@ -473,6 +473,7 @@
 const std::string GetB = "GET /b HTTP/1.1\r\nHost: x\r\n\r\n";
 const std::string Refused = "Content-Length: 0\r\nConnection: close\r\n\r\n";
 const std::string BadRequest = "HTTP/1.1 400 Bad Request\r\n" + Refused;
+const std::string NotImplemented = "HTTP/1.1 501 Not Implemented\r\n" + Refused;
 
 const FramingCase FramingCases[] = {
         {"HEAD, whole answer", "HEAD /a HTTP/1.1\r\nHost: x\r\n\r\n" + GetB, "/a /b",
@@ -492,6 +493,15 @@
         {"HTTP/1.0 kept alive, streamed answer",
          "GET /stream HTTP/1.0\r\nHost: x\r\nConnection: keep-alive\r\n\r\n", "/stream",
          "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nok"},
+        {"an unknown coding",
+         "POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: gzip\r\n\r\n" + GetB, "",
+         NotImplemented},
+        {"a coding before chunks",
+         "POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n" + GetB,
+         "", NotImplemented},
+        {"a coding after chunks",
+         "POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked, gzip\r\n\r\n0\r\n\r\n" + GetB,
+         "", NotImplemented},
         {"a coding of a similar name, and a length",
          "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\nTransfer-Encoding: xchunked\r\n\r\na"
                  + GetB,
@@ -501,6 +511,9 @@
          "identity\r\n\r\n0\r\n\r\n"
                  + GetB,
          "", BadRequest},
+        {"chunks of HTTP/1.0",
+         "POST /a HTTP/1.0\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", "",
+         BadRequest},
         {"length and chunks",
          "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\nTransfer-Encoding: "
          "chunked\r\n\r\n0\r\n\r\n"
