An answer of over 1 MB reaches a caller that reads

Callers saw: the connection closed without an answer, for each whole answer of over 1 MB, although the endpoint had given one (the gateway holds answers of up to 8 MB). Cause: the limit on bytes that wait for a caller, meant for callers that read too slowly, counted the piece that was just handed over. Change: the limit is on what waited before. Conclusion: a caller that never reads still loses its connection with the next piece of a stream; one whole answer more is bounded by the gateway's 8 MB.

--- a/src/http/internal/relayserver.cpp
+++ b/src/http/internal/relayserver.cpp
@@ -19,7 +19,7 @@
 constexpr std::size_t ReadBytes = 8192;
 //! Bytes of following requests that are kept while one is in hand.
 constexpr std::size_t MaxReadAhead = 64UL * 1024;
-//! A caller that reads slower than this many waiting bytes allow is given up on.
+//! A caller that is behind by more than this when more is to be sent is given up on.
 constexpr std::size_t MaxWaitingBytes = 1024UL * 1024;
 //! Time for a caller to take a refusal of a request that was not read to its end.
 constexpr std::chrono::milliseconds LingerTime {500};
@@ -96,9 +96,9 @@
     {
         if (closed_)
             return;
-        waitingBytes_ += bytes.size();
         if (waitingBytes_ > MaxWaitingBytes)
             return close();
+        waitingBytes_ += bytes.size();
         waiting_ += bytes;
         if (!writing_)
             writeNext();
--- a/src/http/tests/tst_relay.cpp
+++ b/src/http/tests/tst_relay.cpp
@@ -601,3 +601,67 @@
     BOOST_TEST(ran == test.ran_);
     BOOST_TEST(answers == test.answers_);
 }
+
+//! A caller that has more to send than it is answered, on a connection that ends with the answer.
+struct LastAnswerCase
+{
+    const char *name_;
+    std::size_t answerBytes_;
+    //! Sent behind the request, never read by the server as a request.
+    std::size_t extraBytes_;
+    //! The caller asks for the end; else the server begins to close with the request in hand.
+    bool callerCloses_;
+};
+
+std::ostream &operator<<(std::ostream &out, const LastAnswerCase &test)
+{
+    return out << test.name_;
+}
+
+constexpr std::size_t Megabyte = 1024UL * 1024;
+
+const LastAnswerCase LastAnswerCases[] = {
+        {"short", 2, 0, true},
+        {"large", 3 * Megabyte, 0, true},
+        {"short, bytes behind the request", 2, Megabyte, true},
+};
+
+// The answer is whole and says that the connection ends, even if the caller reads it late.
+BOOST_DATA_TEST_CASE(lastAnswerIsWholeAndSaysSo, LastAnswerCases, test)
+{
+    namespace beast = boost::beast;
+    asio::io_context context;
+    std::unique_ptr<http::RelayServer> server;
+    const std::string body(test.answerBytes_, 'x');
+    server = std::make_unique<http::RelayServer>(
+            context,
+            [&](const http::RelayRequest &, const std::shared_ptr<http::RelayExchange> &exchange) {
+                if (!test.callerCloses_)
+                    server->closeAfterAnswers();
+                exchange->answer({200, {}}, body);
+            });
+    const auto address = server->listen({"127.0.0.1", 0});
+    BOOST_REQUIRE(address);
+    beast::http::response_parser<beast::http::string_body> answer;
+    answer.body_limit(2 * test.answerBytes_);
+    boost::system::error_code error;
+    std::jthread caller([&] {
+        asio::io_context own;
+        tcp::socket socket(own);
+        socket.connect({asio::ip::make_address(address->host_), address->port_});
+        const std::string end = test.callerCloses_ ? "Connection: close\r\n" : "";
+        asio::write(socket,
+                    asio::buffer("GET /a HTTP/1.1\r\nHost: x\r\n" + end + "\r\n"
+                                 + std::string(test.extraBytes_, 'y')),
+                    error);
+        std::this_thread::sleep_for(std::chrono::milliseconds(100));
+        beast::flat_buffer buffer;
+        beast::http::read(socket, buffer, answer, error);
+        asio::post(context, [&context] { context.stop(); });
+    });
+    context.run_for(std::chrono::seconds(10));
+    caller.join();
+    BOOST_TEST(!error, error.message());
+    BOOST_TEST(answer.get().body().size() == body.size());
+    BOOST_TEST(!answer.get().keep_alive());
+}
