A connection ends only after an answer that says so

Callers saw: after closeAfterAnswers() (a gateway that stops), the connection closed behind an answer that didn't say "Connection: close"; a next request sent at once was lost, and the caller couldn't know whether it had run. Cause: whether to close was settled when a request was taken, and asked again after its answer. Change: it is settled once, when the head of the answer is written. A stream begun before stays open for one more request, whose answer says it. Conclusion: a source of requests cut without an answer at each stop.

--- a/src/http/internal/relayserver.cpp
+++ b/src/http/internal/relayserver.cpp
@@ -147,9 +147,9 @@
 
 namespace {
 
-std::string headText(const RelayConnection &connection, const RelayHead &head,
-                     const std::string &framing)
+std::string headText(RelayConnection &connection, const RelayHead &head, const std::string &framing)
 {
+    connection.keepAlive_ = connection.keepAlive_ && !connection.shared_->closing_;
     std::string text = "HTTP/1.1 " + std::to_string(head.status_) + " ";
     text += std::string_view(
             beast::http::obsolete_reason(static_cast<beast::http::status>(head.status_)));
@@ -321,7 +321,7 @@
         connection->answer_ = Answer::None;
         connection->headRequest_ = parser.get().method() == beast::http::verb::head;
         connection->knowsChunks_ = parser.get().version() >= Http11;
-        connection->keepAlive_ = parser.get().keep_alive() && !connection->shared_->closing_;
+        connection->keepAlive_ = parser.get().keep_alive();
         connection->inHand_ = true;
         connection->startRead();
         connection->shared_->handler_(requestOf(parser),
@@ -331,7 +331,7 @@
             co_await waitForWake(*connection, asio::steady_timer::time_point::max());
         connection->inHand_ = false;
         connection->onGone_ = nullptr;
-        if (!connection->keepAlive_ || connection->shared_->closing_)
+        if (!connection->keepAlive_)
             break;
     }
     if (!connection->closed_) {
--- a/src/http/tests/tst_relay.cpp
+++ b/src/http/tests/tst_relay.cpp
@@ -624,6 +624,8 @@
         {"short", 2, 0, true},
         {"large", 3 * Megabyte, 0, true},
         {"short, bytes behind the request", 2, Megabyte, true},
+        {"the server begins to close", 2, 0, false},
+        {"the server begins to close, large", 3 * Megabyte, 0, false},
 };
 
 // The answer is whole and says that the connection ends, even if the caller reads it late.
