The last answer of a connection outlives bytes that are still being sent

Callers saw: an answer cut short when the connection ended behind it while the caller was sending more. Cause: the socket was closed with bytes unread, which resets the connection and drops what the caller has not read yet. Refusals of unread requests already waited for that; last answers didn't. Change: both end in the same way: the sending side is ended, and what comes is dropped for up to 500 ms. Conclusion: needs a caller that writes ahead on a connection that ends.

--- a/src/http/internal/relayserver.cpp
+++ b/src/http/internal/relayserver.cpp
@@ -21,7 +21,7 @@
 constexpr std::size_t MaxReadAhead = 64UL * 1024;
 //! A caller that is behind by more than this when more is to be sent is given up on.
 constexpr std::size_t MaxWaitingBytes = 1024UL * 1024;
-//! Time for a caller to take a refusal of a request that was not read to its end.
+//! Time for a caller to take the last answer while what it still sends is read and dropped.
 constexpr std::chrono::milliseconds LingerTime {500};
 constexpr std::uint16_t StatusTimeout = 408;
 constexpr std::uint16_t StatusTooLarge = 413;
@@ -204,15 +204,10 @@
     co_await connection.wake_.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
 }
 
-//! Sends a refusal for a request that could not be read, and lets the caller take it.
-asio::awaitable<void> refuseUnread(RelayConnection &connection, std::uint16_t status)
+//! Ends the sending side. Closing with unread bytes would reset the connection, and the caller
+//! could lose the last answer.
+asio::awaitable<void> linger(RelayConnection &connection)
 {
-    connection.keepAlive_ = false;
-    connection.send(headText(connection, {status, {}}, "Content-Length: 0\r\n"));
-    while (connection.writing_ && !connection.closed_)
-        co_await waitForWake(connection, asio::steady_timer::time_point::max());
-    if (connection.closed_)
-        co_return;
     boost::system::error_code ignored;
     connection.socket_.shutdown(tcp::socket::shutdown_send, ignored);
     const auto until = asio::steady_timer::clock_type::now() + LingerTime;
@@ -223,6 +218,15 @@
     }
 }
 
+//! Sends a refusal for a request that could not be read.
+asio::awaitable<void> refuseUnread(RelayConnection &connection, std::uint16_t status)
+{
+    connection.keepAlive_ = false;
+    connection.send(headText(connection, {status, {}}, "Content-Length: 0\r\n"));
+    while (connection.writing_ && !connection.closed_)
+        co_await waitForWake(connection, asio::steady_timer::time_point::max());
+}
+
 std::uint16_t refusalStatus(const boost::system::error_code &error)
 {
     if (error == beast::http::error::body_limit)
@@ -334,10 +338,9 @@
         if (!connection->keepAlive_)
             break;
     }
-    if (!connection->closed_) {
-        connection->socket_.shutdown(tcp::socket::shutdown_send, ignored);
-        connection->close();
-    }
+    if (!connection->closed_ && !connection->keepAlive_)
+        co_await linger(*connection);
+    connection->close();
 }
 
 } // namespace
--- a/src/http/tests/tst_relay.cpp
+++ b/src/http/tests/tst_relay.cpp
@@ -624,6 +624,8 @@
         {"short", 2, 0, true},
         {"large", 3 * Megabyte, 0, true},
         {"short, bytes behind the request", 2, Megabyte, true},
+        {"900 KB, bytes behind the request", 900UL * 1024, Megabyte, true},
+        {"large, bytes behind the request", 3 * Megabyte, Megabyte, true},
         {"the server begins to close", 2, 0, false},
         {"the server begins to close, large", 3 * Megabyte, 0, false},
 };
