Callers without end are bounded: sending time, connections, bytes in total

Callers saw: nothing reported. A caller that reads nothing kept its connection and a whole answer for as long as it liked; many such, or many unfinished bodies, or idle connections, were bounded one by one but not in total. Cause: no limit on the time to send, and none over all connections. Ruled out by rows that held before: heads, bodies and chunks that trickle end at their times; a stream that isn't read ends at 1 MB waiting. Change: named limits in RelayServerLimits: sendTimeout_ 10 s without a byte taken, maxWaitingBytes_ 64 MB over all callers (the one most behind is given up), maxUnfinishedBytes_ 64 MB of requests that aren't whole (503 beyond it), maxConnections_ 8192 (the one idle for longest ends, then callers wait in the backlog; also when descriptors run out). Conclusion: memory for callers has a bound that doesn't grow with their number.

--- a/src/http/internal/relayserver.cpp
+++ b/src/http/internal/relayserver.cpp
@@ -1,5 +1,6 @@
 #include "http/relayserver.h"
 
+#include <algorithm>
 #include <array>
 #include <cstdio>
 #include <unordered_set>
@@ -23,11 +24,14 @@
 constexpr std::size_t MaxWaitingBytes = 1024UL * 1024;
 //! Time for a caller to take the last answer while what it still sends is read and dropped.
 constexpr std::chrono::milliseconds LingerTime {500};
+//! Connections are looked over this often.
+constexpr std::chrono::milliseconds SweepInterval {250};
 constexpr std::uint16_t StatusTimeout = 408;
 constexpr std::uint16_t StatusTooLarge = 413;
 constexpr std::uint16_t StatusHeaderTooLarge = 431;
 constexpr std::uint16_t StatusBadRequest = 400;
 constexpr std::uint16_t StatusNotImplemented = 501;
+constexpr std::uint16_t StatusUnavailable = 503;
 constexpr std::uint16_t FirstFinalStatus = 200;
 constexpr std::uint16_t StatusNoContent = 204;
 constexpr std::uint16_t StatusNotModified = 304;
@@ -47,10 +51,16 @@
     RelayHandler handler_;
     RelayServerLimits limits_;
     std::unordered_set<RelayConnection *> connections_;
+    //! Bytes that wait for callers, and bytes of requests that are not whole yet.
+    std::size_t waitingBytes_ = 0;
+    std::size_t unfinishedBytes_ = 0;
     bool closing_ = false;
     bool stopped_ = false;
+    bool ended_ = false;
 };
 
+using Clock = asio::steady_timer::clock_type;
+
 struct RelayConnection : std::enable_shared_from_this<RelayConnection>
 {
     RelayConnection(tcp::socket socket, std::shared_ptr<RelayShared> shared)
@@ -59,7 +69,24 @@
         shared_->connections_.insert(this);
     }
 
-    ~RelayConnection() { shared_->connections_.erase(this); }
+    ~RelayConnection()
+    {
+        countWaiting(0);
+        countUnfinished(0);
+        shared_->connections_.erase(this);
+    }
+
+    void countWaiting(std::size_t bytes)
+    {
+        shared_->waitingBytes_ += bytes - waitingBytes_;
+        waitingBytes_ = bytes;
+    }
+
+    void countUnfinished(std::size_t bytes)
+    {
+        shared_->unfinishedBytes_ += bytes - unfinishedBytes_;
+        unfinishedBytes_ = bytes;
+    }
 
     void startRead()
     {
@@ -87,6 +114,8 @@
         closed_ = true;
         boost::system::error_code ignored;
         socket_.close(ignored);
+        waiting_ = {};
+        countWaiting(0);
         wake_.cancel();
         if (onGone_)
             asio::post(socket_.get_executor(), std::exchange(onGone_, nullptr));
@@ -98,30 +127,62 @@
             return;
         if (waitingBytes_ > MaxWaitingBytes)
             return close();
-        waitingBytes_ += bytes.size();
+        countWaiting(waitingBytes_ + bytes.size());
         waiting_ += bytes;
         if (!writing_)
             writeNext();
+        if (shared_->waitingBytes_ > shared_->limits_.maxWaitingBytes_)
+            closeSlowest();
+    }
+
+    //! Gives up the connection with the most bytes waiting.
+    void closeSlowest()
+    {
+        const auto slower = [](const RelayConnection *left, const RelayConnection *right) {
+            return left->waitingBytes_ < right->waitingBytes_;
+        };
+        const auto &all = shared_->connections_;
+        (*std::max_element(all.begin(), all.end(), slower))->close();
     }
 
     void writeNext()
     {
         writing_ = true;
+        progressAt_ = Clock::now();
         sending_ = std::move(waiting_);
         waiting_.clear();
-        asio::async_write(
-                socket_, asio::buffer(sending_),
+        sent_ = 0;
+        writeSome();
+    }
+
+    void writeSome()
+    {
+        socket_.async_write_some(
+                asio::buffer(sending_) + sent_,
                 [self = shared_from_this()](boost::system::error_code error, std::size_t size) {
-                    self->writing_ = false;
-                    self->waitingBytes_ -= std::min(self->waitingBytes_, size);
-                    if (error)
-                        self->close();
-                    else if (!self->waiting_.empty())
-                        self->writeNext();
-                    self->wake_.cancel();
+                    self->written(error, size);
                 });
     }
 
+    void written(boost::system::error_code error, std::size_t size)
+    {
+        sent_ += size;
+        countWaiting(waitingBytes_ - std::min(waitingBytes_, size));
+        writing_ = false;
+        if (error)
+            close();
+        if (closed_)
+            return;
+        progressAt_ = Clock::now();
+        writing_ = sent_ < sending_.size() || !waiting_.empty();
+        if (sent_ < sending_.size())
+            writeSome();
+        else if (!waiting_.empty())
+            writeNext();
+        else
+            wake_.cancel();
+    }
+
     tcp::socket socket_;
     asio::steady_timer wake_;
     std::shared_ptr<RelayShared> shared_;
@@ -130,7 +191,13 @@
     beast::flat_buffer buffer_;
     std::string waiting_;
     std::string sending_;
+    std::size_t sent_ = 0;
     std::size_t waitingBytes_ = 0;
+    std::size_t unfinishedBytes_ = 0;
+    //! When bytes were last taken by the caller, or began to be sent.
+    Clock::time_point progressAt_;
+    //! When the last request was taken, or the connection accepted.
+    Clock::time_point usedAt_ = Clock::now();
     std::function<void()> onGone_;
     Answer answer_ = Answer::None;
     Ending ending_ = Ending::Chunks;
@@ -197,7 +264,7 @@
     return request;
 }
 
-asio::awaitable<void> waitForWake(RelayConnection &connection, asio::steady_timer::time_point until)
+asio::awaitable<void> waitForWake(RelayConnection &connection, Clock::time_point until)
 {
     boost::system::error_code ignored;
     connection.wake_.expires_at(until);
@@ -210,8 +277,8 @@
 {
     boost::system::error_code ignored;
     connection.socket_.shutdown(tcp::socket::shutdown_send, ignored);
-    const auto until = asio::steady_timer::clock_type::now() + LingerTime;
-    while (!connection.closed_ && asio::steady_timer::clock_type::now() < until) {
+    const auto until = Clock::now() + LingerTime;
+    while (!connection.closed_ && Clock::now() < until) {
         connection.buffer_.clear();
         connection.startRead();
         co_await waitForWake(connection, until);
@@ -224,7 +291,7 @@
     connection.keepAlive_ = false;
     connection.send(headText(connection, {status, {}}, "Content-Length: 0\r\n"));
     while (connection.writing_ && !connection.closed_)
-        co_await waitForWake(connection, asio::steady_timer::time_point::max());
+        co_await waitForWake(connection, Clock::time_point::max());
 }
 
 std::uint16_t refusalStatus(const boost::system::error_code &error)
@@ -239,8 +306,7 @@
 //! Feeds the parser until header or whole message is there. Returns 0, or the refusal's status, or
 //! nothing when the caller is gone or was idle for too long.
 asio::awaitable<std::optional<std::uint16_t>> readUntil(RelayConnection &connection, Parser &parser,
-                                                        bool headerOnly,
-                                                        asio::steady_timer::time_point until)
+                                                        bool headerOnly, Clock::time_point until)
 {
     while (headerOnly ? !parser.is_header_done() : !parser.is_done()) {
         if (connection.buffer_.size() > 0) {
@@ -249,12 +315,16 @@
             connection.buffer_.consume(used);
             if (error && error != beast::http::error::need_more)
                 co_return refusalStatus(error);
+            connection.countUnfinished(connection.unfinishedBytes_ + used);
+            if (connection.shared_->unfinishedBytes_
+                > connection.shared_->limits_.maxUnfinishedBytes_)
+                co_return StatusUnavailable;
             if (used > 0)
                 continue;
         }
         if (connection.closed_)
             co_return std::nullopt;
-        if (asio::steady_timer::clock_type::now() >= until)
+        if (Clock::now() >= until)
             co_return StatusTimeout;
         connection.startRead();
         co_await waitForWake(connection, until);
@@ -265,11 +335,9 @@
 //! Waits for the first byte of a request. False when the connection ends instead.
 asio::awaitable<bool> awaitRequest(RelayConnection &connection)
 {
-    const auto until
-            = asio::steady_timer::clock_type::now() + connection.shared_->limits_.idleTimeout_;
+    const auto until = Clock::now() + connection.shared_->limits_.idleTimeout_;
     while (connection.buffer_.size() == 0) {
-        if (connection.closed_ || connection.shared_->stopped_
-            || asio::steady_timer::clock_type::now() >= until)
+        if (connection.closed_ || connection.shared_->stopped_ || Clock::now() >= until)
             co_return false;
         connection.startRead();
         co_await waitForWake(connection, until);
@@ -295,7 +363,7 @@
     const RelayServerLimits limits = connection.shared_->limits_;
     parser.header_limit(limits.maxHeaderBytes_);
     parser.body_limit(limits.maxBodyBytes_);
-    const auto start = asio::steady_timer::clock_type::now();
+    const auto start = Clock::now();
     auto status = co_await readUntil(connection, parser, true, start + limits.headerTimeout_);
     if (status == 0)
         status = framingRefusal(parser);
@@ -303,9 +371,9 @@
         if (!parser.is_done() && parser.get().version() >= Http11
             && beast::iequals(parser.get()[beast::http::field::expect], "100-continue"))
             connection.send("HTTP/1.1 100 Continue\r\n\r\n");
-        status = co_await readUntil(connection, parser, false,
-                                    asio::steady_timer::clock_type::now() + limits.bodyTimeout_);
+        status = co_await readUntil(connection, parser, false, Clock::now() + limits.bodyTimeout_);
     }
+    connection.countUnfinished(0);
     if (status == 0)
         co_return true;
     if (status)
@@ -327,12 +395,13 @@
         connection->knowsChunks_ = parser.get().version() >= Http11;
         connection->keepAlive_ = parser.get().keep_alive();
         connection->inHand_ = true;
+        connection->usedAt_ = Clock::now();
         connection->startRead();
         connection->shared_->handler_(requestOf(parser),
                                       std::make_shared<RelayExchange>(connection));
         while (!connection->closed_
                && (connection->answer_ != Answer::Whole || connection->writing_))
-            co_await waitForWake(*connection, asio::steady_timer::time_point::max());
+            co_await waitForWake(*connection, Clock::time_point::max());
         connection->inHand_ = false;
         connection->onGone_ = nullptr;
         if (!connection->keepAlive_)
@@ -346,6 +415,41 @@
 } // namespace
 } // namespace detail
 
+namespace detail {
+namespace {
+
+//! Gives up callers that take nothing of what waits for them.
+void closeStalled(RelayShared &shared, Clock::time_point now)
+{
+    for (RelayConnection *connection : shared.connections_) {
+        if (connection->writing_ && now - connection->progressAt_ > shared.limits_.sendTimeout_)
+            connection->close();
+    }
+}
+
+bool isIdle(const RelayConnection &connection)
+{
+    return !connection.closed_ && !connection.inHand_ && !connection.writing_
+           && connection.unfinishedBytes_ == 0 && connection.buffer_.size() == 0;
+}
+
+//! Makes room for a connection by the one that has been idle for longest. False if none is idle.
+bool closeIdlest(RelayShared &shared)
+{
+    RelayConnection *idlest = nullptr;
+    for (RelayConnection *connection : shared.connections_) {
+        if (isIdle(*connection) && (idlest == nullptr || connection->usedAt_ < idlest->usedAt_))
+            idlest = connection;
+    }
+    if (idlest == nullptr)
+        return false;
+    idlest->close();
+    return true;
+}
+
+} // namespace
+} // namespace detail
+
 struct RelayServer::Impl : std::enable_shared_from_this<RelayServer::Impl>
 {
     explicit Impl(asio::io_context &context)
@@ -355,6 +459,7 @@
     static asio::awaitable<void> accept(std::shared_ptr<Impl> self)
     {
         while (self->acceptor_.is_open()) {
+            co_await awaitRoom(self);
             tcp::socket socket(self->context_);
             boost::system::error_code error;
             co_await self->acceptor_.async_accept(socket,
@@ -362,7 +467,9 @@
             if (error == asio::error::operation_aborted)
                 co_return;
             if (error) {
-                co_await pause(self->context_);
+                if (error == asio::error::no_descriptors)
+                    detail::closeIdlest(*self->shared_);
+                co_await pause(self->context_, AcceptRetryDelay);
                 continue;
             }
             auto connection
@@ -371,15 +478,35 @@
         }
     }
 
-    //! Accepting fails again at once while descriptors are short.
-    static asio::awaitable<void> pause(asio::io_context &context)
+    static asio::awaitable<void> sweep(std::shared_ptr<Impl> self)
+    {
+        while (!self->shared_->ended_) {
+            co_await pause(self->context_, detail::SweepInterval);
+            detail::closeStalled(*self->shared_, detail::Clock::now());
+        }
+    }
+
+    //! Callers wait to be accepted while there are too many and none is idle.
+    static asio::awaitable<void> awaitRoom(std::shared_ptr<Impl> self)
+    {
+        const detail::RelayShared &shared = *self->shared_;
+        while (shared.connections_.size() >= shared.limits_.maxConnections_ && !shared.stopped_) {
+            const bool closed = detail::closeIdlest(*self->shared_);
+            co_await pause(self->context_,
+                           closed ? std::chrono::milliseconds::zero() : AcceptRetryDelay);
+        }
+    }
+
+    static asio::awaitable<void> pause(asio::io_context &context, std::chrono::milliseconds time)
     {
-        constexpr std::chrono::milliseconds AcceptRetryDelay {20};
-        asio::steady_timer timer(context, AcceptRetryDelay);
+        asio::steady_timer timer(context, time);
         boost::system::error_code ignored;
         co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     }
 
+    //! Accepting fails again at once while descriptors are short.
+    static constexpr std::chrono::milliseconds AcceptRetryDelay {20};
+
     asio::io_context &context_;
     tcp::acceptor acceptor_;
     std::shared_ptr<detail::RelayShared> shared_;
@@ -466,6 +593,7 @@
 {
     boost::system::error_code ignored;
     impl_->acceptor_.close(ignored);
+    impl_->shared_->ended_ = true;
 }
 
 Result<Address> RelayServer::listen(const Address &address)
@@ -474,6 +602,7 @@
         const tcp::endpoint endpoint(asio::ip::make_address(address.host_), address.port_);
         impl_->acceptor_ = tcp::acceptor(impl_->context_, endpoint);
         asio::co_spawn(impl_->context_, Impl::accept(impl_), asio::detached);
+        asio::co_spawn(impl_->context_, Impl::sweep(impl_), asio::detached);
         return success(Address {address.host_, impl_->acceptor_.local_endpoint().port()});
     } catch (const boost::system::system_error &error) {
         return failure<Address>("can't listen on " + address.host_ + ":"
@@ -505,4 +634,9 @@
     return impl_->shared_->connections_.size();
 }
 
+std::size_t RelayServer::bytesHeld() const
+{
+    return impl_->shared_->waitingBytes_ + impl_->shared_->unfinishedBytes_;
+}
+
 } // namespace gypsumcroft::http
--- a/src/http/relayserver.h
+++ b/src/http/relayserver.h
@@ -51,6 +51,14 @@
     Duration headerTimeout_ = std::chrono::seconds(3);
     Duration bodyTimeout_ = std::chrono::seconds(10);
     Duration idleTimeout_ = std::chrono::seconds(15);
+    //! A caller that takes none of the bytes that wait for it is given up on after this time.
+    Duration sendTimeout_ = std::chrono::seconds(10);
+    //! Beyond these, connections that have been idle for longest end, then callers wait.
+    std::size_t maxConnections_ = 8192;
+    //! Bytes that wait for all callers; beyond these the caller that is most behind is given up.
+    std::size_t maxWaitingBytes_ = 64UL * 1024 * 1024;
+    //! Bytes of all requests that are not whole yet; beyond these they are refused.
+    std::size_t maxUnfinishedBytes_ = 64UL * 1024 * 1024;
 };
 
 class RelayServer
@@ -68,6 +76,8 @@
     //! Stops accepting and closes connections without a request in hand.
     void stopAccepting();
     std::size_t connections() const;
+    //! Bytes that wait for callers, and bytes of requests that are not whole yet.
+    std::size_t bytesHeld() const;
 
 private:
     struct Impl;
--- a/src/http/tests/tst_relay.cpp
+++ b/src/http/tests/tst_relay.cpp
@@ -669,3 +669,129 @@
     BOOST_TEST(answer.get().body().size() == body.size());
     BOOST_TEST(!answer.get().keep_alive());
 }
+
+//! Many callers at once that don't read, or don't come to an end.
+struct GreedyCase
+{
+    const char *name_;
+    std::size_t callers_;
+    std::string bytes_;
+    //! Written again and again until the connection ends.
+    std::string trickle_;
+    std::size_t answerBytes_;
+    std::size_t mostConnections_;
+    std::size_t mostBytes_;
+    //! Whether all are given up on in time.
+    bool allEnd_;
+};
+
+std::ostream &operator<<(std::ostream &out, const GreedyCase &test)
+{
+    return out << test.name_;
+}
+
+const std::string PostHead = "POST /a HTTP/1.1\r\nHost: x\r\n";
+
+const GreedyCase GreedyCases[] = {
+        {"never read a whole answer", 1, GetB, "", 6 * Megabyte, 1, 7 * Megabyte, true},
+        {"never read, many", 16, GetB, "", 6 * Megabyte, 16, 32 * Megabyte, true},
+        {"never read a stream", 4, "GET /stream HTTP/1.1\r\nHost: x\r\n\r\n", "", 256 * 1024, 4,
+         8 * Megabyte, true},
+        {"a head that trickles", 2, PostHead, "X-More: y\r\n", 2, 2, Megabyte, true},
+        {"a body that trickles", 2, PostHead + "Content-Length: 99999\r\n\r\n", "y", 2, 2, Megabyte,
+         true},
+        {"chunks that trickle", 2, PostHead + "Transfer-Encoding: chunked\r\n\r\n", "1\r\ny\r\n", 2,
+         2, Megabyte, true},
+        {"bodies without an end, many", 40,
+         PostHead + "Content-Length: 2000000\r\n\r\n" + std::string(1900000, 'y'), "", 2, 40,
+         33 * Megabyte, true},
+        {"idle, many", 100, "", "", 2, 20, Megabyte, false},
+};
+
+http::RelayServerLimits greedyLimits()
+{
+    http::RelayServerLimits limits;
+    limits.headerTimeout_ = limits.bodyTimeout_ = limits.sendTimeout_
+            = std::chrono::milliseconds(400);
+    limits.maxConnections_ = 20;
+    limits.maxWaitingBytes_ = limits.maxUnfinishedBytes_ = 32 * Megabyte;
+    return limits;
+}
+
+//! Streams pieces until the caller is given up on.
+void streamOn(asio::io_context &context, const std::shared_ptr<http::RelayExchange> &exchange,
+              const std::shared_ptr<bool> &gone, std::size_t size)
+{
+    if (*gone)
+        return;
+    exchange->write(std::string(size, 'x'));
+    auto timer = std::make_shared<asio::steady_timer>(context, std::chrono::milliseconds(5));
+    timer->async_wait([&context, timer, exchange, gone, size](boost::system::error_code) {
+        streamOn(context, exchange, gone, size);
+    });
+}
+
+struct GreedyCaller
+{
+    explicit GreedyCaller(asio::io_context &context) : socket_(context) { }
+
+    void write(const GreedyCase &test)
+    {
+        asio::async_write(socket_, asio::buffer(test.bytes_),
+                          [this, &test](boost::system::error_code error, std::size_t) {
+                              if (!error && !test.trickle_.empty())
+                                  trickle(test);
+                          });
+    }
+
+    void trickle(const GreedyCase &test)
+    {
+        timer_.expires_after(std::chrono::milliseconds(20));
+        timer_.async_wait([this, &test](boost::system::error_code) {
+            boost::system::error_code error;
+            asio::write(socket_, asio::buffer(test.trickle_), error);
+            if (!error)
+                trickle(test);
+        });
+    }
+
+    tcp::socket socket_;
+    asio::steady_timer timer_ {socket_.get_executor()};
+};
+
+BOOST_DATA_TEST_CASE(greedyCallersAreBounded, GreedyCases, test)
+{
+    asio::io_context context;
+    http::RelayServer server(context, [&](const http::RelayRequest &request,
+                                          const std::shared_ptr<http::RelayExchange> &exchange) {
+        if (request.target_ != "/stream")
+            return exchange->answer({200, {}}, std::string(test.answerBytes_, 'x'));
+        const auto gone = std::make_shared<bool>(false);
+        exchange->onGone([gone] { *gone = true; });
+        exchange->begin({200, {}});
+        streamOn(context, exchange, gone, test.answerBytes_);
+    });
+    http::RelayServerLimits limits = greedyLimits();
+    limits.maxConnections_ = std::max<std::size_t>(test.mostConnections_, 20);
+    server.setLimits(limits);
+    const auto address = server.listen({"127.0.0.1", 0});
+    BOOST_REQUIRE(address);
+    std::vector<std::unique_ptr<GreedyCaller>> callers;
+    for (std::size_t i = 0; i < test.callers_; ++i) {
+        callers.push_back(std::make_unique<GreedyCaller>(context));
+        callers.back()->socket_.connect({asio::ip::make_address(address->host_), address->port_});
+        callers.back()->write(test);
+    }
+    std::size_t mostConnections = 0;
+    std::size_t mostBytes = 0;
+    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(4);
+    while (std::chrono::steady_clock::now() < end
+           && (mostConnections == 0 || server.connections() > 0)) {
+        context.run_one_for(std::chrono::milliseconds(10));
+        mostConnections = std::max(mostConnections, server.connections());
+        mostBytes = std::max(mostBytes, server.bytesHeld());
+    }
+    BOOST_TEST(mostConnections <= test.mostConnections_);
+    BOOST_TEST(mostBytes <= test.mostBytes_);
+    BOOST_TEST((server.connections() == 0) == test.allEnd_);
+}
