A late call on an earlier exchange never reaches the next request

Callers of the internal HTTP server could see: another request's answer. A second answer, or events, for a request that was answered already were given to the next request on the connection; a handler for its caller's leaving replaced that of the next. Cause: calls are posted to the connection and only asked whether it waited for an answer, not for which request. The number that was to tell them apart was compared only while watching for the caller's close. Ruled out: RelayServer, whose exchanges compare their number in each call. Change: each call carries the number of its request. It serves entries, operators and metrics; callers of a gateway don't meet it.

--- a/src/http/internal/server.cpp
+++ b/src/http/internal/server.cpp
@@ -29,12 +29,16 @@
         wake_.expires_at(asio::steady_timer::time_point::max());
     }
 
-    void post(std::function<void(Connection &)> action)
+    //! Does nothing if the connection has gone on to another request by then.
+    void post(std::uint64_t exchange, std::function<void(Connection &)> action)
     {
-        asio::post(stream_.get_executor(), [self = shared_from_this(), action = std::move(action)] {
-            action(*self);
-            self->wake_.cancel_one();
-        });
+        asio::post(stream_.get_executor(),
+                   [self = shared_from_this(), exchange, action = std::move(action)] {
+                       if (self->exchange_ != exchange)
+                           return;
+                       action(*self);
+                       self->wake_.cancel_one();
+                   });
     }
 
     void gone()
@@ -53,6 +57,7 @@
     std::size_t waitingBytes_ = 0;
     std::function<void()> onGone_;
     bool gone_ = false;
+    bool ended_ = false;
     //! Counts exchanges, so that a late answer to an earlier one does nothing.
     std::uint64_t exchange_ = 0;
 };
@@ -176,7 +181,7 @@
     connection->stream_.socket().async_wait(
             tcp::socket::wait_read,
             [connection, exchange = connection->exchange_](boost::system::error_code error) {
-                if (error || connection->exchange_ != exchange
+                if (error || connection->ended_ || connection->exchange_ != exchange
                     || connection->state_ == AnswerState::Whole)
                     return;
                 char byte = 0;
@@ -311,7 +316,7 @@
                 connection->gone();
             connection->onGone_ = nullptr;
         }
-        ++connection->exchange_;
+        connection->ended_ = true;
         connection->stream_.close();
     }
 
@@ -322,22 +327,23 @@
 };
 
 Exchange::Exchange(std::shared_ptr<detail::Connection> connection)
-    : connection_(std::move(connection))
+    : connection_(std::move(connection)), exchange_(connection_->exchange_)
 { }
 
 void Exchange::respond(HttpResponse response)
 {
-    connection_->post([response = std::move(response)](detail::Connection &connection) mutable {
-        if (connection.state_ != detail::AnswerState::Waiting)
-            return;
-        connection.response_ = std::move(response);
-        connection.state_ = detail::AnswerState::Whole;
-    });
+    connection_->post(exchange_,
+                      [response = std::move(response)](detail::Connection &connection) mutable {
+                          if (connection.state_ != detail::AnswerState::Waiting)
+                              return;
+                          connection.response_ = std::move(response);
+                          connection.state_ = detail::AnswerState::Whole;
+                      });
 }
 
 void Exchange::startEvents()
 {
-    connection_->post([](detail::Connection &connection) {
+    connection_->post(exchange_, [](detail::Connection &connection) {
         if (connection.state_ == detail::AnswerState::Waiting)
             connection.state_ = detail::AnswerState::Events;
     });
@@ -346,7 +352,7 @@
 void Exchange::sendEvent(const std::string &event, const std::string &data)
 {
     std::string text = "event: " + event + "\ndata: " + data + "\n\n";
-    connection_->post([text = std::move(text)](detail::Connection &connection) mutable {
+    connection_->post(exchange_, [text = std::move(text)](detail::Connection &connection) mutable {
         if (connection.state_ != detail::AnswerState::Events)
             return;
         connection.waitingBytes_ += text.size();
@@ -358,7 +364,7 @@
 
 void Exchange::finishEvents()
 {
-    connection_->post([](detail::Connection &connection) {
+    connection_->post(exchange_, [](detail::Connection &connection) {
         if (connection.state_ == detail::AnswerState::Events)
             connection.state_ = detail::AnswerState::EventsDone;
     });
@@ -366,12 +372,13 @@
 
 void Exchange::onGone(std::function<void()> handler)
 {
-    connection_->post([handler = std::move(handler)](detail::Connection &connection) mutable {
-        if (connection.gone_)
-            handler();
-        else
-            connection.onGone_ = std::move(handler);
-    });
+    connection_->post(exchange_,
+                      [handler = std::move(handler)](detail::Connection &connection) mutable {
+                          if (connection.gone_)
+                              handler();
+                          else
+                              connection.onGone_ = std::move(handler);
+                      });
 }
 
 Server::Server(std::vector<asio::io_context *> contexts, Handler handler, ServerOptions options)
--- a/src/http/tests/tst_relay.cpp
+++ b/src/http/tests/tst_relay.cpp
@@ -695,7 +695,7 @@
 const GreedyCase GreedyCases[] = {
         {"never read a whole answer", 1, GetB, "", 6 * Megabyte, 1, 7 * Megabyte, true},
         {"never read, many", 16, GetB, "", 6 * Megabyte, 16, 32 * Megabyte, true},
-        {"never read a stream", 4, "GET /stream HTTP/1.1\r\nHost: x\r\n\r\n", "", 256 * 1024, 4,
+        {"never read a stream", 4, "GET /stream HTTP/1.1\r\nHost: x\r\n\r\n", "", 256UL * 1024, 4,
          8 * Megabyte, true},
         {"a head that trickles", 2, PostHead, "X-More: y\r\n", 2, 2, Megabyte, true},
         {"a body that trickles", 2, PostHead + "Content-Length: 99999\r\n\r\n", "y", 2, 2, Megabyte,
--- a/src/http/tests/tst_serverend.cpp
+++ b/src/http/tests/tst_serverend.cpp
@@ -1,8 +1,14 @@
+#include <atomic>
+#include <chrono>
+#include <functional>
 #include <memory>
+#include <string>
 #include <thread>
 #include <vector>
 
 #include <boost/asio.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
@@ -85,3 +91,76 @@
         context.reset();
     BOOST_TEST(sockets.size() == test.keptConnections_);
 }
+
+//! A call on the exchange of a request that was answered, while the next one is in hand.
+struct LateCallCase
+{
+    const char *name_;
+    std::function<void(http::Exchange &)> call_;
+};
+
+std::ostream &operator<<(std::ostream &out, const LateCallCase &test)
+{
+    return out << test.name_;
+}
+
+const LateCallCase LateCallCases[] = {
+        {"none", [](http::Exchange &) {}},
+        {"a second answer",
+         [](http::Exchange &earlier) {
+             earlier.respond({200, "text/plain", "late", {}});
+         }},
+        {"events",
+         [](http::Exchange &earlier) {
+             earlier.startEvents();
+             earlier.sendEvent("token", "late");
+             earlier.finishEvents();
+         }},
+        {"a handler for its caller's leaving",
+         [](http::Exchange &earlier) { earlier.onGone([] { BOOST_ERROR("earlier called"); }); }},
+};
+
+// Each answer is its own request's, and a request learns of its own caller's leaving only.
+BOOST_DATA_TEST_CASE(lateCallsDoNothingToTheNextRequest, LateCallCases, test)
+{
+    namespace beast = boost::beast;
+    asio::io_context context;
+    std::shared_ptr<http::Exchange> earlier;
+    std::atomic<bool> left {false};
+    http::Server server({&context}, [&](const http::HttpRequest &request,
+                                        const std::shared_ptr<http::Exchange> &exchange) {
+        if (request.path_ == "/c") {
+            exchange->onGone([&] { left = true; });
+            return test.call_(*earlier);
+        }
+        if (earlier)
+            test.call_(*earlier);
+        earlier = exchange;
+        exchange->respond({200, "text/plain", request.path_, {}});
+    });
+    const auto address = server.listen({"127.0.0.1", 0});
+    BOOST_REQUIRE_MESSAGE(address, address.lastReason_);
+    std::string answers;
+    std::jthread caller([&] {
+        asio::io_context own;
+        tcp::socket socket(own);
+        socket.connect({asio::ip::make_address(address->host_), address->port_});
+        beast::flat_buffer buffer;
+        boost::system::error_code error;
+        for (const std::string path : {"/a", "/b"}) {
+            asio::write(socket, asio::buffer("GET " + path + " HTTP/1.1\r\nHost: x\r\n\r\n"),
+                        error);
+            beast::http::response<beast::http::string_body> answer;
+            beast::http::read(socket, buffer, answer, error);
+            answers += answer.body();
+        }
+        asio::write(socket, asio::buffer(std::string("GET /c HTTP/1.1\r\nHost: x\r\n\r\n")), error);
+        std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    });
+    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(5);
+    while (!left && std::chrono::steady_clock::now() < end)
+        context.run_one_for(std::chrono::milliseconds(20));
+    BOOST_TEST(left);
+    caller.join();
+    BOOST_TEST(answers == "/a/b");
+}
