--- a/src/http/tests/tst_relay.cpp
+++ b/src/http/tests/tst_relay.cpp
@@ -459,3 +459,345 @@
     BOOST_TEST(answers == expected, boost::test_tools::per_element());
     BOOST_TEST(ran == expected, boost::test_tools::per_element());
 }
+
+//! Bytes that a caller writes, and all bytes that it gets. The caller then ends its side.
+struct FramingCase
+{
+    const char *name_;
+    std::string bytes_;
+    //! Targets and bodies of the requests that are run.
+    const char *ran_;
+    std::string answers_;
+};
+
+std::ostream &operator<<(std::ostream &out, const FramingCase &test)
+{
+    return out << test.name_;
+}
+
+const std::string Plain = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+const std::string GetB = "GET /b HTTP/1.1\r\nHost: x\r\n\r\n";
+const std::string Refused = "Content-Length: 0\r\nConnection: close\r\n\r\n";
+const std::string BadRequest = "HTTP/1.1 400 Bad Request\r\n" + Refused;
+const std::string NotImplemented = "HTTP/1.1 501 Not Implemented\r\n" + Refused;
+
+const FramingCase FramingCases[] = {
+        {"HEAD, whole answer", "HEAD /a HTTP/1.1\r\nHost: x\r\n\r\n" + GetB, "/a /b",
+         "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n" + Plain},
+        {"HEAD, streamed answer", "HEAD /stream HTTP/1.1\r\nHost: x\r\n\r\n" + GetB, "/stream /b",
+         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + Plain},
+        {"204, whole answer", "GET /204 HTTP/1.1\r\nHost: x\r\n\r\n" + GetB, "/204 /b",
+         "HTTP/1.1 204 No Content\r\n\r\n" + Plain},
+        {"204, streamed answer", "GET /stream204 HTTP/1.1\r\nHost: x\r\n\r\n" + GetB,
+         "/stream204 /b", "HTTP/1.1 204 No Content\r\n\r\n" + Plain},
+        {"304, whole answer", "GET /304 HTTP/1.1\r\nHost: x\r\n\r\n" + GetB, "/304 /b",
+         "HTTP/1.1 304 Not Modified\r\n\r\n" + Plain},
+        {"304, streamed answer", "GET /stream304 HTTP/1.1\r\nHost: x\r\n\r\n" + GetB,
+         "/stream304 /b", "HTTP/1.1 304 Not Modified\r\n\r\n" + Plain},
+        {"HTTP/1.0, streamed answer", "GET /stream HTTP/1.0\r\nHost: x\r\n\r\n", "/stream",
+         "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nok"},
+        {"HTTP/1.0 kept alive, streamed answer",
+         "GET /stream HTTP/1.0\r\nHost: x\r\nConnection: keep-alive\r\n\r\n", "/stream",
+         "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nok"},
+        {"an unknown coding",
+         "POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: gzip\r\n\r\n" + GetB, "",
+         NotImplemented},
+        {"a coding before chunks",
+         "POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n" + GetB,
+         "", NotImplemented},
+        {"a coding after chunks",
+         "POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked, gzip\r\n\r\n0\r\n\r\n" + GetB,
+         "", NotImplemented},
+        {"a coding of a similar name, and a length",
+         "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\nTransfer-Encoding: xchunked\r\n\r\na"
+                 + GetB,
+         "", BadRequest},
+        {"codings in two headers",
+         "POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: "
+         "identity\r\n\r\n0\r\n\r\n"
+                 + GetB,
+         "", BadRequest},
+        {"chunks of HTTP/1.0",
+         "POST /a HTTP/1.0\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", "",
+         BadRequest},
+        {"length and chunks",
+         "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\nTransfer-Encoding: "
+         "chunked\r\n\r\n0\r\n\r\n"
+                 + GetB,
+         "", BadRequest},
+        {"chunks and length",
+         "POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\nContent-Length: "
+         "5\r\n\r\n0\r\n\r\n"
+                 + GetB,
+         "", BadRequest},
+        {"two lengths in one header",
+         "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 1, 2\r\n\r\na" + GetB, "", BadRequest},
+        {"a signed length", "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: +1\r\n\r\na" + GetB, "",
+         BadRequest},
+        {"a chunk of no length",
+         "POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\nx\r\n" + GetB, "",
+         BadRequest},
+        {"a space before the colon",
+         "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length : 1\r\n\r\na" + GetB, "", BadRequest},
+        {"leave to send a body that is there",
+         "POST /a HTTP/1.1\r\nHost: x\r\nExpect: 100-continue\r\nContent-Length: 1\r\n\r\na" + GetB,
+         "/a:a /b", "HTTP/1.1 100 Continue\r\n\r\n" + Plain + Plain},
+        {"leave to send no body",
+         "GET /a HTTP/1.1\r\nHost: x\r\nExpect: 100-continue\r\n\r\n" + GetB, "/a /b",
+         Plain + Plain},
+        {"leave for HTTP/1.0",
+         "POST /a HTTP/1.0\r\nHost: x\r\nExpect: 100-continue\r\nContent-Length: 1\r\n\r\na",
+         "/a:a", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\nok"},
+        {"cut in the request line", GetB + "GET /cut", "/b", Plain},
+        {"cut in the head", GetB + "GET /cut HTTP/1.1\r\nHost: x\r\n", "/b", Plain},
+        {"cut in the body", GetB + "POST /cut HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nabcd",
+         "/b", Plain},
+        {"cut in a chunk",
+         GetB + "POST /cut HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabcd",
+         "/b", Plain},
+        {"cut before the last chunk",
+         GetB + "POST /cut HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n",
+         "/b", Plain},
+        {"what follows a refusal is not run", "nonsense\r\n\r\n" + GetB, "", BadRequest},
+        {"what follows the last request is not run",
+         "GET /a HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n" + GetB, "/a",
+         "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\nok"},
+};
+
+void answerByTarget(const std::string &target, http::RelayExchange &exchange)
+{
+    const http::RelayHead head {static_cast<std::uint16_t>(target.ends_with("204")   ? 204
+                                                           : target.ends_with("304") ? 304
+                                                                                     : 200),
+                                {}};
+    if (!target.starts_with("/stream"))
+        return exchange.answer(head, "ok");
+    exchange.begin(head);
+    exchange.write("ok");
+    exchange.finish();
+}
+
+// No byte of an answer or request may be taken for a part of the next one.
+BOOST_DATA_TEST_CASE(messagesEndWhereTheirFramingSays, FramingCases, test)
+{
+    asio::io_context context;
+    std::string ran;
+    http::RelayServer server(context, [&](const http::RelayRequest &request,
+                                          const std::shared_ptr<http::RelayExchange> &exchange) {
+        ran += (ran.empty() ? "" : " ") + request.target_
+               + (request.body_.empty() ? "" : ":" + request.body_);
+        answerByTarget(request.target_, *exchange);
+    });
+    const auto address = server.listen({"127.0.0.1", 0});
+    BOOST_REQUIRE(address);
+    std::string answers;
+    std::jthread caller([&] {
+        asio::io_context own;
+        tcp::socket socket(own);
+        socket.connect({asio::ip::make_address(address->host_), address->port_});
+        boost::system::error_code error;
+        asio::write(socket, asio::buffer(test.bytes_), error);
+        std::this_thread::sleep_for(std::chrono::milliseconds(60));
+        socket.shutdown(tcp::socket::shutdown_send, error);
+        asio::read(socket, asio::dynamic_buffer(answers), error);
+        asio::post(context, [&context] { context.stop(); });
+    });
+    context.run_for(std::chrono::seconds(10));
+    caller.join();
+    BOOST_TEST(ran == test.ran_);
+    BOOST_TEST(answers == test.answers_);
+}
+
+//! A caller that has more to send than it is answered, on a connection that ends with the answer.
+struct LastAnswerCase
+{
+    const char *name_;
+    std::size_t answerBytes_;
+    //! Sent behind the request, never read by the server as a request.
+    std::size_t extraBytes_;
+    //! The caller asks for the end; else the server begins to close with the request in hand.
+    bool callerCloses_;
+};
+
+std::ostream &operator<<(std::ostream &out, const LastAnswerCase &test)
+{
+    return out << test.name_;
+}
+
+constexpr std::size_t Megabyte = 1024UL * 1024;
+
+const LastAnswerCase LastAnswerCases[] = {
+        {"short", 2, 0, true},
+        {"large", 3 * Megabyte, 0, true},
+        {"short, bytes behind the request", 2, Megabyte, true},
+        {"900 KB, bytes behind the request", 900UL * 1024, Megabyte, true},
+        {"large, bytes behind the request", 3 * Megabyte, Megabyte, true},
+        {"the server begins to close", 2, 0, false},
+        {"the server begins to close, large", 3 * Megabyte, 0, false},
+};
+
+// The answer is whole and says that the connection ends, even if the caller reads it late.
+BOOST_DATA_TEST_CASE(lastAnswerIsWholeAndSaysSo, LastAnswerCases, test)
+{
+    namespace beast = boost::beast;
+    asio::io_context context;
+    std::unique_ptr<http::RelayServer> server;
+    const std::string body(test.answerBytes_, 'x');
+    server = std::make_unique<http::RelayServer>(
+            context,
+            [&](const http::RelayRequest &, const std::shared_ptr<http::RelayExchange> &exchange) {
+                if (!test.callerCloses_)
+                    server->closeAfterAnswers();
+                exchange->answer({200, {}}, body);
+            });
+    const auto address = server->listen({"127.0.0.1", 0});
+    BOOST_REQUIRE(address);
+    beast::http::response_parser<beast::http::string_body> answer;
+    answer.body_limit(2 * test.answerBytes_);
+    boost::system::error_code error;
+    std::jthread caller([&] {
+        asio::io_context own;
+        tcp::socket socket(own);
+        socket.connect({asio::ip::make_address(address->host_), address->port_});
+        const std::string end = test.callerCloses_ ? "Connection: close\r\n" : "";
+        asio::write(socket,
+                    asio::buffer("GET /a HTTP/1.1\r\nHost: x\r\n" + end + "\r\n"
+                                 + std::string(test.extraBytes_, 'y')),
+                    error);
+        std::this_thread::sleep_for(std::chrono::milliseconds(100));
+        beast::flat_buffer buffer;
+        beast::http::read(socket, buffer, answer, error);
+        asio::post(context, [&context] { context.stop(); });
+    });
+    context.run_for(std::chrono::seconds(10));
+    caller.join();
+    BOOST_TEST(!error, error.message());
+    BOOST_TEST(answer.get().body().size() == body.size());
+    BOOST_TEST(!answer.get().keep_alive());
+}
+
+//! Many callers at once that don't read, or don't come to an end.
+struct GreedyCase
+{
+    const char *name_;
+    std::size_t callers_;
+    std::string bytes_;
+    //! Written again and again until the connection ends.
+    std::string trickle_;
+    std::size_t answerBytes_;
+    std::size_t mostConnections_;
+    std::size_t mostBytes_;
+    //! Whether all are given up on in time.
+    bool allEnd_;
+};
+
+std::ostream &operator<<(std::ostream &out, const GreedyCase &test)
+{
+    return out << test.name_;
+}
+
+const std::string PostHead = "POST /a HTTP/1.1\r\nHost: x\r\n";
+
+const GreedyCase GreedyCases[] = {
+        {"never read a whole answer", 1, GetB, "", 6 * Megabyte, 1, 7 * Megabyte, true},
+        {"never read, many", 16, GetB, "", 6 * Megabyte, 16, 32 * Megabyte, true},
+        {"never read a stream", 4, "GET /stream HTTP/1.1\r\nHost: x\r\n\r\n", "", 256UL * 1024, 4,
+         8 * Megabyte, true},
+        {"a head that trickles", 2, PostHead, "X-More: y\r\n", 2, 2, Megabyte, true},
+        {"a body that trickles", 2, PostHead + "Content-Length: 99999\r\n\r\n", "y", 2, 2, Megabyte,
+         true},
+        {"chunks that trickle", 2, PostHead + "Transfer-Encoding: chunked\r\n\r\n", "1\r\ny\r\n", 2,
+         2, Megabyte, true},
+        {"bodies without an end, many", 40,
+         PostHead + "Content-Length: 2000000\r\n\r\n" + std::string(1900000, 'y'), "", 2, 40,
+         33 * Megabyte, true},
+        {"idle, many", 100, "", "", 2, 20, Megabyte, false},
+};
+
+http::RelayServerLimits greedyLimits()
+{
+    http::RelayServerLimits limits;
+    limits.headerTimeout_ = limits.bodyTimeout_ = limits.sendTimeout_
+            = std::chrono::milliseconds(400);
+    limits.maxConnections_ = 20;
+    limits.maxWaitingBytes_ = limits.maxUnfinishedBytes_ = 32 * Megabyte;
+    return limits;
+}
+
+//! Streams pieces until the caller is given up on.
+void streamOn(asio::io_context &context, const std::shared_ptr<http::RelayExchange> &exchange,
+              const std::shared_ptr<bool> &gone, std::size_t size)
+{
+    if (*gone)
+        return;
+    exchange->write(std::string(size, 'x'));
+    auto timer = std::make_shared<asio::steady_timer>(context, std::chrono::milliseconds(5));
+    timer->async_wait([&context, timer, exchange, gone, size](boost::system::error_code) {
+        streamOn(context, exchange, gone, size);
+    });
+}
+
+struct GreedyCaller
+{
+    explicit GreedyCaller(asio::io_context &context) : socket_(context) { }
+
+    void write(const GreedyCase &test)
+    {
+        asio::async_write(socket_, asio::buffer(test.bytes_),
+                          [this, &test](boost::system::error_code error, std::size_t) {
+                              if (!error && !test.trickle_.empty())
+                                  trickle(test);
+                          });
+    }
+
+    void trickle(const GreedyCase &test)
+    {
+        timer_.expires_after(std::chrono::milliseconds(20));
+        timer_.async_wait([this, &test](boost::system::error_code) {
+            boost::system::error_code error;
+            asio::write(socket_, asio::buffer(test.trickle_), error);
+            if (!error)
+                trickle(test);
+        });
+    }
+
+    tcp::socket socket_;
+    asio::steady_timer timer_ {socket_.get_executor()};
+};
+
+BOOST_DATA_TEST_CASE(greedyCallersAreBounded, GreedyCases, test)
+{
+    asio::io_context context;
+    http::RelayServer server(context, [&](const http::RelayRequest &request,
+                                          const std::shared_ptr<http::RelayExchange> &exchange) {
+        if (request.target_ != "/stream")
+            return exchange->answer({200, {}}, std::string(test.answerBytes_, 'x'));
+        const auto gone = std::make_shared<bool>(false);
+        exchange->onGone([gone] { *gone = true; });
+        exchange->begin({200, {}});
+        streamOn(context, exchange, gone, test.answerBytes_);
+    });
+    http::RelayServerLimits limits = greedyLimits();
+    limits.maxConnections_ = std::max<std::size_t>(test.mostConnections_, 20);
+    server.setLimits(limits);
+    const auto address = server.listen({"127.0.0.1", 0});
+    BOOST_REQUIRE(address);
+    std::vector<std::unique_ptr<GreedyCaller>> callers;
+    for (std::size_t i = 0; i < test.callers_; ++i) {
+        callers.push_back(std::make_unique<GreedyCaller>(context));
+        callers.back()->socket_.connect({asio::ip::make_address(address->host_), address->port_});
+        callers.back()->write(test);
+    }
+    std::size_t mostConnections = 0;
+    std::size_t mostBytes = 0;
+    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(4);
+    while (std::chrono::steady_clock::now() < end
+           && (mostConnections == 0 || server.connections() > 0)) {
+        context.run_one_for(std::chrono::milliseconds(10));
+        mostConnections = std::max(mostConnections, server.connections());
+        mostBytes = std::max(mostBytes, server.bytesHeld());
+    }
+    BOOST_TEST(mostConnections <= test.mostConnections_);
+    BOOST_TEST(mostBytes <= test.mostBytes_);
+    BOOST_TEST((server.connections() == 0) == test.allEnd_);
+}
