Only entries that were missing at the list's return may come back

Callers saw requests sent to an endpoint that had left 2.4 to 3.1 s before; it refused them (503, not run) or served them while it was still there.

Cause: after an absence of the endpoint list every missing entry was kept for 2.5 s, also one that the first readings had shown and that was removed later; and as the time was looked at with each reading only, it lasted up to 3.7 s. An endpoint that leaves by having its entry removed was used all the while.

Ruled out: an old list: each reading was answered, the list was at most 1.3 s old at these sends, so its age as an input of a path would have changed nothing; a view that was not published; a plan made before the change (plans are made at the time of the send).

Change: an entry may return only if it was missing when the list came back. It gets 2.1 s, the reading that decides is made when they are over, and not up to one interval later. The bound of a draining endpoint counts for a process 3 s after its link is back; the list is noticed to be back up to 0.85 s after the link (time-out and pause before the next try), which with 2.5 s was too long. The log shows the list's loss and return, entries that are kept, and the list's age beside each routed request.

The case "but is gone if it does not" keeps its sense with the shorter time (11050 and 11150 ms instead of 11400 and 11600).

--- a/src/app/internal/gatewaycontrol.cpp
+++ b/src/app/internal/gatewaycontrol.cpp
@@ -17,8 +17,6 @@
 constexpr std::uint32_t LeasePartition = 0;
 //! Wait of a read for a newer desired state; each answer confirms the one in force.
 constexpr Duration ConfigWait = std::chrono::milliseconds(1400);
-//! Time between two readings of the endpoint list; leaving endpoints are known within it.
-constexpr Duration EndpointInterval = std::chrono::milliseconds(1200);
 constexpr Duration RetryDelay = std::chrono::milliseconds(150);
 
 } // namespace
@@ -154,7 +152,7 @@
                                             asked](const Result<platform::KeyedTopic> &topic) {
         const TimePoint now = monotonicNow();
         if (!topic) {
-            onPlatformSilent(control_, "endpoints", topic.lastReason_, now);
+            onEndpointListFailed(control_, topic.lastReason_, now);
             perform();
             return later(RetryDelay, [this] { readEndpoints(); });
         }
@@ -170,7 +168,7 @@
         }
         onEndpointList(control_, listed, asked, now);
         perform();
-        later(EndpointInterval, [this] { readEndpoints(); });
+        later(nextListReading(control_.endpoints_, now) - now, [this] { readEndpoints(); });
     });
 }
 
--- a/src/controllers/endpointlist.h
+++ b/src/controllers/endpointlist.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <optional>
+#include <string>
 #include <vector>
 
 #include "core/logline.h"
@@ -12,8 +13,10 @@
 
 struct EndpointListLimits
 {
+    //! Time between two readings; leaving endpoints are known within it.
+    Duration readInterval_ = std::chrono::milliseconds(1200);
     //! After the list was away, entries that have lapsed get this long to come back.
-    Duration returnTime_ = std::chrono::milliseconds(2500);
+    Duration returnTime_ = std::chrono::milliseconds(2100);
     //! The list counts as away after so long without an answer.
     Duration awayAfter_ = std::chrono::milliseconds(2500);
     //! The list may show an endpoint's layers as they were so long ago; its own word goes before
@@ -37,6 +40,10 @@
     EndpointListLimits limits_;
     std::map<EndpointId, KnownEndpoint> endpoints_;
     std::optional<TimePoint> answeredAt_;
+    //! What is known of the list was asked for at this time.
+    std::optional<TimePoint> confirmedAt_;
+    //! The last reading failed.
+    bool failing_ = false;
     //! The list came back from an absence at this time.
     std::optional<TimePoint> returnedAt_;
     std::vector<LogEvent> log_;
@@ -46,6 +53,12 @@
 bool applyEndpointList(EndpointListState &state, const std::vector<ListedEndpoint> &listed,
                        TimePoint asked, TimePoint now);
 
+//! When the list is to be read next, after the reading that was answered last.
+TimePoint nextListReading(const EndpointListState &state, TimePoint now);
+
+//! A reading of the list failed; logged once until one succeeds.
+void noteListFailure(EndpointListState &state, const std::string &reason, TimePoint now);
+
 //! An endpoint said itself what it holds, at asked or later. True if that is news.
 bool applyHeldLayers(EndpointListState &state, const EndpointId &endpoint,
                      const std::optional<LayerRange> &layers, std::uint64_t born, TimePoint asked);
--- a/src/controllers/gatewayview.h
+++ b/src/controllers/gatewayview.h
@@ -46,6 +46,8 @@
     //! Endpoints that did not answer when they were asked.
     std::set<EndpointId> down_;
     std::optional<TimePoint> confirmedAt_;
+    //! The list of endpoints was asked for at this time.
+    std::optional<TimePoint> listConfirmedAt_;
     FreshnessLimits freshness_;
     FailureDomainId domain_;
     //! Entries that share the retry budget and the endpoints, this one included.
--- a/src/controllers/internal/endpointlist.cpp
+++ b/src/controllers/internal/endpointlist.cpp
@@ -1,6 +1,8 @@
 #include "controllers/endpointlist.h"
 
+#include <algorithm>
 #include <set>
+#include <utility>
 
 namespace gypsumcroft {
 
@@ -54,10 +56,26 @@
     return true;
 }
 
-//! True while entries that lapsed in an absence of the list may still come back.
-bool mayReturn(const EndpointListState &state, TimePoint now)
+Duration listAge(const EndpointListState &state, TimePoint now)
 {
-    return state.returnedAt_ && now - *state.returnedAt_ < state.limits_.returnTime_;
+    return state.confirmedAt_ ? now - *state.confirmedAt_ : Duration();
+}
+
+void logRegained(EndpointListState &state, TimePoint now)
+{
+    if (!std::exchange(state.failing_, false))
+        return;
+    state.log_.push_back(
+            logEvent(LogLevel::Info,
+                     LogLine("endpoint-list-regained").add("list_age_ms", listAge(state, now))));
+}
+
+//! True while an entry that lapsed in an absence of the list may still come back. One that was
+//! there after the absence did not lapse in it.
+bool mayReturn(const EndpointListState &state, const KnownEndpoint &known, TimePoint now)
+{
+    return known.missingSince_ && state.returnedAt_ && *known.missingSince_ <= *state.returnedAt_
+           && now - *state.returnedAt_ < state.limits_.returnTime_;
 }
 
 } // namespace
@@ -68,7 +86,9 @@
 {
     if (state.answeredAt_ && asked - *state.answeredAt_ > state.limits_.awayAfter_)
         state.returnedAt_ = now;
+    detail::logRegained(state, now);
     state.answeredAt_ = now;
+    state.confirmedAt_ = asked;
     bool changed = false;
     std::set<EndpointId> seen;
     for (const ListedEndpoint &endpoint : listed) {
@@ -80,19 +100,43 @@
             ++it;
             continue;
         }
-        if (!it->second.missingSince_)
-            it->second.missingSince_ = now;
-        if (detail::mayReturn(state, now)) {
+        KnownEndpoint &known = it->second;
+        const bool isNews = !known.missingSince_;
+        if (isNews)
+            known.missingSince_ = now;
+        if (detail::mayReturn(state, known, now)) {
+            if (isNews)
+                detail::logEndpoint(state, "endpoint-missing", known.listed_);
             ++it;
             continue;
         }
-        detail::logEndpoint(state, "endpoint-gone", it->second.listed_);
+        detail::logEndpoint(state, "endpoint-gone", known.listed_);
         it = state.endpoints_.erase(it);
         changed = true;
     }
     return changed;
 }
 
+TimePoint nextListReading(const EndpointListState &state, TimePoint now)
+{
+    const TimePoint usual = now + state.limits_.readInterval_;
+    const bool awaitsReturn
+            = std::any_of(state.endpoints_.begin(), state.endpoints_.end(), [&](const auto &entry) {
+                  return detail::mayReturn(state, entry.second, now);
+              });
+    return awaitsReturn ? std::min(usual, *state.returnedAt_ + state.limits_.returnTime_) : usual;
+}
+
+void noteListFailure(EndpointListState &state, const std::string &reason, TimePoint now)
+{
+    if (std::exchange(state.failing_, true))
+        return;
+    state.log_.push_back(
+            logEvent(LogLevel::Warning, LogLine("endpoint-list-lost")
+                                                .add("reason", reason)
+                                                .add("list_age_ms", detail::listAge(state, now))));
+}
+
 bool applyHeldLayers(EndpointListState &state, const EndpointId &endpoint,
                      const std::optional<LayerRange> &layers, std::uint64_t born, TimePoint asked)
 {
--- a/src/controllers/tests/tst_gatewaystate.cpp
+++ b/src/controllers/tests/tst_gatewaystate.cpp
@@ -142,8 +142,18 @@
         {"but is gone if it does not",
          {{0, {listed("x"), listed("y")}, "x y"},
           {9000, {listed("x")}, "x y"},
-          {11400, {listed("x")}, "x y"},
-          {11600, {listed("x")}, "x"}}},
+          {11050, {listed("x")}, "x y"},
+          {11150, {listed("x")}, "x"}}},
+        // Seen as work sent to an endpoint three seconds after it had left.
+        {"an entry that was there at the return did not lapse in the absence",
+         {{0, {listed("x"), listed("y")}, "x y"},
+          {9000, {listed("x"), listed("y")}, "x y"},
+          {10200, {listed("x")}, "x"}}},
+        {"an entry that came back after the return has nothing left to return from",
+         {{0, {listed("x"), listed("y")}, "x y"},
+          {9000, {listed("x")}, "x y"},
+          {10000, {listed("x"), listed("y")}, "x y"},
+          {10600, {listed("x")}, "x"}}},
         {"an earlier life does not come back",
          {{0, {listed("x", range(0, 4), 2)}, "x=0-4"},
           {1000, {listed("x", {}, 1)}, "x=0-4"},
@@ -162,6 +172,38 @@
     return text;
 }
 
+struct ReadingCase
+{
+    const char *name_;
+    std::vector<ListStep> steps_;
+    int nextMs_;
+};
+
+std::ostream &operator<<(std::ostream &out, const ReadingCase &test)
+{
+    return out << test.name_;
+}
+
+const ReadingCase ReadingCases[] = {
+        {"at the usual interval", {{0, {listed("x")}, "x"}}, 1200},
+        {"a return without losses changes nothing",
+         {{0, {listed("x")}, "x"}, {9000, {listed("x")}, "x"}},
+         10200},
+        {"the time to return is longer than the interval",
+         {{0, {listed("x"), listed("y")}, "x y"}, {9000, {listed("x")}, "x y"}},
+         10200},
+        {"when the time to return is over",
+         {{0, {listed("x"), listed("y")}, "x y"},
+          {9000, {listed("x")}, "x y"},
+          {10200, {listed("x")}, "x y"}},
+         11100},
+        {"nobody is waited for any more",
+         {{0, {listed("x"), listed("y")}, "x y"},
+          {9000, {listed("x")}, "x y"},
+          {10200, {listed("x"), listed("y")}, "x y"}},
+         11400},
+};
+
 struct ReportCase
 {
     const char *name_;
@@ -380,6 +422,27 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(lossOfTheListIsLoggedOnce)
+{
+    EndpointListState state;
+    applyEndpointList(state, {}, at(0), at(10));
+    noteListFailure(state, "reset", at(1000));
+    noteListFailure(state, "reset", at(2000));
+    applyEndpointList(state, {}, at(3000), at(3010));
+    applyEndpointList(state, {}, at(4000), at(4010));
+    BOOST_REQUIRE(state.log_.size() == 2U);
+    BOOST_TEST(state.log_[0].text_ == "event=endpoint-list-lost reason=reset list_age_ms=1000.000");
+    BOOST_TEST(state.log_[1].text_ == "event=endpoint-list-regained list_age_ms=3010.000");
+}
+
+BOOST_DATA_TEST_CASE(listIsReadAgain, ReadingCases, test)
+{
+    EndpointListState state;
+    for (const ListStep &step : test.steps_)
+        applyEndpointList(state, step.listed_, at(step.atMs_), at(step.atMs_));
+    BOOST_TEST((nextListReading(state, at(test.steps_.back().atMs_)) == at(test.nextMs_)));
+}
+
 BOOST_DATA_TEST_CASE(reportsGoBeforeTheList, ReportCases, test)
 {
     EndpointListState state;
--- a/src/filters/internal/gatewayfilters.cpp
+++ b/src/filters/internal/gatewayfilters.cpp
@@ -272,7 +272,8 @@
                              .add("fill", context.plan_->fill_)
                              .add("waited_ms", now - context.arrivedAt_)
                              .add("config", view.table_->state_.version_)
-                             .add("config_age_ms", now - view.confirmedAt_.value_or(now))));
+                             .add("config_age_ms", now - view.confirmedAt_.value_or(now))
+                             .add("list_age_ms", now - view.listConfirmedAt_.value_or(now))));
 }
 
 GatewayVerdict dispatch(GatewayContext &context, const GatewayView &view, GatewayTraffic &state,
--- a/src/gateway/control.h
+++ b/src/gateway/control.h
@@ -93,6 +93,9 @@
 void onEndpointList(GatewayControl &state, const std::vector<ListedEndpoint> &listed,
                     TimePoint asked, TimePoint now);
 
+//! A reading of the endpoint list had no answer.
+void onEndpointListFailed(GatewayControl &state, const std::string &reason, TimePoint now);
+
 //! A question to the platform had no answer; logged once until it answers again.
 void onPlatformSilent(GatewayControl &state, const std::string &question, const std::string &reason,
                       TimePoint now);
--- a/src/gateway/internal/control.cpp
+++ b/src/gateway/internal/control.cpp
@@ -162,10 +162,18 @@
     detail::platformAnswered(state, now);
     const bool changed = applyEndpointList(state.endpoints_, listed, asked, now);
     detail::takeLog(state, state.endpoints_.log_);
+    state.viewStale_ = true;
     if (changed)
         detail::listChanged(state);
 }
 
+void onEndpointListFailed(GatewayControl &state, const std::string &reason, TimePoint now)
+{
+    onPlatformSilent(state, "endpoints", reason, now);
+    noteListFailure(state.endpoints_, reason, now);
+    detail::takeLog(state, state.endpoints_.log_);
+}
+
 void onPlatformSilent(GatewayControl &state, const std::string &question, const std::string &reason,
                       TimePoint now)
 {
@@ -317,6 +325,7 @@
     view.toldShares_ = state.toldShares_;
     view.down_ = downEndpoints(state.probes_);
     view.confirmedAt_ = state.routes_.confirmedAt_;
+    view.listConfirmedAt_ = state.endpoints_.confirmedAt_;
     view.freshness_ = state.bounds_.freshness_;
     view.domain_ = state.domain_;
     view.entries_ = state.entries_;
