A cut answer to HTTP/1.0 is reset; a late handler hears no later request

A broken-off answer to a caller of HTTP/1.0, whose end is the end of the connection, looked whole. A handler for the caller's leaving, registered once its answer was whole, was called for the next request of the connection. Cause: close() ended every answer alike; onGone() looked at the exchange only. Ruled out: callers of HTTP/1.1 (chunks show the cut); the gateway registers its handler first of all, so it did not meet the second. Change: close() resets a connection whose end would end the answer begun; onGone() does nothing once the answer is whole, as its page says. Conclusion: an answer that ends early never looks complete on this side.

--- a/src/http/internal/relayserver.cpp
+++ b/src/http/internal/relayserver.cpp
@@ -113,6 +113,9 @@
             return;
         closed_ = true;
         boost::system::error_code ignored;
+        // Where the end of the connection ends the answer, only a reset says that it is cut.
+        if (answer_ == Answer::Begun && ending_ == Ending::Close)
+            socket_.set_option(asio::socket_base::linger(true, 0), ignored);
         socket_.close(ignored);
         waiting_ = {};
         countWaiting(0);
@@ -575,7 +578,7 @@
 
 void RelayExchange::onGone(std::function<void()> handler)
 {
-    if (connection_->exchange_ != exchange_)
+    if (connection_->exchange_ != exchange_ || connection_->answer_ == detail::Answer::Whole)
         return;
     if (connection_->closed_)
         asio::post(connection_->socket_.get_executor(), std::move(handler));
--- a/src/http/tests/tst_relay.cpp
+++ b/src/http/tests/tst_relay.cpp
@@ -801,3 +801,60 @@
     BOOST_TEST(mostBytes <= test.mostBytes_);
     BOOST_TEST((server.connections() == 0) == test.allEnd_);
 }
+
+// The end of the connection ends an answer to HTTP/1.0, so one that is broken off must be reset.
+BOOST_AUTO_TEST_CASE(brokenOffAnswerIsNotWholeToOldCallers)
+{
+    asio::io_context context;
+    http::RelayServer server(context, [&](const http::RelayRequest &,
+                                          const std::shared_ptr<http::RelayExchange> &exchange) {
+        exchange->begin({200, {}});
+        exchange->write("half");
+        const auto timer
+                = std::make_shared<asio::steady_timer>(context, std::chrono::milliseconds(30));
+        timer->async_wait([timer, exchange](boost::system::error_code) { exchange->breakOff(); });
+    });
+    const auto address = server.listen({"127.0.0.1", 0});
+    BOOST_REQUIRE(address);
+    asio::io_context own;
+    tcp::socket socket(own);
+    socket.connect({asio::ip::make_address(address->host_), address->port_});
+    asio::write(socket, asio::buffer(std::string("GET /a HTTP/1.0\r\n\r\n")));
+    boost::system::error_code end;
+    std::jthread caller([&] {
+        std::string answer;
+        asio::read(socket, asio::dynamic_buffer(answer), end);
+        asio::post(context, [&context] { context.stop(); });
+    });
+    context.run_for(std::chrono::seconds(5));
+    caller.join();
+    BOOST_TEST(end == asio::error::connection_reset);
+}
+
+// A handler that is registered once the answer is whole must not hear of a later request.
+BOOST_AUTO_TEST_CASE(handlerOfAWholeAnswerIsNotCalledForTheNextRequest)
+{
+    asio::io_context context;
+    tcp::socket caller(context);
+    bool wrong = false;
+    http::RelayServer server(context, [&](const http::RelayRequest &request,
+                                          const std::shared_ptr<http::RelayExchange> &exchange) {
+        if (request.target_ != "/a")
+            return caller.close();
+        exchange->answer({200, {}}, "ok");
+        const auto timer
+                = std::make_shared<asio::steady_timer>(context, std::chrono::milliseconds(20));
+        timer->async_wait([&, timer, exchange](boost::system::error_code) {
+            exchange->onGone([&wrong] { wrong = true; });
+            const std::string next = "GET /b HTTP/1.1\r\nHost: x\r\n\r\n";
+            asio::write(caller, asio::buffer(next));
+        });
+    });
+    const auto address = server.listen({"127.0.0.1", 0});
+    BOOST_REQUIRE(address);
+    caller.connect({asio::ip::make_address(address->host_), address->port_});
+    asio::write(caller, asio::buffer(std::string("GET /a HTTP/1.1\r\nHost: x\r\n\r\n")));
+    runUntil(context, [&] { return !caller.is_open(); });
+    context.run_for(std::chrono::milliseconds(100));
+    BOOST_TEST(!wrong);
+}
