A stopping gateway takes no request that it must not cut

Callers saw streams closed in the middle 4.5 s after they were taken.

Cause: new connections were taken for 3.2 s. Usually the balancer sends nobody any more after two probes; here the domain's other gateway was being replaced as well, and both went on to get connections.

Weighed: refusing what would outlast the stop, by the pace of earlier answers and the expected tokens. Callers come back once, and meet another gateway that stops. A stream that is cut is resumed elsewhere after its last event and costs them little: so streams are taken as long as the platform expects it, and no longer.

Change: planStop() gives the times of a stop; new connections end after 2.8 s (two probes a second apart, and time for a request on its way before the third second is over). theStopNoticeEndsInTime fails with 3.2 s at grace times of 8 and 30 s, and passes.

--- a/src/app/internal/gatewayprocess.cpp
+++ b/src/app/internal/gatewayprocess.cpp
@@ -5,17 +5,13 @@
 #include "gatewaytraffic.h"
 #include "http/server.h"
 #include "operators.h"
+#include "policy/stopplan.h"
 #include "runtime.h"
 
 namespace gypsumcroft {
 
 namespace detail {
 
-//! Time between readiness going off and the last new connection: two probes of the balancer, one a
-//! second, and some spare.
-constexpr Duration StopNotice = std::chrono::milliseconds(3200);
-//! Requests in hand are finished until so long before the kill.
-constexpr Duration KillMargin = std::chrono::milliseconds(500);
 constexpr Duration StopPoll = std::chrono::milliseconds(20);
 //! Time for the last answers to leave the sockets.
 constexpr Duration FlushTime = std::chrono::milliseconds(100);
@@ -44,7 +40,7 @@
     OperatorServer metrics_;
     asio::signal_set signals_;
     bool stopping_ = false;
-    TimePoint stopAt_;
+    StopPlan stop_;
 };
 
 GatewayProcess::GatewayProcess(const GatewaySettings &settings)
@@ -125,11 +121,12 @@
     if (stopping_)
         return runtime_.stop();
     stopping_ = true;
-    stopAt_ = monotonicNow() + settings_.grace_ - KillMargin;
+    const TimePoint now = monotonicNow();
+    stop_ = planStop(settings_.grace_, now);
     GC_LOG_INFO(LogLine("draining").add("instance", settings_.instance_));
     control_.beginStop();
     onTraffic(Duration(), [this] { traffic_.beginStop(); });
-    onTraffic(std::min(StopNotice, settings_.grace_ / 2), [this] {
+    onTraffic(stop_.takesUntil_ - now, [this] {
         traffic_.stopAccepting();
         finishWhenIdle();
     });
@@ -137,7 +134,7 @@
 
 void GatewayProcess::finishWhenIdle()
 {
-    if (traffic_.isIdle() || monotonicNow() >= stopAt_)
+    if (traffic_.isIdle() || monotonicNow() >= stop_.cutAt_)
         return onTraffic(FlushTime, [this] { end(); });
     onTraffic(StopPoll, [this] { finishWhenIdle(); });
 }
--- a/src/policy/tests/tst_limits.cpp
+++ b/src/policy/tests/tst_limits.cpp
@@ -6,6 +6,7 @@
 
 #include "policy/admission.h"
 #include "policy/retry.h"
+#include "policy/stopplan.h"
 #include "policy/subset.h"
 #include "policy/suspects.h"
 #include "policy/window.h"
@@ -251,3 +252,42 @@
         BOOST_TEST(count == 3);
     BOOST_TEST((subset == pickSubset({"entry-1"}, members, 27)));
 }
+
+namespace {
+
+//! Two probes, one a second, must have failed before the balancer sends nobody here any more.
+constexpr Duration BalancerNotices = std::chrono::seconds(2);
+//! What is sent later than this after the signal must not be cut; a request needs a while to
+//! arrive.
+constexpr Duration LastThatMayBeCut = std::chrono::seconds(3);
+constexpr Duration WayOfARequest = std::chrono::milliseconds(150);
+
+struct StopPlanCase
+{
+    int graceMs_;
+    int takesForMs_;
+    int cutAfterMs_;
+};
+
+std::ostream &operator<<(std::ostream &out, const StopPlanCase &test)
+{
+    return out << "grace " << test.graceMs_ << " ms";
+}
+
+const StopPlanCase StopPlanCases[] = {
+        {1000, 500, 500},   {4000, 2000, 3500},   {5600, 2800, 5100},
+        {8000, 2800, 7500}, {30000, 2800, 29500},
+};
+
+} // namespace
+
+// A request that was taken 3.1 s after the signal was cut.
+BOOST_DATA_TEST_CASE(theStopNoticeEndsInTime, StopPlanCases, test)
+{
+    const Duration grace = std::chrono::milliseconds(test.graceMs_);
+    const StopPlan plan = planStop(grace, Start);
+    BOOST_TEST((plan.takesUntil_ - Start == std::chrono::milliseconds(test.takesForMs_)));
+    BOOST_TEST((plan.cutAt_ - Start == std::chrono::milliseconds(test.cutAfterMs_)));
+    BOOST_TEST((plan.takesUntil_ - Start <= LastThatMayBeCut - WayOfARequest));
+    BOOST_TEST((plan.takesUntil_ - Start >= std::min(BalancerNotices, grace / 2)));
+}
