A gateway that ends answers what it still has in hand

Callers whose request was still waiting at a gateway, or had been sent and had brought nothing, when its grace time was over saw the connection close: nothing told them that a waiting request had not run, so one that must not repeat could not be sent again. The log said only how many were cut, no ids.

Cause: the process ended its loops with the requests in hand.

Change: onGatewayStop() gives each request in hand its ending: not sent, or certainly not run: refused as not run (503, come back); sent: outcome unknown (502); begun: closed after the last whole event. The deadline's ending was the same but for its names and is now the same function. Each is logged with reason=stop. The five new cases of tst_traffic fail without the loop in onGatewayStop (nothing is answered) and pass with it.

--- a/src/app/internal/gatewayprocess.cpp
+++ b/src/app/internal/gatewayprocess.cpp
@@ -28,7 +28,7 @@
     void requestStop();
     void onTraffic(Duration delay, std::function<void()> action);
     void finishWhenIdle();
-    void end();
+    void end(std::size_t cut);
 
     GatewaySettings settings_;
     Runtime runtime_;
@@ -135,15 +135,15 @@
 void GatewayProcess::finishWhenIdle()
 {
     if (traffic_.isIdle() || monotonicNow() >= stop_.cutAt_)
-        return onTraffic(FlushTime, [this] { end(); });
+        return onTraffic(FlushTime, [this, cut = traffic_.cutRequests()] { end(cut); });
     onTraffic(StopPoll, [this] { finishWhenIdle(); });
 }
 
-void GatewayProcess::end()
+void GatewayProcess::end(std::size_t cut)
 {
     GC_LOG_INFO(LogLine("stopped")
                         .add("instance", settings_.instance_)
-                        .add("cut", std::uint64_t {traffic_.requestsInHand()}));
+                        .add("cut", std::uint64_t {cut}));
     runtime_.stop();
 }
 
--- a/src/app/internal/gatewaytraffic.cpp
+++ b/src/app/internal/gatewaytraffic.cpp
@@ -61,6 +61,13 @@
     server_.stopAccepting();
 }
 
+std::size_t GatewayTrafficLoop::cutRequests()
+{
+    const std::size_t inHand = traffic_.requests_.size();
+    withTraffic([this](const GatewayView &, TimePoint now) { onGatewayStop(traffic_, now); });
+    return inHand;
+}
+
 Duration GatewayTrafficLoop::tick()
 {
     takeLimits(*view_.load());
--- a/src/app/internal/gatewaytraffic.h
+++ b/src/app/internal/gatewaytraffic.h
@@ -33,7 +33,8 @@
     //! Takes no connection any more.
     void stopAccepting();
     bool isIdle() const { return isGatewayIdle(traffic_) && exchanges_.empty(); }
-    std::size_t requestsInHand() const { return traffic_.requests_.size(); }
+    //! Ends the requests that are still in hand; their number.
+    std::size_t cutRequests();
     //! Counters as of the last tick; safe from any thread.
     std::shared_ptr<const GatewayCounters> counters() const { return counters_.load(); }
 
--- a/src/filters/gatewaystate.h
+++ b/src/filters/gatewaystate.h
@@ -60,6 +60,8 @@
     Overloaded,
     //! No endpoint can serve it. Not run.
     NoEndpoint,
+    //! The process stops and has not sent it. Not run.
+    Stopping,
     //! Nothing was answered in time; it may have run.
     TimedOut,
     //! An endpoint failed; it may have run.
--- a/src/filters/internal/gatewayfilters.cpp
+++ b/src/filters/internal/gatewayfilters.cpp
@@ -364,9 +364,9 @@
 
 std::string_view gatewayRefusalName(GatewayRefusal refusal)
 {
-    static constexpr std::array<std::string_view, 7> Names
+    static constexpr std::array<std::string_view, 8> Names
             = {"unready",     "unknown-route", "unauthorised", "overloaded",
-               "no-endpoint", "timed-out",     "failed"};
+               "no-endpoint", "stopping",      "timed-out",    "failed"};
     return Names.at(static_cast<std::size_t>(refusal));
 }
 
--- a/src/gateway/internal/traffic.cpp
+++ b/src/gateway/internal/traffic.cpp
@@ -237,15 +237,15 @@
     emit(state, logEvent(LogLevel::Info, line));
 }
 
-void onDeadline(GatewayTraffic &state, Context &context, TimePoint now)
+//! Ends a request that may go on no longer. What was sent may have run.
+void endNow(GatewayTraffic &state, Context &context, GatewayRefusal notRun, GatewayRefusal unknown,
+            const std::string &reason, TimePoint now)
 {
-    const bool sent = context.send_.has_value();
+    const bool mayHaveRun = context.send_ || context.mayHaveRun_;
     cancelSend(state, context);
     if (context.streamBegun_)
-        return breakOff(state, context, "deadline", now);
-    const bool unknown = sent || context.mayHaveRun_;
-    refuse(state, context, unknown ? GatewayRefusal::TimedOut : GatewayRefusal::Overloaded,
-           "deadline", now);
+        return breakOff(state, context, reason, now);
+    refuse(state, context, mayHaveRun ? unknown : notRun, reason, now);
 }
 
 //! True when a queued request has waited for so many times its latency target.
@@ -441,7 +441,8 @@
             continue;
         GatewayContext &context = found->second;
         if (now >= context.deadline_)
-            detail::onDeadline(state, context, now);
+            detail::endNow(state, context, GatewayRefusal::Overloaded, GatewayRefusal::TimedOut,
+                           "deadline", now);
         else if (detail::hasWaited(context, state.limits_.queuePatience_, now))
             detail::onQueuePatienceOver(state, context, now);
         else if (!context.late_ && detail::hasWaited(context, state.limits_.lateAfter_, now))
@@ -452,6 +453,13 @@
     detail::pump(state, view, now);
 }
 
+void onGatewayStop(GatewayTraffic &state, TimePoint now)
+{
+    while (!state.requests_.empty())
+        detail::endNow(state, state.requests_.begin()->second, GatewayRefusal::Stopping,
+                       GatewayRefusal::Failed, "stop", now);
+}
+
 bool isGatewayIdle(const GatewayTraffic &state)
 {
     return state.requests_.empty();
--- a/src/gateway/tests/tst_traffic.cpp
+++ b/src/gateway/tests/tst_traffic.cpp
@@ -149,7 +149,9 @@
     Broken,
     Garbled,
     //! The first model endpoint did not answer when it was asked; then a tick.
-    Down
+    Down,
+    //! The process ends.
+    Stop
 };
 
 struct Step
@@ -298,6 +300,38 @@
           {51, Event::Events, "begin, pass"},
           {70, Event::Broken, "doubt m1, send m2 after 51"},
           {90, Event::Broken, "doubt m2, break-off"}}},
+        {"a request that waits when the process ends was not run",
+         "/gone/x",
+         "key",
+         0,
+         "",
+         {{500, Event::Stop, "refuse stopping"}}},
+        {"a booking that was refused once when the process ends was not run",
+         "/book/x",
+         "key",
+         0,
+         "send d1 fresh",
+         {{20, Event::NotRun, "doubt d1"}, {21, Event::Stop, "refuse stopping"}}},
+        {"a booking at an endpoint when the process ends may have run",
+         "/book/x",
+         "key",
+         0,
+         "send d1 fresh",
+         {{500, Event::Stop, "cancel, refuse failed"}}},
+        {"a stream without an event when the process ends",
+         "/quote/x",
+         "key",
+         0,
+         "send m1",
+         {{50, Event::Ok, ""}, {60, Event::Stop, "cancel, refuse failed"}}},
+        {"a stream when the process ends",
+         "/quote/x",
+         "key",
+         0,
+         "send m1",
+         {{50, Event::Ok, ""},
+          {51, Event::Events, "begin, pass"},
+          {60, Event::Stop, "cancel, break-off"}}},
         {"no such route", "/none/x", "key", 0, "refuse unknown-route", {}},
         {"no such route, by a state that is too old to say so",
          "/none/x",
@@ -353,6 +387,8 @@
     case Event::Down:
         view.down_.insert({"m1"});
         return onGatewayTick(state, view, now);
+    case Event::Stop:
+        return onGatewayStop(state, now);
     case Event::Garbled:
         return onSendFailed(state, view, send, SendFailure::Garbled, "no answer", now);
     }
--- a/src/gateway/traffic.h
+++ b/src/gateway/traffic.h
@@ -31,6 +31,9 @@
 void onGatewayTick(GatewayTraffic &state, const GatewayView &view, TimePoint now);
 inline constexpr Duration GatewayTickInterval = std::chrono::milliseconds(25);
 
+//! The process ends: so does every request that is still in hand.
+void onGatewayStop(GatewayTraffic &state, TimePoint now);
+
 //! True when no request is in hand.
 bool isGatewayIdle(const GatewayTraffic &state);
 
--- a/src/platform/internal/forwarding.cpp
+++ b/src/platform/internal/forwarding.cpp
@@ -94,6 +94,7 @@
     case GatewayRefusal::Unready:
     case GatewayRefusal::Overloaded:
     case GatewayRefusal::NoEndpoint:
+    case GatewayRefusal::Stopping:
         return 503;
     case GatewayRefusal::TimedOut:
         return 504;
--- a/src/platform/tests/tst_platform.cpp
+++ b/src/platform/tests/tst_platform.cpp
@@ -126,7 +126,7 @@
         {GatewayRefusal::Unready, 503, true},       {GatewayRefusal::Overloaded, 503, true},
         {GatewayRefusal::NoEndpoint, 503, true},    {GatewayRefusal::UnknownRoute, 404, false},
         {GatewayRefusal::Unauthorised, 401, false}, {GatewayRefusal::TimedOut, 504, false},
-        {GatewayRefusal::Failed, 502, false},
+        {GatewayRefusal::Failed, 502, false},       {GatewayRefusal::Stopping, 503, true},
 };
 
 std::string valueOf(const http::HeaderList &headers, std::string_view name)
