--- a/src/app/internal/gatewayprocess.cpp
+++ b/src/app/internal/gatewayprocess.cpp
@@ -5,17 +5,13 @@
 #include "gatewaytraffic.h"
 #include "http/server.h"
 #include "operators.h"
+#include "policy/stopplan.h"
 #include "runtime.h"
 
 namespace gypsumcroft {
 
 namespace detail {
 
-//! Time between readiness going off and the last new connection: two probes of the balancer, one a
-//! second, and some spare.
-constexpr Duration StopNotice = std::chrono::milliseconds(3200);
-//! Requests in hand are finished until so long before the kill.
-constexpr Duration KillMargin = std::chrono::milliseconds(500);
 constexpr Duration StopPoll = std::chrono::milliseconds(20);
 //! Time for the last answers to leave the sockets.
 constexpr Duration FlushTime = std::chrono::milliseconds(100);
@@ -32,7 +28,7 @@
     void requestStop();
     void onTraffic(Duration delay, std::function<void()> action);
     void finishWhenIdle();
-    void end();
+    void end(std::size_t cut);
 
     GatewaySettings settings_;
     Runtime runtime_;
@@ -44,7 +40,7 @@
     OperatorServer metrics_;
     asio::signal_set signals_;
     bool stopping_ = false;
-    TimePoint stopAt_;
+    StopPlan stop_;
 };
 
 GatewayProcess::GatewayProcess(const GatewaySettings &settings)
@@ -125,11 +121,12 @@
     if (stopping_)
         return runtime_.stop();
     stopping_ = true;
-    stopAt_ = monotonicNow() + settings_.grace_ - KillMargin;
+    const TimePoint now = monotonicNow();
+    stop_ = planStop(settings_.grace_, now);
     GC_LOG_INFO(LogLine("draining").add("instance", settings_.instance_));
     control_.beginStop();
     onTraffic(Duration(), [this] { traffic_.beginStop(); });
-    onTraffic(std::min(StopNotice, settings_.grace_ / 2), [this] {
+    onTraffic(stop_.takesUntil_ - now, [this] {
         traffic_.stopAccepting();
         finishWhenIdle();
     });
@@ -137,16 +134,16 @@
 
 void GatewayProcess::finishWhenIdle()
 {
-    if (traffic_.isIdle() || monotonicNow() >= stopAt_)
-        return onTraffic(FlushTime, [this] { end(); });
+    if (traffic_.isIdle() || monotonicNow() >= stop_.cutAt_)
+        return onTraffic(FlushTime, [this, cut = traffic_.cutRequests()] { end(cut); });
     onTraffic(StopPoll, [this] { finishWhenIdle(); });
 }
 
-void GatewayProcess::end()
+void GatewayProcess::end(std::size_t cut)
 {
     GC_LOG_INFO(LogLine("stopped")
                         .add("instance", settings_.instance_)
-                        .add("cut", std::uint64_t {traffic_.requestsInHand()}));
+                        .add("cut", std::uint64_t {cut}));
     runtime_.stop();
 }
 
