Answers of endpoints and of the store have sizes of their own

Cause: http::Client took 64 MiB of any answer, and an unfinished chunk size or trailer without any limit: its read buffer had none. An endpoint or a store that writes without end could fill the process's memory until the call's time was over. Change: ClientOptions::maxAnswerBytes_; 256 KiB for reports and outcomes of orders, 4 MiB for the store, whose answers hold a megabyte of records in base64 at most; 64 MiB stays where a call does not say. The read buffer holds 64 KiB. A head has 8 KiB, the parser's own limit until now. All of an answer is bounded in time by the call's time-out, as before.

--- a/src/http/client.h
+++ b/src/http/client.h
@@ -26,12 +26,16 @@
     std::string reason_;
 };
 
+//! Largest body of an answer that is taken, in bytes, where a call does not say.
+inline constexpr std::uint64_t DefaultMaxAnswerBytes = 64UL * 1024 * 1024;
+
 struct ClientOptions
 {
     std::chrono::milliseconds timeout_ {10000};
     //! Opens a connection for this request alone, so that "not sent" is certain and the answer is
     //! to no other request.
     bool freshConnection_ = false;
+    std::uint64_t maxAnswerBytes_ = DefaultMaxAnswerBytes;
 };
 
 //! Use it on its io_context's thread; callbacks come on that thread, never from within send().
--- a/src/http/internal/client.cpp
+++ b/src/http/internal/client.cpp
@@ -16,7 +16,9 @@
 namespace detail {
 
 constexpr std::size_t MaxIdlePerAddress = 64;
-constexpr std::uint64_t MaxAnswerBytes = 64UL * 1024 * 1024;
+constexpr std::uint32_t MaxHeaderBytes = 8 * 1024;
+//! Read ahead of the parser; a chunk's size with its extensions, or a trailer, is no longer.
+constexpr std::size_t MaxBufferedBytes = 64UL * 1024;
 //! Interim answers (1xx) to one request.
 constexpr int MaxInterimAnswers = 8;
 constexpr unsigned InformationalClass = 1;
@@ -125,11 +127,12 @@
     //! Reads the final answer.
     static asio::awaitable<boost::system::error_code>
     readAnswer(beast::tcp_stream &stream, beast::flat_buffer &buffer,
-               std::optional<detail::AnswerParser> &parser)
+               std::optional<detail::AnswerParser> &parser, std::uint64_t maxBytes)
     {
         for (int interim = 0; interim <= detail::MaxInterimAnswers; ++interim) {
             parser.emplace();
-            parser->body_limit(detail::MaxAnswerBytes);
+            parser->header_limit(detail::MaxHeaderBytes);
+            parser->body_limit(maxBytes);
             boost::system::error_code error;
             co_await beast::http::async_read(stream, buffer, *parser,
                                              asio::redirect_error(asio::use_awaitable, error));
@@ -157,10 +160,10 @@
         detail::Message message = detail::messageOf(to, request);
         co_await beast::http::async_write(*stream, message,
                                           asio::redirect_error(asio::use_awaitable, error));
-        beast::flat_buffer buffer;
+        beast::flat_buffer buffer(detail::MaxBufferedBytes);
         std::optional<detail::AnswerParser> parser;
         if (!error)
-            error = co_await readAnswer(*stream, buffer, parser);
+            error = co_await readAnswer(*stream, buffer, parser, options.maxAnswerBytes_);
         ClientResult result;
         if (error) {
             result.broken_ = detail::isBroken(error);
--- a/src/http/tests/tst_client.cpp
+++ b/src/http/tests/tst_client.cpp
@@ -15,6 +15,8 @@
 
 namespace {
 
+constexpr std::size_t MaxBytes = 1000;
+
 std::string answerOf(const std::string &status, const std::string &body)
 {
     return "HTTP/1.1 " + status + " Any\r\nContent-Length: " + std::to_string(body.size())
@@ -72,6 +74,37 @@
          {{answerOf("200", "one"), answerOf("200", "bad")}, {answerOf("200", "two"), ""}},
          "200 one, 200 two",
          2},
+        {"the largest answer",
+         {false},
+         {{answerOf("200", std::string(MaxBytes, 'y')), ""}},
+         "200 1000 bytes",
+         1},
+        {"an answer that is too large",
+         {false},
+         {{answerOf("200", std::string(MaxBytes + 1, 'y')), ""}},
+         "none",
+         1},
+        {"chunks that are too large together",
+         {false},
+         {{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1F4\r\n" + std::string(500, 'y')
+                   + "\r\n1F5\r\n" + std::string(501, 'y') + "\r\n0\r\n\r\n",
+           ""}},
+         "none",
+         1},
+        {"a head that is too large",
+         {false},
+         {{"HTTP/1.1 200 OK\r\nX-Long: " + std::string(16384, 'y')
+                   + "\r\nContent-Length: 3\r\n\r\none",
+           ""}},
+         "none",
+         1},
+        {"a chunk's size that is too long",
+         {false},
+         {{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;a=" + std::string(300000, 'y')
+                   + "\r\ny\r\n0\r\n\r\n",
+           ""}},
+         "none",
+         1},
         {"interim answers without an end",
          {false},
          {{[] {
@@ -107,7 +140,8 @@
         std::optional<http::ClientResult> result;
         http::HttpRequest request;
         request.path_ = "/";
-        client.send(server.address(), std::move(request), {std::chrono::seconds(2), fresh},
+        client.send(server.address(), std::move(request),
+                    {std::chrono::seconds(2), fresh, MaxBytes},
                     [&](http::ClientResult got) { result = std::move(got); });
         BOOST_REQUIRE(
                 runUntil(context, std::chrono::seconds(4), [&] { return result.has_value(); }));
--- a/src/platform/internal/endpointclient.cpp
+++ b/src/platform/internal/endpointclient.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr std::chrono::milliseconds EndpointTimeout {450};
+//! Largest report, and largest answer to an order, in bytes.
+constexpr std::uint64_t MaxAnswerBytes = 256UL * 1024;
 constexpr std::uint16_t StatusOk = 200;
 
 } // namespace
@@ -20,7 +22,8 @@
 {
     http::HttpRequest request;
     request.path_ = "/report";
-    client_.send(question.address_, std::move(request), {detail::EndpointTimeout, false},
+    client_.send(question.address_, std::move(request),
+                 {detail::EndpointTimeout, false, detail::MaxAnswerBytes},
                  [callback = std::move(callback)](const http::ClientResult &answer) {
                      if (!answer.response_ || answer.response_->status_ != detail::StatusOk)
                          return callback(std::nullopt);
@@ -36,7 +39,8 @@
     request.headers_
             = {{"Content-Type", "application/json"}, {"X-Expect-Instance", order.endpoint_.value_}};
     request.body_ = encodePlaceOrder(order.layers_, order.expected_);
-    client_.send(order.address_, std::move(request), {detail::EndpointTimeout, false},
+    client_.send(order.address_, std::move(request),
+                 {detail::EndpointTimeout, false, detail::MaxAnswerBytes},
                  [callback = std::move(callback)](const http::ClientResult &answer) {
                      callback(answer.response_ ? orderOutcomeOf(answer.response_->status_)
                                                : OrderOutcome::Unknown);
--- a/src/platform/internal/storeclient.cpp
+++ b/src/platform/internal/storeclient.cpp
@@ -14,6 +14,8 @@
 
 //! Time for an answer beyond the wait that was asked for.
 constexpr std::chrono::milliseconds AnswerTimeout {700};
+//! Largest answer, in bytes: a megabyte of records in base64, with their keys and framing.
+constexpr std::uint64_t MaxAnswerBytes = 4UL * 1024 * 1024;
 constexpr std::uint16_t StatusOk = 200;
 constexpr std::uint16_t StatusGone = 410;
 constexpr std::size_t LengthBytes = 4;
@@ -174,7 +176,7 @@
     request.query_ = {{"Topic", topic}, {"part", "0"}};
     if (!after.empty())
         request.query_["After"] = after;
-    client_.send(store_, std::move(request), {detail::AnswerTimeout, false},
+    client_.send(store_, std::move(request), {detail::AnswerTimeout, false, detail::MaxAnswerBytes},
                  [this, topic, gathered = std::move(gathered),
                   callback = std::move(callback)](const http::ClientResult &answer) mutable {
                      if (!answer.response_ || answer.response_->status_ != detail::StatusOk)
@@ -198,7 +200,8 @@
                       {"part", "0"},
                       {"From", std::to_string(from)},
                       {"WaitMs", std::to_string(waitMs.count())}};
-    client_.send(store_, std::move(request), {waitMs + detail::AnswerTimeout, false},
+    client_.send(store_, std::move(request),
+                 {waitMs + detail::AnswerTimeout, false, detail::MaxAnswerBytes},
                  [from, callback = std::move(callback)](const http::ClientResult &answer) {
                      if (answer.response_ && answer.response_->status_ == detail::StatusGone)
                          return callback(success(KeyedSpan {{}, from, true}));
@@ -222,7 +225,7 @@
                                                   {"Topics", json::array {join.topic_}},
                                                   {"TtlMs", lifetime.count()},
                                                   {"Generation", join.generation_}});
-    client_.send(store_, std::move(request), {detail::AnswerTimeout, false},
+    client_.send(store_, std::move(request), {detail::AnswerTimeout, false, detail::MaxAnswerBytes},
                  [topic = join.topic_,
                   callback = std::move(callback)](const http::ClientResult &answer) {
                      if (!answer.response_ || answer.response_->status_ != detail::StatusOk)
@@ -241,7 +244,7 @@
     request.path_ = "/log-leave";
     request.headers_["Content-Type"] = "application/json";
     request.body_ = json::serialize(json::object {{"group", group}, {"Member", member}});
-    client_.send(store_, std::move(request), {detail::AnswerTimeout, false},
+    client_.send(store_, std::move(request), {detail::AnswerTimeout, false, detail::MaxAnswerBytes},
                  [callback = std::move(callback)](const http::ClientResult &answer) {
                      const bool left
                              = answer.response_ && answer.response_->status_ == detail::StatusOk;
@@ -256,7 +259,7 @@
     http::HttpRequest request;
     request.path_ = "/log-owners";
     request.query_ = {{"group", group}};
-    client_.send(store_, std::move(request), {detail::AnswerTimeout, false},
+    client_.send(store_, std::move(request), {detail::AnswerTimeout, false, detail::MaxAnswerBytes},
                  [callback = std::move(callback)](const http::ClientResult &answer) {
                      using Members = std::vector<std::string>;
                      if (!answer.response_ || answer.response_->status_ != detail::StatusOk)
