An order's outcome can't be another question's answer

Cause: reports and orders of one endpoint shared kept connections, and their answers name no request. A late second report (200) was taken for an order's outcome: the state already held. A late outcome was taken for another order's, or for a report. Change: each order has a connection of its own, which is not kept. Ruled out: a fresh connection for each report; they are many and priced, and a connection holds room at the endpoint. Before and after: test_platform, orderOutcomesAreTheirOwn: "a late report is no outcome of an order" said holds instead of conflict, "a late outcome is not another order's" begun instead of conflict, "a late outcome is no report" took nine orders from a body that was no report; all pass now.

--- a/src/platform/internal/endpointclient.cpp
+++ b/src/platform/internal/endpointclient.cpp
@@ -39,8 +39,9 @@
     request.headers_
             = {{"Content-Type", "application/json"}, {"X-Expect-Instance", order.endpoint_.value_}};
     request.body_ = encodePlaceOrder(order.layers_, order.expected_);
+    // Answers name no request: on a kept connection, a late one could be taken for the outcome.
     client_.send(order.address_, std::move(request),
-                 {detail::EndpointTimeout, false, detail::MaxAnswerBytes},
+                 {detail::EndpointTimeout, true, detail::MaxAnswerBytes},
                  [callback = std::move(callback)](const http::ClientResult &answer) {
                      callback(answer.response_ ? orderOutcomeOf(answer.response_->status_)
                                                : OrderOutcome::Unknown);
--- a/src/platform/tests/tst_endpointclient.cpp
+++ b/src/platform/tests/tst_endpointclient.cpp
@@ -44,6 +44,18 @@
 
 const EndpointCase EndpointCases[] = {
         {"a question and an order", "?!", {{report(1), ""}, {answerOf(202, ""), ""}}, "1 begun"},
+        {"a late report is no outcome of an order",
+         "?!",
+         {{report(1), report(1)}, {answerOf(409, ""), ""}},
+         "1 conflict"},
+        {"a late outcome is not another order's",
+         "!!",
+         {{answerOf(202, ""), answerOf(202, "")}, {answerOf(409, ""), ""}},
+         "begun conflict"},
+        {"a late outcome is no report",
+         "!?",
+         {{answerOf(409, ""), answerOf(200, R"({"Sequence":9})")}, {report(1), ""}},
+         "conflict 1"},
         {"a report without an end",
          "?",
          {{answerOf(200, R"({"Sequence":1,"Busy":false})" + std::string(400000, ' ')), ""}},
