The log tells on what connection a send went and what strays came on it

Cause: the lines "answered" and "send-ended" named the endpoint only. Whether a wrong answer could have come from the endpoint's side (a kept connection, an answer to another request passed over) was not to be told from the log. Change: RelayCall::trace() carries it as plain data; onSendConnection() hands it to the core, the two lines say connection=kept|fresh and strays=N. GatewayCounters::strayAnswers_ counts strays of all calls, those that were cancelled included; an answer that names no request counts as one. Not in here: the gauge of the counter, which belongs to gatewayprocess.cpp.

--- a/src/app/internal/gatewaytraffic.cpp
+++ b/src/app/internal/gatewaytraffic.cpp
@@ -27,6 +27,12 @@
     return SendFailure::Broken;
 }
 
+SendConnection connectionOf(const http::RelayCall &call)
+{
+    const http::RelayTrace trace = call.trace();
+    return {trace.kept_, trace.strays_};
+}
+
 } // namespace
 
 GatewayTrafficLoop::GatewayTrafficLoop(asio::io_context &context, std::uint64_t seed, Note note)
@@ -64,6 +70,7 @@
 Duration GatewayTrafficLoop::tick()
 {
     takeLimits(*view_.load());
+    traffic_.counters_.strayAnswers_ = client_.strays();
     counters_ = std::make_shared<const GatewayCounters>(traffic_.counters_);
     tellShares(monotonicNow());
     if (!isGatewayIdle(traffic_))
@@ -197,6 +204,7 @@
         found->second.facts_ = platform::decodeAnswerHead(head);
         found->second.head_ = std::move(head);
         withTraffic([&](const GatewayView &view, TimePoint now) {
+            onSendConnection(traffic_, id, connectionOf(found->second.call_));
             onSendHead(traffic_, view, id, found->second.facts_, now);
         });
     };
@@ -209,6 +217,7 @@
     };
     handlers.onFailed_ = [this, id](http::RelayFailure failure, const std::string &reason) {
         withTraffic([&](const GatewayView &view, TimePoint now) {
+            onSendConnection(traffic_, id, connectionOf(calls_.at(id).call_));
             onSendFailed(traffic_, view, id, failureOf(failure), reason, now);
         });
         calls_.erase(id);
--- a/src/filters/gatewaystate.h
+++ b/src/filters/gatewaystate.h
@@ -147,6 +147,15 @@
     std::uint16_t status_ = 0;
 };
 
+//! How the connection of a send fared, for the log.
+struct SendConnection
+{
+    //! It had carried earlier requests.
+    bool kept_ = false;
+    //! Answers to other requests that came on it.
+    std::uint32_t strays_ = 0;
+};
+
 enum class SendFailure : std::uint8_t { NotSent, Broken, Garbled };
 
 //! A sending that has not ended.
@@ -162,6 +171,7 @@
     //! Time that each endpoint of the path needs to read the prompt; empty once it is read.
     std::vector<Duration> reading_;
     AnswerHead head_;
+    SendConnection connection_;
     //! What it holds of the endpoints' room, for giving it back.
     Tokens tokens_;
 };
@@ -225,6 +235,8 @@
     std::uint64_t sends_ = 0;
     std::uint64_t retries_ = 0;
     std::uint64_t retriesWithoutBudget_ = 0;
+    //! Answers of endpoints to other requests than the one in hand.
+    std::uint64_t strayAnswers_ = 0;
 };
 
 struct GatewayLimits
--- a/src/gateway/internal/traffic.cpp
+++ b/src/gateway/internal/traffic.cpp
@@ -29,6 +29,15 @@
     return line;
 }
 
+void addConnection(LogLine &line, const Context &context)
+{
+    if (!context.send_)
+        return;
+    const SendConnection &connection = context.send_->connection_;
+    line.add("connection", connection.kept_ ? "kept" : "fresh")
+            .add("strays", std::uint64_t {connection.strays_});
+}
+
 //! Takes a request out of everything. References to its context end here.
 void forget(GatewayTraffic &state, Context &context)
 {
@@ -160,15 +169,15 @@
     if (nextStep(facts) == NextStep::SendAgain)
         facts.budgetLeft_ = takeBudget(state, view, context, now);
     const NextStep next = nextStep(facts);
-    emit(state,
-         logEvent(LogLevel::Info,
-                  requestLine("send-ended", context, now)
-                          .add("send", send)
-                          .add("endpoint", context.send_ ? context.send_->endpoint_.value_ : "-")
-                          .add("reason", reason)
-                          .add("runs", std::uint64_t {context.runs_})
-                          .add("budget", facts.budgetLeft_ ? "left" : "spent")
-                          .add("next", static_cast<std::uint64_t>(next))));
+    LogLine line = requestLine("send-ended", context, now);
+    line.add("send", send)
+            .add("endpoint", context.send_ ? context.send_->endpoint_.value_ : "-")
+            .add("reason", reason)
+            .add("runs", std::uint64_t {context.runs_})
+            .add("budget", facts.budgetLeft_ ? "left" : "spent")
+            .add("next", static_cast<std::uint64_t>(next));
+    addConnection(line, context);
+    emit(state, logEvent(LogLevel::Info, line));
     if (next == NextStep::PassFailure) {
         emit(state, DeliverAnswer {context.request_.exchange_, send});
         ++state.counters_.failed_;
@@ -231,6 +240,7 @@
     LogLine line = requestLine("answered", context, now);
     line.add("endpoint", context.send_->endpoint_)
             .add("sent_ms", context.send_->sentAt_ - context.arrivedAt_);
+    addConnection(line, context);
     if (context.streamBegun_)
         line.add("first_event_ms", context.firstEventAt_ - context.arrivedAt_)
                 .add("longest_pause_ms", context.longestPause_);
@@ -346,6 +356,12 @@
     detail::pump(state, view, now);
 }
 
+void onSendConnection(GatewayTraffic &state, SendId send, const SendConnection &connection)
+{
+    if (GatewayContext *context = detail::contextOf(state, send))
+        context->send_->connection_ = connection;
+}
+
 void onSendHead(GatewayTraffic &state, const GatewayView &, SendId send, const AnswerHead &head,
                 TimePoint now)
 {
--- a/src/gateway/tests/tst_traffic.cpp
+++ b/src/gateway/tests/tst_traffic.cpp
@@ -426,3 +426,41 @@
     BOOST_TEST(state.requests_.at({7}).queued_);
     BOOST_TEST(!state.requests_.at({8}).queued_);
 }
+
+//! What the log says of a send's connection when the send has ended.
+struct ConnectionCase
+{
+    const char *name_;
+    SendConnection connection_;
+    Event ending_;
+    const char *line_;
+};
+
+std::ostream &operator<<(std::ostream &out, const ConnectionCase &test)
+{
+    return out << test.name_;
+}
+
+const ConnectionCase ConnectionCases[] = {
+        {"answered on a fresh one", {false, 0}, Event::Done, "connection=fresh strays=0"},
+        {"answered behind a stray", {true, 1}, Event::Done, "connection=kept strays=1"},
+        {"failed behind a stray", {true, 1}, Event::Garbled, "connection=kept strays=1"},
+};
+
+BOOST_DATA_TEST_CASE(theLogTellsTheConnection, ConnectionCases, test)
+{
+    GatewayTraffic state;
+    GatewayView view = viewAt(0);
+    onGatewayRequest(state, view, request(1, "/look/x"), at(0));
+    onSendConnection(state, {1}, test.connection_);
+    if (test.ending_ == Event::Done)
+        apply(state, view, Event::Ok, 10);
+    state.effects_.clear();
+    apply(state, view, test.ending_, 20);
+    std::string lines;
+    for (const GatewayEffect &effect : state.effects_) {
+        if (const auto *event = std::get_if<LogEvent>(&effect))
+            lines += event->text_ + "\n";
+    }
+    BOOST_TEST(lines.find(test.line_) != std::string::npos, lines);
+}
--- a/src/gateway/traffic.h
+++ b/src/gateway/traffic.h
@@ -13,6 +13,9 @@
 void onGatewayCallerGone(GatewayTraffic &state, const GatewayView &view, ExchangeId exchange,
                          TimePoint now);
 
+//! Tells about a send's connection, before its head or its failure is told.
+void onSendConnection(GatewayTraffic &state, SendId send, const SendConnection &connection);
+
 //! The head of an answer arrived.
 void onSendHead(GatewayTraffic &state, const GatewayView &view, SendId send, const AnswerHead &head,
                 TimePoint now);
--- a/src/http/internal/relayclient.cpp
+++ b/src/http/internal/relayclient.cpp
@@ -32,7 +32,7 @@
 //! A head that has begun is whole within this time, an answer to another request to its end.
 constexpr std::chrono::milliseconds HeadTimeout {2000};
 //! Answers to other requests that are passed over before the connection is given up.
-constexpr int MaxStrayAnswers = 2;
+constexpr std::uint32_t MaxStrayAnswers = 2;
 //! Requests that one connection carries; their ids are remembered as long as it is open.
 constexpr std::size_t MaxCarriedRequests = 256;
 //! A kept connection is used for this part of the time that its server keeps it.
@@ -67,6 +67,7 @@
     RelayCallRequest request_;
     RelayCallHandlers handlers_;
     ConnectionPtr connection_;
+    RelayTrace trace_;
     bool cancelled_ = false;
 };
 
@@ -239,6 +240,7 @@
             co_return;
         if (!call->request_.freshConnection_ && !call->request_.echoHeader_.empty())
             call->connection_ = self->takeIdle(call->request_, detail::Clock::now());
+        call->trace_.kept_ = call->connection_ != nullptr;
         if (!call->connection_) {
             const std::string reason = co_await self->connect(*call);
             if (call->cancelled_)
@@ -265,7 +267,6 @@
     static asio::awaitable<void> readAnswer(Impl &self, detail::RelayCallState &call)
     {
         int interim = 0;
-        int strays = 0;
         while (true) {
             detail::AnswerParser parser;
             if (!co_await readHead(call, parser))
@@ -279,11 +280,15 @@
                             detail::headersOf(parser)};
             const detail::AnswerOwner owner = detail::ownerOf(call, head);
             call.connection_->used_ = true;
+            if (owner != detail::AnswerOwner::Call) {
+                ++call.trace_.strays_;
+                ++self.strays_;
+            }
             if (owner == detail::AnswerOwner::Unknown)
                 co_return giveUp(call, "an answer that names no request");
             if (owner == detail::AnswerOwner::Call)
                 co_return co_await passOn(self, call, parser, std::move(head));
-            if (++strays > detail::MaxStrayAnswers)
+            if (call.trace_.strays_ > detail::MaxStrayAnswers)
                 co_return giveUp(call, "answers of other requests");
             if (!co_await passOver(call, parser))
                 co_return;
@@ -411,6 +416,7 @@
     RelayClientOptions options_;
     std::unordered_map<Address, std::vector<detail::ConnectionPtr>> idle_;
     std::uint64_t opened_ = 0;
+    std::uint64_t strays_ = 0;
 };
 
 RelayCall::RelayCall(std::shared_ptr<detail::RelayCallState> state) : state_(std::move(state)) { }
@@ -426,6 +432,11 @@
     state_->connection_->socket_.close(ignored);
 }
 
+RelayTrace RelayCall::trace() const
+{
+    return state_ ? state_->trace_ : RelayTrace();
+}
+
 RelayClient::RelayClient(asio::io_context &context, RelayClientOptions options)
     : impl_(std::make_shared<Impl>(context, options))
 { }
@@ -446,4 +457,9 @@
     return impl_->opened_;
 }
 
+std::uint64_t RelayClient::strays() const
+{
+    return impl_->strays_;
+}
+
 } // namespace gypsumcroft::http
--- a/src/http/relayclient.h
+++ b/src/http/relayclient.h
@@ -23,6 +23,14 @@
     Garbled,
 };
 
+//! How a call's connection was come by, and what came on it beside the call's own answer.
+struct RelayTrace
+{
+    bool kept_ = false;
+    //! Answers to other requests.
+    std::uint32_t strays_ = 0;
+};
+
 struct RelayCallRequest
 {
     Address to_;
@@ -58,6 +66,7 @@
     explicit RelayCall(std::shared_ptr<detail::RelayCallState> state);
     //! Closes the connection; no handler is called after it.
     void cancel();
+    RelayTrace trace() const;
 
 private:
     std::shared_ptr<detail::RelayCallState> state_;
@@ -80,6 +89,8 @@
     RelayCall send(RelayCallRequest request, RelayCallHandlers handlers);
     //! Connections that were opened since the start.
     std::uint64_t opened() const;
+    //! Answers to other requests that have come since the start.
+    std::uint64_t strays() const;
 
 private:
     struct Impl;
--- a/src/http/tests/tst_relayclient.cpp
+++ b/src/http/tests/tst_relayclient.cpp
@@ -117,6 +117,11 @@
     return record.head_ + record.body_ + (record.body_.empty() ? "" : " ") + record.end_;
 }
 
+std::string textOf(const http::RelayTrace &trace)
+{
+    return (trace.kept_ ? "kept " : "fresh ") + std::to_string(trace.strays_);
+}
+
 std::string answerOf(const std::string &status, const std::string &id, const std::string &body)
 {
     return "HTTP/1.1 " + status + " Any\r\n" + (id.empty() ? "" : "X-Id: " + id + "\r\n")
@@ -135,6 +140,8 @@
     std::vector<Reply> replies_;
     const char *seen_;
     std::uint64_t connections_;
+    //! Of the last call.
+    const char *trace_;
 };
 
 std::ostream &operator<<(std::ostream &out, const KeptCase &test)
@@ -147,77 +154,90 @@
          {"a", "b"},
          {{answerOf("200", "a", "one"), ""}, {answerOf("200", "b", "two"), ""}},
          "200 one done, 200 two done",
-         1},
+         1,
+         "kept 0"},
         {"a late second answer with its id is passed over",
          {"a", "b"},
          {{answerOf("200", "a", "one"), answerOf("200", "a", "bad")},
           {answerOf("200", "b", "two"), ""}},
          "200 one done, 200 two done",
-         1},
+         1,
+         "kept 1"},
         {"the first answer on a connection needs no id",
          {"a"},
          {{answerOf("200", "", "one"), ""}},
          "200 one done",
-         1},
+         1,
+         "fresh 0"},
         {"a late second answer without an id is nobody's",
          {"a", "b"},
          {{answerOf("200", "a", "one"), answerOf("200", "", "bad")},
           {answerOf("200", "b", "two"), ""}},
          "200 one done, garbled",
-         1},
+         1,
+         "kept 1"},
         {"a late refusal without an id says nothing of the next request",
          {"a", "b"},
          {{answerOf("200", "a", "one"), NotRun}, {answerOf("200", "b", "two"), ""}},
          "200 one done, garbled",
-         1},
+         1,
+         "kept 1"},
         {"a late stream without an id is nobody's",
          {"a", "b"},
          {{answerOf("200", "a", "one"), EventStream}, {answerOf("200", "b", "two"), ""}},
          "200 one done, garbled",
-         1},
+         1,
+         "kept 1"},
         {"an answer without an id behind one to another request",
          {"a"},
          {{answerOf("200", "other", "bad") + answerOf("200", "", "worse"), ""}},
          "garbled",
-         1},
+         1,
+         "fresh 2"},
         {"a server that echoes nothing gets a connection for each request",
          {"a", "b"},
          {{answerOf("200", "", "one"), answerOf("200", "", "bad")},
           {answerOf("200", "", "two"), ""}},
          "200 one done, 200 two done",
-         2},
+         2,
+         "fresh 0"},
         {"requests without an id share no connection",
          {"", ""},
          {{answerOf("200", "", "one"), answerOf("200", "", "bad")},
           {answerOf("200", "", "two"), ""}},
          "200 one done, 200 two done",
-         2},
+         2,
+         "fresh 0"},
         {"a request without an id takes no used connection",
          {"a", ""},
          {{answerOf("200", "a", "one"), answerOf("200", "a", "bad")},
           {answerOf("200", "", "two"), ""}},
          "200 one done, 200 two done",
-         2},
+         2,
+         "fresh 0"},
         {"a late refusal of an earlier attempt",
          {"a", "a"},
          {{answerOf("500", "a", "one"), answerOf("503", "a", "bad")},
           {answerOf("200", "a", "two"), ""}},
          "500 one done, 200 two done",
-         2},
+         2,
+         "fresh 0"},
         {"a late answer of an attempt before the last request",
          {"a", "b", "a"},
          {{answerOf("500", "a", "one"), ""},
           {answerOf("200", "b", "two"), answerOf("503", "a", "bad")},
           {answerOf("200", "a", "three"), ""}},
          "500 one done, 200 two done, 200 three done",
-         2},
+         2,
+         "fresh 0"},
         {"other requests still use the connections of both attempts",
          {"a", "a", "b"},
          {{answerOf("500", "a", "one"), ""},
           {answerOf("200", "a", "two"), ""},
           {answerOf("200", "b", "three"), ""}},
          "500 one done, 200 two done, 200 three done",
-         2},
+         2,
+         "kept 0"},
 };
 
 //! A server that writes without end, and what the call comes to.
@@ -274,14 +294,17 @@
     ReplyingServer server(context, test.replies_);
     http::RelayClient client(context);
     std::string seen;
+    std::string trace;
     for (const char *id : test.calls_) {
         CallRecord record;
         auto call = client.send(requestOf(server.address(), id), recordInto(record));
         runUntil(context, std::chrono::seconds(2), [&] { return !record.end_.empty(); });
         call.cancel();
         seen += (seen.empty() ? "" : ", ") + textOf(record);
+        trace = textOf(call.trace());
     }
     BOOST_TEST(seen == test.seen_);
+    BOOST_TEST(trace == test.trace_);
     BOOST_TEST(client.opened() == test.connections_);
 }
 
