--- a/src/http/tests/tst_relayclient.cpp
+++ b/src/http/tests/tst_relayclient.cpp
@@ -1,6 +1,4 @@
 #include <chrono>
-#include <functional>
-#include <list>
 #include <string>
 #include <vector>
 
@@ -10,81 +8,15 @@
 
 #include "http/eventsplitter.h"
 #include "http/relayclient.h"
+#include "replyingserver.h"
 
 using namespace gypsumcroft;
+using namespace gypsumcroft::http::tests;
 namespace asio = boost::asio;
 using asio::ip::tcp;
 
 namespace {
 
-constexpr std::size_t RequestBytes = 4096;
-
-//! What a server writes when a request has come in.
-struct Reply
-{
-    std::string answer_;
-    //! A second answer to this request; it comes once the next request is in.
-    std::string late_;
-};
-
-//! Answers requests with the replies in their order, whichever connections they come on.
-class ReplyingServer
-{
-public:
-    ReplyingServer(asio::io_context &context, std::vector<Reply> replies)
-        : acceptor_(context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)),
-          replies_(std::move(replies))
-    {
-        accept();
-    }
-    Address address() const { return {"127.0.0.1", acceptor_.local_endpoint().port()}; }
-
-private:
-    struct Connection
-    {
-        explicit Connection(tcp::socket socket) : socket_(std::move(socket)) { }
-        tcp::socket socket_;
-        char request_[RequestBytes] = {};
-    };
-
-    void accept()
-    {
-        acceptor_.async_accept([this](boost::system::error_code error, tcp::socket socket) {
-            if (error)
-                return;
-            read(connections_.emplace_back(std::move(socket)));
-            accept();
-        });
-    }
-
-    void read(Connection &connection)
-    {
-        connection.socket_.async_read_some(
-                asio::buffer(connection.request_),
-                [this, &connection](boost::system::error_code error, std::size_t) {
-                    if (error || next_ == replies_.size())
-                        return;
-                    if (last_ != nullptr)
-                        write(*last_, replies_[next_ - 1].late_);
-                    last_ = &connection;
-                    write(connection, replies_[next_++].answer_);
-                    read(connection);
-                });
-    }
-
-    static void write(Connection &connection, const std::string &bytes)
-    {
-        boost::system::error_code ignored;
-        asio::write(connection.socket_, asio::buffer(bytes), ignored);
-    }
-
-    tcp::acceptor acceptor_;
-    std::vector<Reply> replies_;
-    std::size_t next_ = 0;
-    std::list<Connection> connections_;
-    Connection *last_ = nullptr;
-};
-
 //! Writes a beginning and then a piece again and again, until the caller closes.
 class EndlessServer
 {
@@ -139,15 +71,6 @@
     bool callerClosed_ = false;
 };
 
-bool runUntil(asio::io_context &context, std::chrono::seconds limit,
-              const std::function<bool()> &condition)
-{
-    const auto end = std::chrono::steady_clock::now() + limit;
-    while (!condition() && std::chrono::steady_clock::now() < end)
-        context.run_one_for(std::chrono::milliseconds(50));
-    return condition();
-}
-
 http::RelayCallRequest requestOf(const Address &to, const std::string &id)
 {
     http::RelayCallRequest call;
@@ -194,6 +117,11 @@
     return record.head_ + record.body_ + (record.body_.empty() ? "" : " ") + record.end_;
 }
 
+std::string textOf(const http::RelayTrace &trace)
+{
+    return (trace.kept_ ? "kept " : "fresh ") + std::to_string(trace.strays_);
+}
+
 std::string answerOf(const std::string &status, const std::string &id, const std::string &body)
 {
     return "HTTP/1.1 " + status + " Any\r\n" + (id.empty() ? "" : "X-Id: " + id + "\r\n")
@@ -212,6 +140,8 @@
     std::vector<Reply> replies_;
     const char *seen_;
     std::uint64_t connections_;
+    //! Of the last call.
+    const char *trace_;
 };
 
 std::ostream &operator<<(std::ostream &out, const KeptCase &test)
@@ -224,77 +154,90 @@
          {"a", "b"},
          {{answerOf("200", "a", "one"), ""}, {answerOf("200", "b", "two"), ""}},
          "200 one done, 200 two done",
-         1},
+         1,
+         "kept 0"},
         {"a late second answer with its id is passed over",
          {"a", "b"},
          {{answerOf("200", "a", "one"), answerOf("200", "a", "bad")},
           {answerOf("200", "b", "two"), ""}},
          "200 one done, 200 two done",
-         1},
+         1,
+         "kept 1"},
         {"the first answer on a connection needs no id",
          {"a"},
          {{answerOf("200", "", "one"), ""}},
          "200 one done",
-         1},
+         1,
+         "fresh 0"},
         {"a late second answer without an id is nobody's",
          {"a", "b"},
          {{answerOf("200", "a", "one"), answerOf("200", "", "bad")},
           {answerOf("200", "b", "two"), ""}},
          "200 one done, garbled",
-         1},
+         1,
+         "kept 1"},
         {"a late refusal without an id says nothing of the next request",
          {"a", "b"},
          {{answerOf("200", "a", "one"), NotRun}, {answerOf("200", "b", "two"), ""}},
          "200 one done, garbled",
-         1},
+         1,
+         "kept 1"},
         {"a late stream without an id is nobody's",
          {"a", "b"},
          {{answerOf("200", "a", "one"), EventStream}, {answerOf("200", "b", "two"), ""}},
          "200 one done, garbled",
-         1},
+         1,
+         "kept 1"},
         {"an answer without an id behind one to another request",
          {"a"},
          {{answerOf("200", "other", "bad") + answerOf("200", "", "worse"), ""}},
          "garbled",
-         1},
+         1,
+         "fresh 2"},
         {"a server that echoes nothing gets a connection for each request",
          {"a", "b"},
          {{answerOf("200", "", "one"), answerOf("200", "", "bad")},
           {answerOf("200", "", "two"), ""}},
          "200 one done, 200 two done",
-         2},
+         2,
+         "fresh 0"},
         {"requests without an id share no connection",
          {"", ""},
          {{answerOf("200", "", "one"), answerOf("200", "", "bad")},
           {answerOf("200", "", "two"), ""}},
          "200 one done, 200 two done",
-         2},
+         2,
+         "fresh 0"},
         {"a request without an id takes no used connection",
          {"a", ""},
          {{answerOf("200", "a", "one"), answerOf("200", "a", "bad")},
           {answerOf("200", "", "two"), ""}},
          "200 one done, 200 two done",
-         2},
+         2,
+         "fresh 0"},
         {"a late refusal of an earlier attempt",
          {"a", "a"},
          {{answerOf("500", "a", "one"), answerOf("503", "a", "bad")},
           {answerOf("200", "a", "two"), ""}},
          "500 one done, 200 two done",
-         2},
+         2,
+         "fresh 0"},
         {"a late answer of an attempt before the last request",
          {"a", "b", "a"},
          {{answerOf("500", "a", "one"), ""},
           {answerOf("200", "b", "two"), answerOf("503", "a", "bad")},
           {answerOf("200", "a", "three"), ""}},
          "500 one done, 200 two done, 200 three done",
-         2},
+         2,
+         "fresh 0"},
         {"other requests still use the connections of both attempts",
          {"a", "a", "b"},
          {{answerOf("500", "a", "one"), ""},
           {answerOf("200", "a", "two"), ""},
           {answerOf("200", "b", "three"), ""}},
          "500 one done, 200 two done, 200 three done",
-         2},
+         2,
+         "kept 0"},
 };
 
 //! A server that writes without end, and what the call comes to.
@@ -351,14 +294,17 @@
     ReplyingServer server(context, test.replies_);
     http::RelayClient client(context);
     std::string seen;
+    std::string trace;
     for (const char *id : test.calls_) {
         CallRecord record;
         auto call = client.send(requestOf(server.address(), id), recordInto(record));
         runUntil(context, std::chrono::seconds(2), [&] { return !record.end_.empty(); });
         call.cancel();
         seen += (seen.empty() ? "" : ", ") + textOf(record);
+        trace = textOf(call.trace());
     }
     BOOST_TEST(seen == test.seen_);
+    BOOST_TEST(trace == test.trace_);
     BOOST_TEST(client.opened() == test.connections_);
 }
 
