The internal HTTP server answers HEAD without a body

Callers saw: nothing reported. The body behind the head of an answer to HEAD is taken for the beginning of the next answer. Change: whole answers and event streams end with their head.

--- a/src/http/internal/server.cpp
+++ b/src/http/internal/server.cpp
@@ -58,6 +58,7 @@
     std::function<void()> onGone_;
     bool gone_ = false;
     bool ended_ = false;
+    bool headRequest_ = false;
     //! Counts exchanges, so that a late answer to an earlier one does nothing.
     std::uint64_t exchange_ = 0;
 };
@@ -124,8 +125,14 @@
     message.keep_alive(keepAlive);
     message.prepare_payload();
     boost::system::error_code error;
-    co_await beast::http::async_write(connection.stream_, message,
-                                      asio::redirect_error(asio::use_awaitable, error));
+    beast::http::response_serializer<beast::http::string_body> serializer(message);
+    serializer.split(connection.headRequest_);
+    if (connection.headRequest_)
+        co_await beast::http::async_write_header(connection.stream_, serializer,
+                                                 asio::redirect_error(asio::use_awaitable, error));
+    else
+        co_await beast::http::async_write(connection.stream_, serializer,
+                                          asio::redirect_error(asio::use_awaitable, error));
     co_return !error;
 }
 
@@ -156,6 +163,8 @@
     const std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
                              "Cache-Control: no-store\r\nTransfer-Encoding: chunked\r\n\r\n";
     bool open = co_await writeText(connection, head);
+    if (connection.headRequest_)
+        co_return open;
     while (open && !connection.gone_) {
         if (connection.events_.empty() && connection.state_ == AnswerState::EventsDone)
             break;
@@ -281,6 +290,7 @@
         response.body_ = R"({"run":"not-run","code":")" + code + R"(","reason":")" + error.message()
                          + "\"}\n";
         connection.response_ = std::move(response);
+        connection.headRequest_ = false;
         connection.stream_.expires_after(std::chrono::seconds(1));
         co_await detail::writeWhole(connection, false);
         boost::system::error_code ignored;
@@ -300,6 +310,7 @@
                 break;
             const bool keepAlive = parser.get().keep_alive();
             ++connection->exchange_;
+            connection->headRequest_ = parser.get().method() == beast::http::verb::head;
             connection->state_ = detail::AnswerState::Waiting;
             connection->events_.clear();
             detail::watchForClose(connection);
--- a/src/http/tests/tst_serverend.cpp
+++ b/src/http/tests/tst_serverend.cpp
@@ -164,3 +164,60 @@
     caller.join();
     BOOST_TEST(answers == "/a/b");
 }
+
+//! Two requests at once and all bytes that are written back.
+struct HeadCase
+{
+    const char *name_;
+    const char *path_;
+    const char *contained_;
+};
+
+std::ostream &operator<<(std::ostream &out, const HeadCase &test)
+{
+    return out << test.name_;
+}
+
+const HeadCase HeadCases[] = {
+        {"whole answer", "/whole", "Content-Length: 5"},
+        {"events", "/events", "Transfer-Encoding: chunked"},
+};
+
+// The body of an answer to HEAD would be taken for the beginning of the next answer.
+BOOST_DATA_TEST_CASE(answerToHeadHasNoBody, HeadCases, test)
+{
+    asio::io_context context;
+    http::Server server({&context}, [&](const http::HttpRequest &request,
+                                        const std::shared_ptr<http::Exchange> &exchange) {
+        if (request.path_ == "/last")
+            return exchange->respond({200, "text/plain", "last", {}});
+        if (request.path_ == "/whole")
+            return exchange->respond({200, "text/plain", "whole", {}});
+        exchange->startEvents();
+        exchange->sendEvent("token", "event");
+        exchange->finishEvents();
+    });
+    const auto address = server.listen({"127.0.0.1", 0});
+    BOOST_REQUIRE_MESSAGE(address, address.lastReason_);
+    std::string answers;
+    std::jthread caller([&] {
+        asio::io_context own;
+        tcp::socket socket(own);
+        socket.connect({asio::ip::make_address(address->host_), address->port_});
+        boost::system::error_code error;
+        asio::write(socket,
+                    asio::buffer(std::string("HEAD ") + test.path_
+                                 + " HTTP/1.1\r\nHost: x\r\n\r\nGET /last HTTP/1.1\r\nHost: "
+                                   "x\r\nConnection: close\r\n\r\n"),
+                    error);
+        asio::read(socket, asio::dynamic_buffer(answers), error);
+        asio::post(context, [&context] { context.stop(); });
+    });
+    context.run_for(std::chrono::seconds(5));
+    caller.join();
+    const std::size_t end = answers.find("\r\n\r\n");
+    BOOST_REQUIRE(end != std::string::npos);
+    BOOST_TEST(answers.substr(0, end).find(test.contained_) != std::string::npos);
+    BOOST_TEST(answers.substr(end + 4).starts_with("HTTP/1.1 200 OK"));
+    BOOST_TEST(answers.ends_with("last"));
+}
