A frame under way keeps its bytes and its connection

Peers could see: bytes of freed memory in the middle of a new connection; frames carry a hash, so they were taken for garbage and the connection closed. Cause: when a peer's queue overflowed or the peer closed while the first part of a write had just been taken by the kernel, the queue was cleared and the next message made a new socket in the place of the old; the rest of the write then read the freed frame and went to the new socket. Ruled out: datagrams, whose sends own their bytes and whose only read is decoded before the next begins. Change: each write owns its frame and its connection; handlers of an earlier connection are known by it. Before (build/src/wire/test_wire-end): heap-use-after-free in send(), row "large frames". After: both rows and all cases hold, under the address sanitizer.

--- a/src/wire/internal/mesh.cpp
+++ b/src/wire/internal/mesh.cpp
@@ -22,7 +22,7 @@
 struct PeerConnection : std::enable_shared_from_this<PeerConnection>
 {
     PeerConnection(asio::io_context &context, Address to, std::function<void(Address)> onDown)
-        : context_(context), socket_(context), to_(std::move(to)), onDown_(std::move(onDown))
+        : context_(context), to_(std::move(to)), onDown_(std::move(onDown))
     { }
 
     void push(std::string frame)
@@ -30,7 +30,7 @@
         if (queuedBytes_ + frame.size() > MaxQueuedBytes)
             return fail();
         queuedBytes_ += frame.size();
-        queue_.push_back(std::move(frame));
+        queue_.push_back(std::make_shared<const std::string>(std::move(frame)));
         if (!open_ && !connecting_)
             connect();
         else if (open_ && !writing_)
@@ -44,11 +44,12 @@
         if (error)
             return fail();
         connecting_ = true;
-        socket_ = tcp::socket(context_);
-        socket_.async_connect({host, to_.port_},
-                              [self = shared_from_this()](boost::system::error_code result) {
-                                  self->connected(result);
-                              });
+        socket_ = std::make_shared<tcp::socket>(context_);
+        socket_->async_connect({host, to_.port_}, [self = shared_from_this(), socket = socket_](
+                                                          boost::system::error_code result) {
+            if (self->socket_ == socket)
+                self->connected(result);
+        });
     }
 
     void connected(boost::system::error_code error)
@@ -57,7 +58,7 @@
         if (error)
             return fail();
         boost::system::error_code ignored;
-        socket_.set_option(tcp::no_delay(true), ignored);
+        socket_->set_option(tcp::no_delay(true), ignored);
         open_ = true;
         watch();
         if (!queue_.empty())
@@ -67,21 +68,21 @@
     //! The peer never sends on this connection: a read only ends when it closes.
     void watch()
     {
-        socket_.async_read_some(
-                asio::buffer(&watched_, 1),
-                [self = shared_from_this(), life = life_](boost::system::error_code, std::size_t) {
-                    if (self->open_ && self->life_ == life)
-                        self->fail();
-                });
+        socket_->async_read_some(asio::buffer(&watched_, 1),
+                                 [self = shared_from_this(),
+                                  socket = socket_](boost::system::error_code, std::size_t) {
+                                     if (self->socket_ == socket)
+                                         self->fail();
+                                 });
     }
 
     void write()
     {
         writing_ = true;
-        asio::async_write(socket_, asio::buffer(queue_.front()),
-                          [self = shared_from_this(), life = life_](boost::system::error_code error,
-                                                                    std::size_t) {
-                              if (self->life_ == life)
+        asio::async_write(*socket_, asio::buffer(*queue_.front()),
+                          [self = shared_from_this(), socket = socket_,
+                           frame = queue_.front()](boost::system::error_code error, std::size_t) {
+                              if (self->socket_ == socket)
                                   self->written(error);
                           });
     }
@@ -91,7 +92,7 @@
         writing_ = false;
         if (error)
             return fail();
-        queuedBytes_ -= queue_.front().size();
+        queuedBytes_ -= queue_.front()->size();
         queue_.pop_front();
         if (!queue_.empty())
             write();
@@ -99,9 +100,10 @@
 
     void fail()
     {
-        ++life_;
         boost::system::error_code ignored;
-        socket_.close(ignored);
+        if (socket_)
+            socket_->close(ignored);
+        socket_.reset();
         open_ = connecting_ = writing_ = false;
         queue_.clear();
         queuedBytes_ = 0;
@@ -109,12 +111,12 @@
     }
 
     asio::io_context &context_;
-    tcp::socket socket_;
+    //! A write under way keeps its connection and its frame after fail().
+    std::shared_ptr<tcp::socket> socket_;
     Address to_;
     std::function<void(Address)> onDown_;
-    std::deque<std::string> queue_;
+    std::deque<std::shared_ptr<const std::string>> queue_;
     std::size_t queuedBytes_ = 0;
-    std::uint64_t life_ = 0;
     bool open_ = false;
     bool connecting_ = false;
     bool writing_ = false;
--- a/src/wire/tests/tst_meshend.cpp
+++ b/src/wire/tests/tst_meshend.cpp
@@ -1,5 +1,7 @@
 #include <atomic>
+#include <chrono>
 #include <memory>
+#include <string>
 #include <thread>
 #include <vector>
 
@@ -7,6 +9,7 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include "wire/codec.h"
 #include "wire/mesh.h"
 
 using namespace gypsumcroft;
@@ -77,3 +80,53 @@
         context.reset();
     BOOST_TEST(peers.size() == test.peers_);
 }
+
+//! Frames that are sent at once to a peer that doesn't read; the last is sent over a new
+//! connection.
+struct OverflowCase
+{
+    const char *name_;
+    std::size_t frames_;
+    std::size_t frameBytes_;
+};
+
+std::ostream &operator<<(std::ostream &out, const OverflowCase &test)
+{
+    return out << test.name_;
+}
+
+constexpr std::size_t Megabyte = 1024UL * 1024;
+
+const OverflowCase OverflowCases[] = {
+        {"large frames", 5, 15 * Megabyte},
+        {"many frames", 64, Megabyte},
+};
+
+// A write under way when the queue overflows neither outlives its frame nor goes on over the next
+// connection.
+BOOST_DATA_TEST_CASE(overflowLeavesNothingForTheNextConnection, OverflowCases, test)
+{
+    asio::io_context context;
+    asio::io_context peer;
+    tcp::acceptor acceptor(peer, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+    const Address to {"127.0.0.1", acceptor.local_endpoint().port()};
+    std::size_t down = 0;
+    Mesh mesh({&context}, {[](const Message &) {}, [&](const Address &) { ++down; },
+                           [](const std::string &) {}});
+    const EndStreamMessage last {RequestId {"last"}, Epoch {1}};
+    mesh.send(to, EndStreamMessage {});
+    context.run_for(std::chrono::milliseconds(50));
+    tcp::socket first = acceptor.accept();
+    TokenMessage large;
+    large.text_ = std::string(test.frameBytes_, 'x');
+    for (std::size_t i = 0; i < test.frames_; ++i)
+        mesh.send(to, large);
+    mesh.send(to, last);
+    context.restart();
+    context.run_for(std::chrono::milliseconds(200));
+    BOOST_TEST(down == 1);
+    tcp::socket second = acceptor.accept();
+    std::string bytes(second.available(), '\0');
+    asio::read(second, asio::buffer(bytes));
+    BOOST_TEST((bytes == encodeFrame(last)));
+}
