Log lines tell a request's connection and its place there

Change: each accepted connection has a number, each request its ordinal there; lines of a request have both. Not yet on /metrics. Conclusion: an id taken twice shows in the log at once.

--- a/src/app/internal/gatewaytraffic.cpp
+++ b/src/app/internal/gatewaytraffic.cpp
@@ -111,6 +111,8 @@
 {
     const ExchangeId id {nextExchange_++};
     GatewayRequest decoded = platform::decodeCallerRequest(request, id);
+    decoded.connection_ = exchange->connection();
+    decoded.ordinal_ = exchange->ordinal();
     exchange->onGone([this, id] {
         exchanges_.erase(id);
         withTraffic([&](const GatewayView &view, TimePoint now) {
--- a/src/core/ids.h
+++ b/src/core/ids.h
@@ -48,6 +48,10 @@
 using ClaimNonce = StrongType<struct ClaimNonceTag, std::uint64_t>;
 //! Names one dispatch of a call from an entry to an agent.
 using AttemptId = StrongType<struct AttemptTag, std::uint64_t>;
+//! Counts the connections that callers have made to one process.
+using ConnectionId = StrongType<struct ConnectionTag, std::uint64_t>;
+//! Place of a request on its connection; the first is 1.
+using RequestOrdinal = StrongType<struct RequestOrdinalTag, std::uint64_t>;
 //! Distinguishes two lives of a process with the same instance id.
 using Incarnation = StrongType<struct IncarnationTag, std::uint64_t>;
 
--- a/src/filters/gatewaystate.h
+++ b/src/filters/gatewaystate.h
@@ -35,6 +35,8 @@
 struct GatewayRequest
 {
     ExchangeId exchange_;
+    ConnectionId connection_;
+    RequestOrdinal ordinal_;
     //! The caller's own name of the request.
     RequestId id_;
     std::string host_;
@@ -225,6 +227,8 @@
     std::uint64_t sends_ = 0;
     std::uint64_t retries_ = 0;
     std::uint64_t retriesWithoutBudget_ = 0;
+    //! Requests whose id was in hand already; callers use each id once.
+    std::uint64_t repeatedIds_ = 0;
 };
 
 struct GatewayLimits
@@ -258,6 +262,7 @@
     GatewayLimits limits_;
     Random random_;
     std::map<ExchangeId, GatewayContext> requests_;
+    std::unordered_multimap<RequestId, ExchangeId> byRequestId_;
     std::unordered_map<SendId, ExchangeId> sends_;
     std::map<TargetName, TargetQueues> queues_;
     std::unordered_map<EndpointId, EndpointUse> uses_;
--- a/src/filters/internal/gatewayfilters.cpp
+++ b/src/filters/internal/gatewayfilters.cpp
@@ -262,6 +262,8 @@
             logEvent(LogLevel::Info,
                      LogLine("routed")
                              .add("request", context.request_.id_)
+                             .add("connection", context.request_.connection_)
+                             .add("ordinal", context.request_.ordinal_)
                              .add("route", context.route_.name_)
                              .add("target", context.target_)
                              .add("organisation",
--- a/src/gateway/internal/traffic.cpp
+++ b/src/gateway/internal/traffic.cpp
@@ -23,17 +23,50 @@
 {
     LogLine line(event);
     line.add("request", context.request_.id_)
+            .add("connection", context.request_.connection_)
+            .add("ordinal", context.request_.ordinal_)
             .add("route", context.route_.name_)
             .add("sends", std::uint64_t {context.sends_})
             .add("ms", now - context.arrivedAt_);
     return line;
 }
 
+//! Warns of a request whose id is in hand already: a sign that requests were mixed up.
+void noteRequestId(GatewayTraffic &state, const Context &context)
+{
+    const GatewayRequest &request = context.request_;
+    if (request.id_.value_.empty())
+        return;
+    const auto other = state.byRequestId_.find(request.id_);
+    if (other != state.byRequestId_.end()) {
+        ++state.counters_.repeatedIds_;
+        const GatewayRequest &earlier = state.requests_.at(other->second).request_;
+        emit(state,
+             logEvent(LogLevel::Warning, LogLine("repeated-id")
+                                                 .add("request", request.id_)
+                                                 .add("connection", request.connection_)
+                                                 .add("ordinal", request.ordinal_)
+                                                 .add("other_connection", earlier.connection_)
+                                                 .add("other_ordinal", earlier.ordinal_)));
+    }
+    state.byRequestId_.emplace(request.id_, request.exchange_);
+}
+
+void forgetRequestId(GatewayTraffic &state, const GatewayRequest &request)
+{
+    const auto [begin, end] = state.byRequestId_.equal_range(request.id_);
+    const auto own = std::find_if(
+            begin, end, [&](const auto &entry) { return entry.second == request.exchange_; });
+    if (own != end)
+        state.byRequestId_.erase(own);
+}
+
 //! Takes a request out of everything. References to its context end here.
 void forget(GatewayTraffic &state, Context &context)
 {
     dequeue(context, state);
     releaseSend(context, state);
+    forgetRequestId(state, context.request_);
     state.requests_.erase(context.request_.exchange_);
 }
 
@@ -328,6 +361,7 @@
     context.request_ = std::move(request);
     context.arrivedAt_ = now;
     context.deadline_ = now + context.request_.patience_.value_or(state.limits_.defaultPatience_);
+    detail::noteRequestId(state, context);
     detail::runFrom(state, view, context, now);
     detail::pump(state, view, now);
 }
--- a/src/gateway/tests/tst_traffic.cpp
+++ b/src/gateway/tests/tst_traffic.cpp
@@ -391,6 +391,68 @@
     }
 }
 
+//! Requests of the same or another id, one after the other.
+struct RepeatedIdCase
+{
+    const char *name_;
+    const char *firstId_;
+    const char *secondId_;
+    bool firstEnds_;
+    std::uint64_t repeated_;
+};
+
+std::ostream &operator<<(std::ostream &out, const RepeatedIdCase &test)
+{
+    return out << test.name_;
+}
+
+const RepeatedIdCase RepeatedIdCases[] = {
+        {"two ids", "r1", "r2", false, 0},
+        {"the same id, both in hand", "r1", "r1", false, 1},
+        {"the same id, the first has ended", "r1", "r1", true, 0},
+        {"no ids", "", "", false, 0},
+};
+
+// An id that is in hand twice is counted and logged with both places, and both requests are served.
+BOOST_DATA_TEST_CASE(repeatedIdIsTold, RepeatedIdCases, test)
+{
+    GatewayTraffic state;
+    const GatewayView view = viewAt(0);
+    GatewayRequest first = request(1, "/look/");
+    first.id_ = {test.firstId_};
+    first.connection_ = {7};
+    first.ordinal_ = {3};
+    GatewayRequest second = request(2, "/look/");
+    second.id_ = {test.secondId_};
+    second.connection_ = {8};
+    second.ordinal_ = {1};
+    onGatewayRequest(state, view, first, at(0));
+    if (test.firstEnds_)
+        onGatewayCallerGone(state, view, {1}, at(1));
+    onGatewayRequest(state, view, second, at(2));
+    std::size_t warnings = 0;
+    std::size_t routed = 0;
+    for (const GatewayEffect &effect : state.effects_) {
+        const auto *event = std::get_if<LogEvent>(&effect);
+        if (event == nullptr)
+            continue;
+        const std::string &text = event->text_;
+        if (text.find("event=routed") != std::string::npos)
+            routed += text.find(" connection=") != std::string::npos
+                      && text.find(" ordinal=") != std::string::npos;
+        if (text.find("event=repeated-id") == std::string::npos)
+            continue;
+        ++warnings;
+        BOOST_TEST(text.find("connection=8 ordinal=1 other_connection=7 other_ordinal=3")
+                   != std::string::npos);
+    }
+    BOOST_TEST(routed == 2U);
+    BOOST_TEST(warnings == test.repeated_);
+    BOOST_TEST(state.counters_.repeatedIds_ == test.repeated_);
+    onGatewayTick(state, view, at(60000));
+    BOOST_TEST(state.byRequestId_.empty());
+}
+
 // A slot and two that wait at each of two endpoints; the seventh waits here until one is free.
 BOOST_AUTO_TEST_CASE(requestsWaitForRoom)
 {
--- a/src/http/internal/relayserver.cpp
+++ b/src/http/internal/relayserver.cpp
@@ -54,6 +54,7 @@
     //! Bytes that wait for callers, and bytes of requests that are not whole yet.
     std::size_t waitingBytes_ = 0;
     std::size_t unfinishedBytes_ = 0;
+    std::uint64_t accepted_ = 0;
     bool closing_ = false;
     bool stopped_ = false;
     bool ended_ = false;
@@ -66,6 +67,7 @@
     RelayConnection(tcp::socket socket, std::shared_ptr<RelayShared> shared)
         : socket_(std::move(socket)), wake_(socket_.get_executor()), shared_(std::move(shared))
     {
+        id_ = {++shared_->accepted_};
         shared_->connections_.insert(this);
     }
 
@@ -186,6 +188,7 @@
     tcp::socket socket_;
     asio::steady_timer wake_;
     std::shared_ptr<RelayShared> shared_;
+    ConnectionId id_;
     //! A read may be under way while the buffer is consumed, so it has a place of its own.
     std::array<char, ReadBytes> incoming_;
     beast::flat_buffer buffer_;
@@ -583,6 +586,11 @@
         connection_->onGone_ = std::move(handler);
 }
 
+ConnectionId RelayExchange::connection() const
+{
+    return connection_->id_;
+}
+
 RelayServer::RelayServer(asio::io_context &context, RelayHandler handler)
     : impl_(std::make_shared<Impl>(context))
 {
--- a/src/http/relayserver.h
+++ b/src/http/relayserver.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <memory>
 
+#include "core/ids.h"
 #include "core/result.h"
 #include "core/units.h"
 #include "http/relaytypes.h"
@@ -35,6 +36,8 @@
     void breakOff();
     //! Called once, never from within a call, if the caller closes before the answer is whole.
     void onGone(std::function<void()> handler);
+    ConnectionId connection() const;
+    RequestOrdinal ordinal() const { return {exchange_}; }
 
 private:
     std::shared_ptr<detail::RelayConnection> connection_;
--- a/src/http/tests/tst_relay.cpp
+++ b/src/http/tests/tst_relay.cpp
@@ -415,8 +415,11 @@
 {
     asio::io_context context;
     std::vector<std::string> ran;
+    std::uint64_t place = 0;
     http::RelayServer server(context, [&](const http::RelayRequest &request,
                                           const std::shared_ptr<http::RelayExchange> &exchange) {
+        BOOST_TEST(exchange->connection().value_ == 1U);
+        BOOST_TEST(exchange->ordinal().value_ == ++place);
         const std::string text = request.target_ + " " + request.body_;
         ran.push_back(text);
         if (test.begun_) {
