--- a/src/gateway/internal/traffic.cpp
+++ b/src/gateway/internal/traffic.cpp
@@ -23,26 +23,59 @@
 {
     LogLine line(event);
     line.add("request", context.request_.id_)
+            .add("connection", context.request_.connection_)
+            .add("ordinal", context.request_.ordinal_)
             .add("route", context.route_.name_)
             .add("sends", std::uint64_t {context.sends_})
             .add("ms", now - context.arrivedAt_);
     return line;
 }
 
-void addConnection(LogLine &line, const Context &context)
+void addEndpointConnection(LogLine &line, const Context &context)
 {
     if (!context.send_)
         return;
     const SendConnection &connection = context.send_->connection_;
-    line.add("connection", connection.kept_ ? "kept" : "fresh")
+    line.add("endpoint_connection", connection.kept_ ? "kept" : "fresh")
             .add("strays", std::uint64_t {connection.strays_});
 }
 
+//! Warns of a request whose id is in hand already: a sign that requests were mixed up.
+void noteRequestId(GatewayTraffic &state, const Context &context)
+{
+    const GatewayRequest &request = context.request_;
+    if (request.id_.value_.empty())
+        return;
+    const auto other = state.byRequestId_.find(request.id_);
+    if (other != state.byRequestId_.end()) {
+        ++state.counters_.repeatedIds_;
+        const GatewayRequest &earlier = state.requests_.at(other->second).request_;
+        emit(state,
+             logEvent(LogLevel::Warning, LogLine("repeated-id")
+                                                 .add("request", request.id_)
+                                                 .add("connection", request.connection_)
+                                                 .add("ordinal", request.ordinal_)
+                                                 .add("other_connection", earlier.connection_)
+                                                 .add("other_ordinal", earlier.ordinal_)));
+    }
+    state.byRequestId_.emplace(request.id_, request.exchange_);
+}
+
+void forgetRequestId(GatewayTraffic &state, const GatewayRequest &request)
+{
+    const auto [begin, end] = state.byRequestId_.equal_range(request.id_);
+    const auto own = std::find_if(
+            begin, end, [&](const auto &entry) { return entry.second == request.exchange_; });
+    if (own != end)
+        state.byRequestId_.erase(own);
+}
+
 //! Takes a request out of everything. References to its context end here.
 void forget(GatewayTraffic &state, Context &context)
 {
     dequeue(context, state);
     releaseSend(context, state);
+    forgetRequestId(state, context.request_);
     state.requests_.erase(context.request_.exchange_);
 }
 
@@ -176,7 +209,7 @@
             .add("runs", std::uint64_t {context.runs_})
             .add("budget", facts.budgetLeft_ ? "left" : "spent")
             .add("next", static_cast<std::uint64_t>(next));
-    addConnection(line, context);
+    addEndpointConnection(line, context);
     emit(state, logEvent(LogLevel::Info, line));
     if (next == NextStep::PassFailure) {
         emit(state, DeliverAnswer {context.request_.exchange_, send});
@@ -240,7 +273,7 @@
     LogLine line = requestLine("answered", context, now);
     line.add("endpoint", context.send_->endpoint_)
             .add("sent_ms", context.send_->sentAt_ - context.arrivedAt_);
-    addConnection(line, context);
+    addEndpointConnection(line, context);
     if (context.streamBegun_)
         line.add("first_event_ms", context.firstEventAt_ - context.arrivedAt_)
                 .add("longest_pause_ms", context.longestPause_);
@@ -338,6 +371,7 @@
     context.request_ = std::move(request);
     context.arrivedAt_ = now;
     context.deadline_ = now + context.request_.patience_.value_or(state.limits_.defaultPatience_);
+    detail::noteRequestId(state, context);
     detail::runFrom(state, view, context, now);
     detail::pump(state, view, now);
 }
