--- a/src/http/tests/tst_relayclient.cpp
+++ b/src/http/tests/tst_relayclient.cpp
@@ -407,3 +407,25 @@
     BOOST_TEST(record.size_ == size);
     BOOST_TEST(record.end_ == "");
 }
+
+// Bytes that keep coming on one connection leave the thread to others between reads.
+BOOST_AUTO_TEST_CASE(otherWorkGoesOnBesideABodyWithoutEnd)
+{
+    constexpr int Turns = 20;
+    asio::io_context context;
+    EndlessServer server(context, OwnHead + "\r\n", Long, AtOnce);
+    http::RelayClient client(context);
+    CallRecord record;
+    auto call = client.send(requestOf(server.address(), "me"), recordInto(record));
+    BOOST_TEST(runUntil(context, std::chrono::seconds(4), [&] { return record.size_ > 0; }));
+    int turns = 0;
+    std::function<void()> other = [&] {
+        if (++turns < Turns)
+            asio::post(context, other);
+    };
+    const std::size_t before = record.size_;
+    asio::post(context, other);
+    BOOST_TEST(runUntil(context, std::chrono::seconds(4), [&] { return turns == Turns; }));
+    BOOST_TEST(record.size_ - before < 1024UL * 1024);
+    call.cancel();
+}
