Accepting doesn't spin while descriptors are short

Seen: nothing reported; a thread at full load while a caller or peer waits that can't be accepted, so that all other work on it is late. Cause: the internal HTTP server and the mesh tried again at once after an error of accept; the relay server pauses. Change: both pause for 20 ms. After: both under the bound of 100 ms, all cases of both programs hold. Conclusion: found by reading.

--- a/src/http/internal/server.cpp
+++ b/src/http/internal/server.cpp
@@ -18,6 +18,8 @@
 //! A caller that reads slower than this many waiting bytes allow is given up on.
 constexpr std::size_t MaxWaitingBytes = 8UL * 1024 * 1024;
 
+constexpr std::chrono::milliseconds AcceptRetryDelay {20};
+
 enum class AnswerState { Waiting, Whole, Events, EventsDone };
 
 //! One connection; its members are used on its io_context's single thread.
@@ -184,6 +186,14 @@
     co_return co_await writeText(connection, "0\r\n\r\n");
 }
 
+//! Accepting fails again at once while descriptors are short.
+asio::awaitable<void> pauseAccepting(asio::io_context &context)
+{
+    asio::steady_timer timer(context, AcceptRetryDelay);
+    boost::system::error_code ignored;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+}
+
 //! Notices that the caller has closed while its request is in hand.
 void watchForClose(const std::shared_ptr<Connection> &connection)
 {
@@ -221,8 +231,10 @@
                                              asio::redirect_error(asio::use_awaitable, error));
             if (error == asio::error::operation_aborted)
                 co_return;
-            if (error)
+            if (error) {
+                co_await detail::pauseAccepting(*contexts_.front());
                 continue;
+            }
             auto connection = std::make_shared<detail::Connection>(std::move(socket));
             asio::co_spawn(context, serve(shared_from_this(), std::move(connection)),
                            asio::detached);
--- a/src/http/tests/tst_serverend.cpp
+++ b/src/http/tests/tst_serverend.cpp
@@ -1,5 +1,6 @@
 #include <atomic>
 #include <chrono>
+#include <ctime>
 #include <functional>
 #include <memory>
 #include <string>
@@ -12,6 +13,8 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <sys/resource.h>
+
 #include "http/server.h"
 
 using namespace gypsumcroft;
@@ -56,6 +59,29 @@
     return sockets;
 }
 
+//! Time that a thread spends in 200 ms while no descriptor is left for a caller that waits.
+template <typename Listen>
+std::chrono::milliseconds timeSpentWithoutDescriptors(asio::io_context &context,
+                                                      const Listen &listen)
+{
+    const Address address = listen();
+    asio::io_context own;
+    tcp::socket caller(own, tcp::v4());
+    context.run_for(std::chrono::milliseconds(20));
+    rlimit before {};
+    getrlimit(RLIMIT_NOFILE, &before);
+    rlimit none = before;
+    none.rlim_cur = 3;
+    setrlimit(RLIMIT_NOFILE, &none);
+    caller.connect({asio::ip::make_address(address.host_), address.port_});
+    const std::clock_t start = std::clock();
+    context.restart();
+    context.run_for(std::chrono::milliseconds(200));
+    const std::clock_t spent = std::clock() - start;
+    setrlimit(RLIMIT_NOFILE, &before);
+    return std::chrono::milliseconds(spent * 1000 / CLOCKS_PER_SEC);
+}
+
 } // namespace
 
 // The contexts are destroyed in their order, the listener's first, as in a process that ends.
@@ -221,3 +247,15 @@
     BOOST_TEST(answers.substr(end + 4).starts_with("HTTP/1.1 200 OK"));
     BOOST_TEST(answers.ends_with("last"));
 }
+
+// The thread doesn't spin while a caller waits for a descriptor.
+BOOST_AUTO_TEST_CASE(acceptingWaitsForDescriptors)
+{
+    asio::io_context context;
+    http::Server server({&context},
+                        [](const http::HttpRequest &, const std::shared_ptr<http::Exchange> &) {});
+    const auto spent = timeSpentWithoutDescriptors(context, [&] {
+        return *server.listen({"127.0.0.1", 0});
+    });
+    BOOST_TEST(spent.count() < 100);
+}
--- a/src/wire/internal/mesh.cpp
+++ b/src/wire/internal/mesh.cpp
@@ -17,6 +17,7 @@
 namespace detail {
 
 constexpr std::size_t MaxQueuedBytes = 64UL * 1024 * 1024;
+constexpr std::chrono::milliseconds AcceptRetryDelay {20};
 
 //! An outgoing connection. All members are used on its io_context's single thread.
 struct PeerConnection : std::enable_shared_from_this<PeerConnection>
@@ -149,13 +150,23 @@
                                              asio::redirect_error(asio::use_awaitable, error));
             if (error == asio::error::operation_aborted)
                 co_return;
-            if (error)
+            if (error) {
+                co_await pauseAccepting(*contexts_.front());
                 continue;
+            }
             auto executor = socket.get_executor();
             asio::co_spawn(executor, read(shared_from_this(), std::move(socket)), asio::detached);
         }
     }
 
+    //! Accepting fails again at once while descriptors are short.
+    static asio::awaitable<void> pauseAccepting(asio::io_context &context)
+    {
+        asio::steady_timer timer(context, detail::AcceptRetryDelay);
+        boost::system::error_code ignored;
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+
     static asio::awaitable<void> read(std::shared_ptr<Impl> self, tcp::socket socket)
     {
         std::string header(FrameHeaderBytes, '\0');
--- a/src/wire/tests/tst_meshend.cpp
+++ b/src/wire/tests/tst_meshend.cpp
@@ -1,5 +1,6 @@
 #include <atomic>
 #include <chrono>
+#include <ctime>
 #include <memory>
 #include <string>
 #include <thread>
@@ -9,6 +10,8 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <sys/resource.h>
+
 #include "wire/codec.h"
 #include "wire/mesh.h"
 
@@ -38,6 +41,29 @@
         {"peers both ways on many contexts", 4, 16, 8},
 };
 
+//! Time that a thread spends in 200 ms while no descriptor is left for a caller that waits.
+template <typename Listen>
+std::chrono::milliseconds timeSpentWithoutDescriptors(asio::io_context &context,
+                                                      const Listen &listen)
+{
+    const Address address = listen();
+    asio::io_context own;
+    tcp::socket caller(own, tcp::v4());
+    context.run_for(std::chrono::milliseconds(20));
+    rlimit before {};
+    getrlimit(RLIMIT_NOFILE, &before);
+    rlimit none = before;
+    none.rlim_cur = 3;
+    setrlimit(RLIMIT_NOFILE, &none);
+    caller.connect({asio::ip::make_address(address.host_), address.port_});
+    const std::clock_t start = std::clock();
+    context.restart();
+    context.run_for(std::chrono::milliseconds(200));
+    const std::clock_t spent = std::clock() - start;
+    setrlimit(RLIMIT_NOFILE, &before);
+    return std::chrono::milliseconds(spent * 1000 / CLOCKS_PER_SEC);
+}
+
 } // namespace
 
 // The contexts are destroyed in their order, the listener's first, as in a process that ends.
@@ -130,3 +156,15 @@
     asio::read(second, asio::buffer(bytes));
     BOOST_TEST((bytes == encodeFrame(last)));
 }
+
+// The thread doesn't spin while a peer waits for a descriptor.
+BOOST_AUTO_TEST_CASE(acceptingWaitsForDescriptors)
+{
+    asio::io_context context;
+    Mesh mesh({&context},
+              {[](const Message &) {}, [](const Address &) {}, [](const std::string &) {}});
+    const auto spent = timeSpentWithoutDescriptors(context, [&] {
+        return *mesh.listen({"127.0.0.1", 0});
+    });
+    BOOST_TEST(spent.count() < 100);
+}
