A peer's frame takes memory as its bytes come

Seen: nothing reported; each connection that announced a frame of 16 MB held 16 MB before a byte of it had come, and kept the largest for its life. Change: a payload grows in pieces of 64 KB and is given up with its frame. Conclusion: a frame that trickles still has no time limit.

--- a/src/wire/internal/mesh.cpp
+++ b/src/wire/internal/mesh.cpp
@@ -17,6 +17,8 @@
 namespace detail {
 
 constexpr std::size_t MaxQueuedBytes = 64UL * 1024 * 1024;
+//! A frame's memory grows by this much at most before its bytes are there.
+constexpr std::size_t MaxPieceBytes = 64UL * 1024;
 constexpr std::chrono::milliseconds AcceptRetryDelay {20};
 
 //! An outgoing connection. All members are used on its io_context's single thread.
@@ -159,6 +161,21 @@
         }
     }
 
+    //! Memory grows with the bytes that come, not with the length that was announced.
+    static asio::awaitable<std::string> readPayload(tcp::socket &socket, std::size_t length,
+                                                    boost::system::error_code &error)
+    {
+        std::string payload;
+        while (payload.size() < length && !error) {
+            const std::size_t had = payload.size();
+            payload.resize(had + std::min(length - had, detail::MaxPieceBytes));
+            co_await asio::async_read(socket,
+                                      asio::buffer(payload.data() + had, payload.size() - had),
+                                      asio::redirect_error(asio::use_awaitable, error));
+        }
+        co_return payload;
+    }
+
     //! Accepting fails again at once while descriptors are short.
     static asio::awaitable<void> pauseAccepting(asio::io_context &context)
     {
@@ -182,9 +199,7 @@
                 self->handlers_.onGarbage_("not a frame");
                 co_return;
             }
-            payload.resize(frame->length_);
-            co_await asio::async_read(socket, asio::buffer(payload),
-                                      asio::redirect_error(asio::use_awaitable, error));
+            payload = co_await readPayload(socket, frame->length_, error);
             if (error)
                 co_return;
             auto message = decodePayload(*frame, payload);
--- a/src/wire/tests/tst_meshend.cpp
+++ b/src/wire/tests/tst_meshend.cpp
@@ -1,6 +1,7 @@
 #include <atomic>
 #include <chrono>
 #include <ctime>
+#include <fstream>
 #include <memory>
 #include <string>
 #include <thread>
@@ -168,3 +169,57 @@
     });
     BOOST_TEST(spent.count() < 100);
 }
+
+//! Peers that announce a frame and send a part of it.
+struct AnnouncedCase
+{
+    const char *name_;
+    std::size_t peers_;
+    std::uint32_t announced_;
+    std::size_t sent_;
+    std::size_t mostBytes_;
+};
+
+std::ostream &operator<<(std::ostream &out, const AnnouncedCase &test)
+{
+    return out << test.name_;
+}
+
+const AnnouncedCase AnnouncedCases[] = {
+        {"nothing sent", 20, MaxFrameBytes, 0, 32 * Megabyte},
+        {"a little sent", 20, MaxFrameBytes, 1000, 32 * Megabyte},
+};
+
+std::size_t residentBytes()
+{
+    constexpr std::size_t PageBytes = 4096;
+    std::size_t all = 0;
+    std::size_t resident = 0;
+    std::ifstream("/proc/self/statm") >> all >> resident;
+    return resident * PageBytes;
+}
+
+// Memory is held for bytes that came, not for those that were announced.
+BOOST_DATA_TEST_CASE(announcedFramesTakeNoMemory, AnnouncedCases, test)
+{
+    asio::io_context context;
+    asio::io_context own;
+    Mesh mesh({&context},
+              {[](const Message &) {}, [](const Address &) {}, [](const std::string &) {}});
+    const auto address = mesh.listen({"127.0.0.1", 0});
+    BOOST_REQUIRE(address);
+    std::string bytes = encodeFrame(EndStreamMessage {}).substr(0, FrameHeaderBytes);
+    for (std::size_t i = 0; i < 4; ++i)
+        bytes[4 + i] = static_cast<char>(test.announced_ >> (8 * i));
+    bytes += std::string(test.sent_, 'x');
+    const std::size_t before = residentBytes();
+    std::vector<std::unique_ptr<tcp::socket>> peers;
+    for (std::size_t i = 0; i < test.peers_; ++i) {
+        peers.push_back(std::make_unique<tcp::socket>(own));
+        peers.back()->connect({asio::ip::make_address(address->host_), address->port_});
+        asio::write(*peers.back(), asio::buffer(bytes));
+    }
+    context.run_for(std::chrono::milliseconds(200));
+    const std::size_t after = residentBytes();
+    BOOST_TEST(after - std::min(before, after) <= test.mostBytes_);
+}
