--- a/src/wire/internal/mesh.cpp
+++ b/src/wire/internal/mesh.cpp
@@ -17,6 +17,9 @@
 namespace detail {
 
 constexpr std::size_t MaxQueuedBytes = 64UL * 1024 * 1024;
+//! A frame's memory grows by this much at most before its bytes are there.
+constexpr std::size_t MaxPieceBytes = 64UL * 1024;
+constexpr std::chrono::milliseconds AcceptRetryDelay {20};
 
 //! An outgoing connection. All members are used on its io_context's single thread.
 struct PeerConnection : std::enable_shared_from_this<PeerConnection>
@@ -149,13 +152,38 @@
                                              asio::redirect_error(asio::use_awaitable, error));
             if (error == asio::error::operation_aborted)
                 co_return;
-            if (error)
+            if (error) {
+                co_await pauseAccepting(*contexts_.front());
                 continue;
+            }
             auto executor = socket.get_executor();
             asio::co_spawn(executor, read(shared_from_this(), std::move(socket)), asio::detached);
         }
     }
 
+    //! Memory grows with the bytes that come, not with the length that was announced.
+    static asio::awaitable<std::string> readPayload(tcp::socket &socket, std::size_t length,
+                                                    boost::system::error_code &error)
+    {
+        std::string payload;
+        while (payload.size() < length && !error) {
+            const std::size_t had = payload.size();
+            payload.resize(had + std::min(length - had, detail::MaxPieceBytes));
+            co_await asio::async_read(socket,
+                                      asio::buffer(payload.data() + had, payload.size() - had),
+                                      asio::redirect_error(asio::use_awaitable, error));
+        }
+        co_return payload;
+    }
+
+    //! Accepting fails again at once while descriptors are short.
+    static asio::awaitable<void> pauseAccepting(asio::io_context &context)
+    {
+        asio::steady_timer timer(context, detail::AcceptRetryDelay);
+        boost::system::error_code ignored;
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+
     static asio::awaitable<void> read(std::shared_ptr<Impl> self, tcp::socket socket)
     {
         std::string header(FrameHeaderBytes, '\0');
@@ -171,9 +199,7 @@
                 self->handlers_.onGarbage_("not a frame");
                 co_return;
             }
-            payload.resize(frame->length_);
-            co_await asio::async_read(socket, asio::buffer(payload),
-                                      asio::redirect_error(asio::use_awaitable, error));
+            payload = co_await readPayload(socket, frame->length_, error);
             if (error)
                 co_return;
             auto message = decodePayload(*frame, payload);
--- a/src/wire/tests/tst_meshend.cpp
+++ b/src/wire/tests/tst_meshend.cpp
@@ -1,5 +1,7 @@
 #include <atomic>
 #include <chrono>
+#include <ctime>
+#include <fstream>
 #include <memory>
 #include <string>
 #include <thread>
@@ -9,6 +11,8 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <sys/resource.h>
+
 #include "wire/codec.h"
 #include "wire/mesh.h"
 
@@ -38,6 +42,29 @@
         {"peers both ways on many contexts", 4, 16, 8},
 };
 
+//! Time that a thread spends in 200 ms while no descriptor is left for a caller that waits.
+template <typename Listen>
+std::chrono::milliseconds timeSpentWithoutDescriptors(asio::io_context &context,
+                                                      const Listen &listen)
+{
+    const Address address = listen();
+    asio::io_context own;
+    tcp::socket caller(own, tcp::v4());
+    context.run_for(std::chrono::milliseconds(20));
+    rlimit before {};
+    getrlimit(RLIMIT_NOFILE, &before);
+    rlimit none = before;
+    none.rlim_cur = 3;
+    setrlimit(RLIMIT_NOFILE, &none);
+    caller.connect({asio::ip::make_address(address.host_), address.port_});
+    const std::clock_t start = std::clock();
+    context.restart();
+    context.run_for(std::chrono::milliseconds(200));
+    const std::clock_t spent = std::clock() - start;
+    setrlimit(RLIMIT_NOFILE, &before);
+    return std::chrono::milliseconds(spent * 1000 / CLOCKS_PER_SEC);
+}
+
 } // namespace
 
 // The contexts are destroyed in their order, the listener's first, as in a process that ends.
@@ -130,3 +157,69 @@
     asio::read(second, asio::buffer(bytes));
     BOOST_TEST((bytes == encodeFrame(last)));
 }
+
+// The thread doesn't spin while a peer waits for a descriptor.
+BOOST_AUTO_TEST_CASE(acceptingWaitsForDescriptors)
+{
+    asio::io_context context;
+    Mesh mesh({&context},
+              {[](const Message &) {}, [](const Address &) {}, [](const std::string &) {}});
+    const auto spent = timeSpentWithoutDescriptors(context, [&] {
+        return *mesh.listen({"127.0.0.1", 0});
+    });
+    BOOST_TEST(spent.count() < 100);
+}
+
+//! Peers that announce a frame and send a part of it.
+struct AnnouncedCase
+{
+    const char *name_;
+    std::size_t peers_;
+    std::uint32_t announced_;
+    std::size_t sent_;
+    std::size_t mostBytes_;
+};
+
+std::ostream &operator<<(std::ostream &out, const AnnouncedCase &test)
+{
+    return out << test.name_;
+}
+
+const AnnouncedCase AnnouncedCases[] = {
+        {"nothing sent", 20, MaxFrameBytes, 0, 32 * Megabyte},
+        {"a little sent", 20, MaxFrameBytes, 1000, 32 * Megabyte},
+};
+
+std::size_t residentBytes()
+{
+    constexpr std::size_t PageBytes = 4096;
+    std::size_t all = 0;
+    std::size_t resident = 0;
+    std::ifstream("/proc/self/statm") >> all >> resident;
+    return resident * PageBytes;
+}
+
+// Memory is held for bytes that came, not for those that were announced.
+BOOST_DATA_TEST_CASE(announcedFramesTakeNoMemory, AnnouncedCases, test)
+{
+    asio::io_context context;
+    asio::io_context own;
+    Mesh mesh({&context},
+              {[](const Message &) {}, [](const Address &) {}, [](const std::string &) {}});
+    const auto address = mesh.listen({"127.0.0.1", 0});
+    BOOST_REQUIRE(address);
+    std::string bytes = encodeFrame(EndStreamMessage {}).substr(0, FrameHeaderBytes);
+    for (std::size_t i = 0; i < 4; ++i)
+        bytes[4 + i] = static_cast<char>(test.announced_ >> (8 * i));
+    bytes += std::string(test.sent_, 'x');
+    const std::size_t before = residentBytes();
+    std::vector<std::unique_ptr<tcp::socket>> peers;
+    for (std::size_t i = 0; i < test.peers_; ++i) {
+        peers.push_back(std::make_unique<tcp::socket>(own));
+        peers.back()->connect({asio::ip::make_address(address->host_), address->port_});
+        asio::write(*peers.back(), asio::buffer(bytes));
+    }
+    context.run_for(std::chrono::milliseconds(200));
+    const std::size_t after = residentBytes();
+    BOOST_TEST(after - std::min(before, after) <= test.mostBytes_);
+}
