The gateway process of the tests in a file of its own

Cause: the fault soak needs the same gateways and the same stand-in of the platform. Ruled out: a second copy in the soak. Change: GatewayProgram and ask move from tst_gatewayprocess to lab/gatewayprogram; the stand-in stamps its answers, records target, body and time of a run, and can have several plain servers, other entry addresses and work that takes time. Before and after: the same checks, none changed. Conclusion: no change in behaviour.

--- /dev/null
+++ b/lab/gatewayprogram.cpp
@@ -0,0 +1,112 @@
+#include "gatewayprogram.h"
+
+#include <signal.h>
+#include <sys/wait.h>
+
+#include <fstream>
+
+#include <boost/asio.hpp>
+
+#include "processfleet.h"
+
+namespace gypsumcroft::lab {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+Answer ask(const Address &to, const std::string &method, const std::string &path,
+           const std::string &id, const std::string &key)
+{
+    asio::io_context context;
+    tcp::socket socket(context);
+    boost::system::error_code error;
+    socket.connect({asio::ip::make_address(to.host_), to.port_}, error);
+    const std::string request
+            = method + " " + path + " HTTP/1.1\r\nHost: desk\r\nX-Request-Id: " + id
+              + "\r\nX-Deadline-Ms: 4000\r\nX-Token-Count: 100,20\r\nAuthorization: Bearer " + key
+              + "\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+    asio::write(socket, asio::buffer(request), error);
+    Answer answer;
+    asio::read(socket, asio::dynamic_buffer(answer.text_), error);
+    answer.status_ = answer.text_.substr(0, 12);
+    answer.whole_ = answer.text_.find("Content-Length") != std::string::npos
+                    || answer.text_.ends_with("0\r\n\r\n");
+    return answer;
+}
+
+GatewayProgram::GatewayProgram(const std::string &binary, const std::string &folder,
+                               const std::string &name, const Address &store)
+    : callers_ {"127.0.0.1", freePort()}, ready_ {"127.0.0.1", freePort()}, metrics_ {"127.0.0.1",
+                                                                                      freePort()},
+      log_(folder + "/" + name + ".log")
+{
+    const std::string settings = folder + "/" + name + ".json";
+    const auto text = [](const Address &address) {
+        return '"' + address.host_ + ":" + std::to_string(address.port_) + '"';
+    };
+    std::ofstream(settings) << R"({"role":"gateway","instance":")" << name
+                            << R"(","failureDomain":"a",)"
+                            << R"("mesh":)" << text(metrics_) << R"(,"metrics":)" << text(metrics_)
+                            << R"(,"callers":)" << text(callers_) << R"(,"ready":)" << text(ready_)
+                            << R"(,"store":{"address":)" << text(store) << R"(,"partitions":12},)"
+                            << R"("bounds":{"strictRevoke":true,"revokeMs":3000,"applyMs":2000,)"
+                            << R"("retrySlack":100,"graceS":8}})";
+    command_ = {binary, "gateway", "--settings", settings};
+    restart();
+}
+
+GatewayProgram::~GatewayProgram()
+{
+    if (pid_ <= 0)
+        return;
+    kill(pid_, SIGKILL);
+    waitpid(pid_, nullptr, 0);
+}
+
+void GatewayProgram::restart()
+{
+    if (pid_ <= 0)
+        pid_ = startProgram(command_, log_).value_or(-1);
+}
+
+bool GatewayProgram::signal(int number) const
+{
+    return pid_ > 0 && kill(pid_, number) == 0;
+}
+
+bool GatewayProgram::hasEnded()
+{
+    if (pid_ <= 0)
+        return true;
+    int status = 0;
+    if (waitpid(pid_, &status, WNOHANG) != pid_)
+        return false;
+    pid_ = -1;
+    exitCode_ = WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+    return true;
+}
+
+bool GatewayProgram::isReady() const
+{
+    return ask(ready_, "GET", "/ready", "", "").status_ == "HTTP/1.1 200";
+}
+
+std::string GatewayProgram::log() const
+{
+    std::ifstream file(log_);
+    return {std::istreambuf_iterator<char>(file), {}};
+}
+
+std::uint64_t GatewayProgram::peakBytes() const
+{
+    std::ifstream file("/proc/" + std::to_string(pid_) + "/status");
+    constexpr std::uint64_t Kilobyte = 1024;
+    const std::string label = "VmHWM:";
+    for (std::string line; pid_ > 0 && std::getline(file, line);) {
+        if (line.starts_with(label))
+            return std::stoull(line.substr(label.size())) * Kilobyte;
+    }
+    return 0;
+}
+
+} // namespace gypsumcroft::lab
--- /dev/null
+++ b/lab/gatewayprogram.h
@@ -0,0 +1,60 @@
+//! A gateway as a process on loopback.
+#pragma once
+
+#include <sys/types.h>
+
+#include <string>
+#include <vector>
+
+#include "core/ids.h"
+
+namespace gypsumcroft::lab {
+
+struct Answer
+{
+    std::string status_;
+    std::string text_;
+    //! The answer's end was seen, so that it can be told from a cut one.
+    bool whole_ = false;
+};
+
+//! Sends one request on a connection of its own and waits for the answer.
+Answer ask(const Address &to, const std::string &method, const std::string &path,
+           const std::string &id, const std::string &key);
+
+class GatewayProgram
+{
+public:
+    //! Writes the settings and starts the process.
+    GatewayProgram(const std::string &binary, const std::string &folder, const std::string &name,
+                   const Address &store);
+    //! Ends the process at once if it is still there.
+    ~GatewayProgram();
+    GatewayProgram(const GatewayProgram &) = delete;
+    GatewayProgram &operator=(const GatewayProgram &) = delete;
+
+    //! Starts the process again after its end.
+    void restart();
+    //! False if the process is gone.
+    bool signal(int number) const;
+    //! Reaps the process if it has ended.
+    bool hasEnded();
+    //! Of the last process that ended; negative for the signal that ended it.
+    int exitCode() const { return exitCode_; }
+    bool isReady() const;
+    std::string log() const;
+    //! The most memory that the running process has held; 0 if it is gone.
+    std::uint64_t peakBytes() const;
+
+    Address callers_;
+    Address ready_;
+    Address metrics_;
+
+private:
+    std::vector<std::string> command_;
+    std::string log_;
+    pid_t pid_ = -1;
+    int exitCode_ = 0;
+};
+
+} // namespace gypsumcroft::lab
--- a/lab/tests/tst_gatewayprocess.cpp
+++ b/lab/tests/tst_gatewayprocess.cpp
@@ -1,21 +1,18 @@
 //! Two gateways as processes before the platform's stand-in.
 #include <signal.h>
-#include <sys/wait.h>
-#include <unistd.h>
 
 #include <filesystem>
-#include <fstream>
 #include <functional>
 
-#include <boost/asio.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include "gatewayprogram.h"
 #include "platform/platformstandin.h"
-#include "processfleet.h"
 
 using namespace gypsumcroft;
-namespace asio = boost::asio;
-using asio::ip::tcp;
+using lab::Answer;
+using lab::ask;
+using lab::GatewayProgram;
 
 namespace {
 
@@ -33,32 +30,11 @@
     return false;
 }
 
-struct Answer
+//! Sends SIGTERM and waits for the end; the exit code, or -1.
+int stop(GatewayProgram &gateway)
 {
-    std::string status_;
-    std::string text_;
-    //! The answer's end was seen, so that it can be told from a cut one.
-    bool whole_ = false;
-};
-
-Answer ask(const Address &to, const std::string &method, const std::string &path,
-           const std::string &id, const std::string &key)
-{
-    asio::io_context context;
-    tcp::socket socket(context);
-    boost::system::error_code error;
-    socket.connect({asio::ip::make_address(to.host_), to.port_}, error);
-    const std::string request
-            = method + " " + path + " HTTP/1.1\r\nHost: desk\r\nX-Request-Id: " + id
-              + "\r\nX-Deadline-Ms: 4000\r\nX-Token-Count: 100,20\r\nAuthorization: Bearer " + key
-              + "\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
-    asio::write(socket, asio::buffer(request), error);
-    Answer answer;
-    asio::read(socket, asio::dynamic_buffer(answer.text_), error);
-    answer.status_ = answer.text_.substr(0, 12);
-    answer.whole_ = answer.text_.find("Content-Length") != std::string::npos
-                    || answer.text_.ends_with("0\r\n\r\n");
-    return answer;
+    gateway.signal(SIGTERM);
+    return waitFor([&] { return gateway.hasEnded(); }) ? gateway.exitCode() : -1;
 }
 
 //! Data of the events in an answer, joined by commas.
@@ -73,61 +49,6 @@
     return events;
 }
 
-struct Gateway
-{
-    Gateway(const std::string &binary, const std::string &folder, const std::string &name,
-            const Address &store)
-        : callers_ {"127.0.0.1", lab::freePort()}, ready_ {"127.0.0.1", lab::freePort()},
-          metrics_ {"127.0.0.1", lab::freePort()}, log_(folder + "/" + name + ".log")
-    {
-        const std::string settings = folder + "/" + name + ".json";
-        const auto text = [](const Address &address) {
-            return '"' + address.host_ + ":" + std::to_string(address.port_) + '"';
-        };
-        std::ofstream(settings)
-                << R"({"role":"gateway","instance":")" << name << R"(","failureDomain":"a",)"
-                << R"("mesh":)" << text(metrics_) << R"(,"metrics":)" << text(metrics_)
-                << R"(,"callers":)" << text(callers_) << R"(,"ready":)" << text(ready_)
-                << R"(,"store":{"address":)" << text(store) << R"(,"partitions":12},)"
-                << R"("bounds":{"strictRevoke":true,"revokeMs":3000,"applyMs":2000,)"
-                << R"("retrySlack":100,"graceS":8}})";
-        pid_ = lab::startProgram({binary, "gateway", "--settings", settings}, log_).value_or(-1);
-    }
-
-    ~Gateway()
-    {
-        if (pid_ > 0) {
-            kill(pid_, SIGKILL);
-            waitpid(pid_, nullptr, 0);
-        }
-    }
-
-    bool isReady() const { return ask(ready_, "GET", "/ready", "", "").status_ == "HTTP/1.1 200"; }
-
-    //! Sends SIGTERM and waits for the end; the exit code, or -1.
-    int stop()
-    {
-        kill(pid_, SIGTERM);
-        int status = -1;
-        const bool ended = waitFor([&] { return waitpid(pid_, &status, WNOHANG) == pid_; });
-        if (ended)
-            pid_ = -1;
-        return ended && WIFEXITED(status) ? WEXITSTATUS(status) : -1;
-    }
-
-    std::string log() const
-    {
-        std::ifstream file(log_);
-        return {std::istreambuf_iterator<char>(file), {}};
-    }
-
-    Address callers_;
-    Address ready_;
-    Address metrics_;
-    std::string log_;
-    pid_t pid_ = -1;
-};
-
 struct Fixture
 {
     Fixture()
@@ -137,10 +58,10 @@
         std::string name = (std::filesystem::temp_directory_path() / "gateway-XXXXXX").string();
         BOOST_REQUIRE(mkdtemp(name.data()) != nullptr);
         folder_ = name;
-        platform_.putConfig(1, "key", false);
+        platform_.putConfig(1, {"key"}, false);
         for (const char *gateway : {"g1", "g2"})
-            gateways_.push_back(
-                    std::make_unique<Gateway>(suite.argv[1], folder_, gateway, platform_.store()));
+            gateways_.push_back(std::make_unique<GatewayProgram>(suite.argv[1], folder_, gateway,
+                                                                 platform_.store()));
         BOOST_REQUIRE(waitFor([&] { return gateways_[0]->isReady() && gateways_[1]->isReady(); }));
         BOOST_REQUIRE(waitFor([&] { return quote("warm-up").whole_; }));
     }
@@ -167,7 +88,7 @@
 
     standins::PlatformStandin platform_ {3};
     std::string folder_;
-    std::vector<std::unique_ptr<Gateway>> gateways_;
+    std::vector<std::unique_ptr<GatewayProgram>> gateways_;
 };
 
 struct RequestCase
@@ -221,12 +142,12 @@
 {
     const Address to = gateways_[0]->callers_;
     BOOST_TEST(ask(to, "GET", "/extra/x", "before", "key").status_ == "HTTP/1.1 404");
-    platform_.putConfig(2, "new-key", true);
+    platform_.putConfig(2, {"new-key"}, true);
     BOOST_TEST(waitFor([&] {
         return ask(to, "GET", "/extra/x", "after", "new-key").status_ == "HTTP/1.1 200";
     }));
     BOOST_TEST(ask(to, "GET", "/extra/x", "old-key", "key").status_ == "HTTP/1.1 401");
-    platform_.putConfig(1, "key", false);
+    platform_.putConfig(1, {"key"}, false);
     std::this_thread::sleep_for(std::chrono::milliseconds(200));
     BOOST_TEST(ask(to, "GET", "/extra/x", "no-revert", "new-key").status_ == "HTTP/1.1 200");
 }
@@ -275,7 +196,7 @@
     Answer answer;
     std::jthread caller([&] { answer = quote("last"); });
     BOOST_REQUIRE(waitFor([&] { return runsOf("last") == 1; }));
-    BOOST_TEST(gateways_[0]->stop() == 0);
+    BOOST_TEST(stop(*gateways_[0]) == 0);
     caller.join();
     BOOST_TEST(answer.whole_);
     BOOST_TEST(eventsOf(answer.text_) == "1,2,3,4,5,6");
@@ -285,14 +206,14 @@
 // The stand-in never drops silent members, so only leaving moves the lease.
 BOOST_FIXTURE_TEST_CASE(aStoppingHolderHandsItsLeaseOver, Fixture)
 {
-    const auto holds = [](const Gateway &gateway) {
+    const auto holds = [](const GatewayProgram &gateway) {
         return gateway.log().find("event=lease-gained") != std::string::npos;
     };
     BOOST_REQUIRE(waitFor([&] { return holds(*gateways_[0]) || holds(*gateways_[1]); }));
     const bool first = holds(*gateways_[0]);
-    Gateway &holder = *gateways_[first ? 0 : 1];
-    const Gateway &other = *gateways_[first ? 1 : 0];
-    BOOST_REQUIRE(kill(holder.pid_, SIGTERM) == 0);
+    GatewayProgram &holder = *gateways_[first ? 0 : 1];
+    const GatewayProgram &other = *gateways_[first ? 1 : 0];
+    BOOST_REQUIRE(holder.signal(SIGTERM));
     BOOST_TEST(waitFor([&] { return holds(other); }));
     BOOST_TEST(holder.log().find("event=stopped") == std::string::npos);
 }
--- a/standins/platform/platformstandin.cpp
+++ b/standins/platform/platformstandin.cpp
@@ -7,6 +7,8 @@
 #include <boost/json.hpp>
 #include <openssl/evp.h>
 
+#include "core/hash.h"
+
 namespace gypsumcroft::standins {
 
 namespace asio = boost::asio;
@@ -56,6 +58,7 @@
     std::string id_;
     std::unique_ptr<http::RelayServer> http_;
     Address address_;
+    Address entryAddress_;
     std::optional<std::pair<std::uint32_t, std::uint32_t>> layers_;
     std::uint64_t orders_ = 0;
     bool loading_ = false;
@@ -89,7 +92,8 @@
     void onRead(const http::RelayRequest &request, const ExchangePtr &exchange);
     void onModel(Server &server, const http::RelayRequest &request, const ExchangePtr &exchange);
     void onOrder(Server &server, const http::RelayRequest &request, const ExchangePtr &exchange);
-    void stream(const ExchangePtr &exchange, int next, int last, int breakAt);
+    void stream(const ExchangePtr &exchange, const std::string &id, int next, int breakAt);
+    void work(const ExchangePtr &exchange, const http::RelayHead &head, const std::string &id);
     std::string report(const Server &server);
     std::string entry(const Server &server);
     void record(const Server &server, const http::RelayRequest &request);
@@ -105,25 +109,27 @@
     std::vector<ServerRun> runs_;
     bool storeDown_ = false;
     int breakAfter_ = -1;
+    std::chrono::milliseconds longestWork_ {0};
     std::jthread thread_;
 };
 
 void PlatformStandin::Impl::record(const Server &server, const http::RelayRequest &request)
 {
     runs_.push_back({server.id_, header(request, "X-Request-Id"), header(request, "X-Tenant"),
-                     header(request, "X-Hop-Count"), header(request, "Last-Event-Id")});
+                     header(request, "X-Hop-Count"), header(request, "Last-Event-Id"),
+                     request.target_, request.body_, std::chrono::steady_clock::now()});
 }
 
 std::string PlatformStandin::Impl::entry(const Server &server)
 {
-    json::object entry {
-            {"Service", server.model_ ? "model" : "desk"},
-            {"Address", server.address_.host_ + ":" + std::to_string(server.address_.port_)},
-            {"Zone", "a"},
-            {"Version", "v1"},
-            {"Slots", 4},
-            {"State", server.draining_ ? "draining" : "ready"},
-            {"born", 1}};
+    json::object entry {{"Service", server.model_ ? "model" : "desk"},
+                        {"Address", server.entryAddress_.host_ + ":"
+                                            + std::to_string(server.entryAddress_.port_)},
+                        {"Zone", "a"},
+                        {"Version", "v1"},
+                        {"Slots", 4},
+                        {"State", server.draining_ ? "draining" : "ready"},
+                        {"born", 1}};
     if (server.model_)
         entry["Kind"] = "half";
     if (server.layers_)
@@ -232,15 +238,27 @@
     });
 }
 
-void PlatformStandin::Impl::stream(const ExchangePtr &exchange, int next, int last, int breakAt)
+void PlatformStandin::Impl::stream(const ExchangePtr &exchange, const std::string &id, int next,
+                                   int breakAt)
 {
     if (next == breakAt)
         return exchange->breakOff();
-    if (next > last)
+    if (next > EventsOfStream)
         return exchange->finish();
-    exchange->write("id: " + std::to_string(next) + "\ndata: " + std::to_string(next) + "\n\n");
+    const std::string number = std::to_string(next);
+    exchange->write("id: " + number + "\nevent: " + id + "\ndata: " + number + "\n\n");
     after(EventGap,
-          [this, exchange, next, last, breakAt] { stream(exchange, next + 1, last, breakAt); });
+          [this, exchange, id, next, breakAt] { stream(exchange, id, next + 1, breakAt); });
+}
+
+void PlatformStandin::Impl::work(const ExchangePtr &exchange, const http::RelayHead &head,
+                                 const std::string &id)
+{
+    const auto longest = static_cast<std::uint64_t>(longestWork_.count());
+    if (longest == 0)
+        return exchange->answer(head, "done " + id);
+    after(std::chrono::milliseconds(hashText(id) % longest),
+          [exchange, head, id] { exchange->answer(head, "done " + id); });
 }
 
 void PlatformStandin::Impl::onModel(Server &server, const http::RelayRequest &request,
@@ -251,18 +269,21 @@
         return exchange->answer({200, {}}, report(server));
     if (request.target_ == "/order")
         return onOrder(server, request, exchange);
-    const http::HeaderList echo {{"X-Request-Id", header(request, "X-Request-Id")},
-                                 {"Content-Type", "text/event-stream"}};
+    const std::string id = header(request, "X-Request-Id");
+    const http::RelayHead head {200,
+                                {{"X-Request-Id", id},
+                                 {"X-Response-Stamp", stampOf(id)},
+                                 {"Content-Type", "text/event-stream"}}};
     if (header(request, "X-Expect-Instance") != server.id_)
         return exchange->answer({421, {}}, {});
     record(server, request);
     if (!server.model_)
-        return exchange->answer({200, echo}, "done " + header(request, "X-Request-Id"));
+        return work(exchange, head, id);
     const std::string last = header(request, "Last-Event-Id");
     const int first = last.empty() ? 1 : std::stoi(last) + 1;
     const int breakAt = std::exchange(breakAfter_, -1);
-    exchange->begin({200, echo});
-    stream(exchange, first, EventsOfStream, breakAt < 0 ? -1 : first + breakAt);
+    exchange->begin(head);
+    stream(exchange, id, first, breakAt < 0 ? -1 : first + breakAt);
 }
 
 Server &PlatformStandin::Impl::addServer(const std::string &id, bool model)
@@ -277,14 +298,22 @@
                 onModel(server, request, exchange);
             });
     server.address_ = *server.http_->listen({"127.0.0.1", 0});
+    server.entryAddress_ = server.address_;
     return server;
 }
 
-PlatformStandin::PlatformStandin(std::size_t modelServers) : impl_(std::make_unique<Impl>())
+std::string stampOf(const std::string &request)
+{
+    return "stamp-" + std::to_string(hashText(request));
+}
+
+PlatformStandin::PlatformStandin(std::size_t modelServers, std::size_t plainServers)
+    : impl_(std::make_unique<Impl>())
 {
     for (std::size_t i = 1; i <= modelServers; ++i)
         impl_->addServer("i-model" + std::to_string(i), true);
-    impl_->addServer("i-desk", false);
+    for (std::size_t i = 1; i <= plainServers; ++i)
+        impl_->addServer(i == 1 ? "i-desk" : "i-desk" + std::to_string(i), false);
     impl_->store_ = std::make_unique<http::RelayServer>(
             impl_->context_,
             [this](const http::RelayRequest &request, const ExchangePtr &exchange) {
@@ -303,7 +332,8 @@
     impl_->thread_.join();
 }
 
-void PlatformStandin::putConfig(std::uint64_t version, const std::string &keys, bool withExtraRoute)
+void PlatformStandin::putConfig(std::uint64_t version, const std::vector<std::string> &keys,
+                                bool withExtraRoute)
 {
     const auto route = [](const char *prefix, const char *kind, const char *service) {
         return json::object {{"Name", prefix},       {"Host", "desk"},
@@ -334,7 +364,7 @@
             {"Version", version},
             {"Routes", routes},
             {"Services", {{{"Name", "model"}, {"Engine", engine}}, {{"Name", "desk"}}}},
-            {"Tenants", {{{"Name", "firm"}, {"ApiKeys", {keys}}}}}};
+            {"Tenants", {{{"Name", "firm"}, {"ApiKeys", json::array(keys.begin(), keys.end())}}}}};
     impl_->locked([&] { impl_->configs_.push_back(json::serialize(config)); });
 }
 
@@ -383,4 +413,36 @@
     return names;
 }
 
+std::vector<std::string> PlatformStandin::servers() const
+{
+    std::vector<std::string> names;
+    for (const auto &server : impl_->servers_)
+        names.push_back(server->id_);
+    return names;
+}
+
+Address PlatformStandin::addressOf(const std::string &server) const
+{
+    for (const auto &known : impl_->servers_) {
+        if (known->id_ == server)
+            return known->address_;
+    }
+    return {};
+}
+
+void PlatformStandin::setEntryAddress(const std::string &server, const Address &address)
+{
+    impl_->locked([&] {
+        for (const auto &known : impl_->servers_) {
+            if (known->id_ == server)
+                known->entryAddress_ = address;
+        }
+    });
+}
+
+void PlatformStandin::setLongestWork(std::chrono::milliseconds longest)
+{
+    impl_->locked([&] { impl_->longestWork_ = longest; });
+}
+
 } // namespace gypsumcroft::standins
--- a/standins/platform/platformstandin.h
+++ b/standins/platform/platformstandin.h
@@ -2,6 +2,7 @@
 //! layers, and a plain server. It speaks what the platform's pages say, as far as gateways use it.
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -25,20 +26,28 @@
     std::string tenant_;
     std::string path_;
     std::string lastEvent_;
+    std::string target_;
+    std::string body_;
+    std::chrono::steady_clock::time_point at_;
 };
 
+//! Stamp that every server puts on its answer to a request.
+std::string stampOf(const std::string &request);
+
 class PlatformStandin
 {
 public:
     //! Model servers hold no layers at first, each has room for half of the model's.
-    explicit PlatformStandin(std::size_t modelServers);
+    explicit PlatformStandin(std::size_t modelServers, std::size_t plainServers = 1);
     ~PlatformStandin();
     PlatformStandin(const PlatformStandin &) = delete;
     PlatformStandin &operator=(const PlatformStandin &) = delete;
 
     Address store() const { return store_; }
-    //! Puts a desired state in force: its version, and the routes' prefixes by kind.
-    void putConfig(std::uint64_t version, const std::string &keys, bool withExtraRoute);
+    //! Puts a desired state in force: its version, the caller keys, and the routes' prefixes by
+    //! kind.
+    void putConfig(std::uint64_t version, const std::vector<std::string> &keys,
+                   bool withExtraRoute);
     //! The store answers nothing from now on, or again.
     void setStoreDown(bool down);
     //! The next stream breaks off after so many events.
@@ -48,6 +57,12 @@
     //! Layers that a model server holds, "none" or "FIRST-END".
     std::string layersOf(const std::string &server);
     std::vector<std::string> modelServers() const;
+    std::vector<std::string> servers() const;
+    //! Where a server listens, which may differ from the address in its entry.
+    Address addressOf(const std::string &server) const;
+    void setEntryAddress(const std::string &server, const Address &address);
+    //! Plain servers work on each request for a time of its own below this one.
+    void setLongestWork(std::chrono::milliseconds longest);
 
 private:
     struct Impl;
