--- a/standins/platform/platformstandin.cpp
+++ b/standins/platform/platformstandin.cpp
@@ -18,7 +18,7 @@
 
 constexpr std::uint32_t ModelLayers = 4;
 constexpr int EventsOfStream = 6;
-constexpr std::chrono::milliseconds EventGap {15};
+constexpr std::chrono::milliseconds DefaultEventGap {15};
 constexpr std::chrono::milliseconds LoadTime {60};
 constexpr std::uint32_t Partitions = 12;
 
@@ -110,6 +110,7 @@
     bool storeDown_ = false;
     int breakAfter_ = -1;
     std::chrono::milliseconds longestWork_ {0};
+    std::chrono::milliseconds eventGap_ = DefaultEventGap;
     std::jthread thread_;
 };
 
@@ -247,7 +248,7 @@
         return exchange->finish();
     const std::string number = std::to_string(next);
     exchange->write("id: " + number + "\nevent: " + id + "\ndata: " + number + "\n\n");
-    after(EventGap,
+    after(eventGap_,
           [this, exchange, id, next, breakAt] { stream(exchange, id, next + 1, breakAt); });
 }
 
@@ -270,10 +271,11 @@
     if (request.target_ == "/order")
         return onOrder(server, request, exchange);
     const std::string id = header(request, "X-Request-Id");
-    const http::RelayHead head {200,
-                                {{"X-Request-Id", id},
-                                 {"X-Response-Stamp", stampOf(id)},
-                                 {"Content-Type", "text/event-stream"}}};
+    const http::RelayHead head {
+            200,
+            {{"X-Request-Id", id},
+             {"X-Response-Stamp", stampOf(id)},
+             {"Content-Type", server.model_ ? "text/event-stream" : "text/plain"}}};
     if (header(request, "X-Expect-Instance") != server.id_)
         return exchange->answer({421, {}}, {});
     record(server, request);
@@ -440,6 +442,11 @@
     });
 }
 
+void PlatformStandin::setEventGap(std::chrono::milliseconds gap)
+{
+    impl_->locked([&] { impl_->eventGap_ = gap; });
+}
+
 void PlatformStandin::setLongestWork(std::chrono::milliseconds longest)
 {
     impl_->locked([&] { impl_->longestWork_ = longest; });
--- a/standins/platform/platformstandin.h
+++ b/standins/platform/platformstandin.h
@@ -63,6 +63,7 @@
     void setEntryAddress(const std::string &server, const Address &address);
     //! Plain servers work on each request for a time of its own below this one.
     void setLongestWork(std::chrono::milliseconds longest);
+    void setEventGap(std::chrono::milliseconds gap);
 
 private:
     struct Impl;
