--- a/standins/platform/platformstandin.cpp
+++ b/standins/platform/platformstandin.cpp
@@ -277,7 +277,7 @@
              {"X-Response-Stamp", stampOf(id)},
              {"Content-Type", server.model_ ? "text/event-stream" : "text/plain"}}};
     if (header(request, "X-Expect-Instance") != server.id_)
-        return exchange->answer({421, {echo.front()}}, {});
+        return exchange->answer({421, {head.headers_.front()}}, {});
     record(server, request);
     if (!server.model_)
         return work(exchange, head, id);
