A stream that ends inside an event is cut, and goes on elsewhere

An endpoint's stream that ended inside an event was passed on as complete, its last events missing; one that ended inside its first event became a whole 200 with an empty body. Cause: onDone went by the answer's framing; what the splitter still held was dropped. Evidence: processes-gateway, aBrokenStreamGoesOnElsewhere with two new rows. Ruled out: a connection that is reset, or ends before its chunks do: those fail already. Change: an event stream that ends with part of an event counts as broken, so it is resumed where its kind allows it. The stand-in can end a stream so. After: all three rows hold. Conclusion: an answer that ends early no longer looks complete.

--- a/lab/tests/tst_gatewayprocess.cpp
+++ b/lab/tests/tst_gatewayprocess.cpp
@@ -128,14 +128,30 @@
         BOOST_TEST(run.tenant_ == "firm");
 }
 
+struct BrokenStreamCase
+{
+    const char *id_;
+    int afterEvents_;
+    standins::StreamBreak how_;
+    const char *lastEvent_;
+};
+
+const BrokenStreamCase BrokenStreamCases[] = {
+        {"broken", 3, standins::StreamBreak::Closed, "3"},
+        {"cut-inside-an-event", 3, standins::StreamBreak::InsideEvent, "3"},
+        {"cut-inside-the-first-event", 0, standins::StreamBreak::InsideEvent, ""},
+};
+
 BOOST_FIXTURE_TEST_CASE(aBrokenStreamGoesOnElsewhere, Fixture)
 {
-    platform_.breakNextStream(3);
-    const Answer answer = quote("broken");
-    BOOST_TEST(answer.whole_);
-    BOOST_TEST(eventsOf(answer.text_) == "1,2,3,4,5,6");
-    BOOST_TEST(runsOf("broken") == 2U);
-    BOOST_TEST(platform_.runs().back().lastEvent_ == "3");
+    for (const BrokenStreamCase &test : BrokenStreamCases) {
+        platform_.breakNextStream(test.afterEvents_, test.how_);
+        const Answer answer = quote(test.id_);
+        BOOST_TEST(answer.whole_, test.id_);
+        BOOST_TEST(eventsOf(answer.text_) == "1,2,3,4,5,6", test.id_);
+        BOOST_TEST(runsOf(test.id_) == 2U, test.id_);
+        BOOST_TEST(platform_.runs().back().lastEvent_ == test.lastEvent_, test.id_);
+    }
 }
 
 BOOST_FIXTURE_TEST_CASE(aNewStateIsTakenUp, Fixture)
--- a/src/app/internal/gatewaytraffic.cpp
+++ b/src/app/internal/gatewaytraffic.cpp
@@ -219,8 +219,13 @@
     };
     handlers.onBody_ = [this, id](std::string_view bytes) { onBody(id, bytes); };
     handlers.onDone_ = [this, id] {
+        // An endpoint that ends inside an event has broken off, however its answer was framed.
+        const bool cut = !calls_.at(id).splitter_.partial_.empty();
         withTraffic([&](const GatewayView &view, TimePoint now) {
-            onSendDone(traffic_, view, id, now);
+            if (cut)
+                onSendFailed(traffic_, view, id, SendFailure::Broken, "ends inside an event", now);
+            else
+                onSendDone(traffic_, view, id, now);
         });
         calls_.erase(id);
     };
--- a/standins/platform/platformstandin.cpp
+++ b/standins/platform/platformstandin.cpp
@@ -92,6 +92,7 @@
     void onRead(const http::RelayRequest &request, const ExchangePtr &exchange);
     void onModel(Server &server, const http::RelayRequest &request, const ExchangePtr &exchange);
     void onOrder(Server &server, const http::RelayRequest &request, const ExchangePtr &exchange);
+    void breakStream(const ExchangePtr &exchange, int next) const;
     void stream(const ExchangePtr &exchange, const std::string &id, int next, int breakAt);
     void work(const ExchangePtr &exchange, const http::RelayHead &head, const std::string &id);
     std::string report(const Server &server);
@@ -109,6 +110,7 @@
     std::vector<ServerRun> runs_;
     bool storeDown_ = false;
     int breakAfter_ = -1;
+    StreamBreak breakHow_ = StreamBreak::Closed;
     std::chrono::milliseconds longestWork_ {0};
     std::chrono::milliseconds eventGap_ = DefaultEventGap;
     std::jthread thread_;
@@ -239,11 +241,19 @@
     });
 }
 
+void PlatformStandin::Impl::breakStream(const ExchangePtr &exchange, int next) const
+{
+    if (breakHow_ == StreamBreak::Closed)
+        return exchange->breakOff();
+    exchange->write("id: " + std::to_string(next) + "\ndata: ");
+    exchange->finish();
+}
+
 void PlatformStandin::Impl::stream(const ExchangePtr &exchange, const std::string &id, int next,
                                    int breakAt)
 {
     if (next == breakAt)
-        return exchange->breakOff();
+        return breakStream(exchange, next);
     if (next > EventsOfStream)
         return exchange->finish();
     const std::string number = std::to_string(next);
@@ -375,9 +385,12 @@
     impl_->locked([&] { impl_->storeDown_ = down; });
 }
 
-void PlatformStandin::breakNextStream(int afterEvents)
+void PlatformStandin::breakNextStream(int afterEvents, StreamBreak how)
 {
-    impl_->locked([&] { impl_->breakAfter_ = afterEvents; });
+    impl_->locked([&] {
+        impl_->breakAfter_ = afterEvents;
+        impl_->breakHow_ = how;
+    });
 }
 
 void PlatformStandin::setDraining(const std::string &server)
--- a/standins/platform/platformstandin.h
+++ b/standins/platform/platformstandin.h
@@ -34,6 +34,8 @@
 //! Stamp that every server puts on its answer to a request.
 std::string stampOf(const std::string &request);
 
+enum class StreamBreak : std::uint8_t { Closed, InsideEvent };
+
 class PlatformStandin
 {
 public:
@@ -50,8 +52,8 @@
                    bool withExtraRoute);
     //! The store answers nothing from now on, or again.
     void setStoreDown(bool down);
-    //! The next stream breaks off after so many events.
-    void breakNextStream(int afterEvents);
+    //! The next stream breaks off after so many events, or ends in the middle of the next one.
+    void breakNextStream(int afterEvents, StreamBreak how = StreamBreak::Closed);
     void setDraining(const std::string &server);
     std::vector<ServerRun> runs();
     //! Layers that a model server holds, "none" or "FIRST-END".
