Gauges of stray answers and repeated ids

Change: stray_answers and repeated_ids on the metrics address. Evidence: builds; processes-gateway reads the metrics address. Conclusion: either kind shows without a log.

--- a/src/app/internal/gatewayprocess.cpp
+++ b/src/app/internal/gatewayprocess.cpp
@@ -75,6 +75,8 @@
     auto &sends = metrics_.gauge("sends", "Requests sent to endpoints, repeats included");
     auto &retries = metrics_.gauge("retries", "Repeats that the budget allowed");
     auto &spent = metrics_.gauge("retries_without_budget", "Repeats that the budget forbade");
+    auto &strays = metrics_.gauge("stray_answers", "Endpoints' answers that were passed over");
+    auto &repeated = metrics_.gauge("repeated_ids", "Requests whose id was in hand already");
     auto &version = metrics_.gauge("config_version", "Version of the desired state in force");
     auto &age = metrics_.gauge("config_age_ms", "Time since the state in force was confirmed");
     auto &lease = metrics_.gauge("placement_lease", "1 while this process places layers");
@@ -90,6 +92,8 @@
         sends.Set(static_cast<double>(counters->sends_));
         retries.Set(static_cast<double>(counters->retries_));
         spent.Set(static_cast<double>(counters->retriesWithoutBudget_));
+        strays.Set(static_cast<double>(counters->strayAnswers_));
+        repeated.Set(static_cast<double>(counters->repeatedIds_));
         const RouteTableState &routes = control_.state().routes_;
         version.Set(routes.table_ ? static_cast<double>(routes.table_->state_.version_.value_) : 0);
         age.Set(toMilliseconds(ageOf(routes, now).value_or(Duration())));
