A report is never the late answer to an earlier question

Callers saw: nothing; placement could believe an endpoint's earlier report. Cause: reports name no question and came on kept connections, so a late second answer was taken for the next one. Ruled out: the quiet check; the late answer may come after it. Change: questions, like orders, have connections of their own. Reports are few. After: all cases of test_platform hold. Conclusion: nothing that an endpoint answers is told apart by its place alone.

--- a/src/platform/internal/endpointclient.cpp
+++ b/src/platform/internal/endpointclient.cpp
@@ -7,6 +7,8 @@
 namespace detail {
 namespace {
 
+//! Answers name no question: on a kept connection a late one could be taken for the next.
+constexpr bool FreshConnection = true;
 constexpr std::chrono::milliseconds EndpointTimeout {450};
 //! Largest report, and largest answer to an order, in bytes.
 constexpr std::uint64_t MaxAnswerBytes = 256UL * 1024;
@@ -23,7 +25,7 @@
     http::HttpRequest request;
     request.path_ = "/report";
     client_.send(question.address_, std::move(request),
-                 {detail::EndpointTimeout, false, detail::MaxAnswerBytes},
+                 {detail::EndpointTimeout, detail::FreshConnection, detail::MaxAnswerBytes},
                  [callback = std::move(callback)](const http::ClientResult &answer) {
                      if (!answer.response_ || answer.response_->status_ != detail::StatusOk)
                          return callback(std::nullopt);
@@ -39,9 +41,8 @@
     request.headers_
             = {{"Content-Type", "application/json"}, {"X-Expect-Instance", order.endpoint_.value_}};
     request.body_ = encodePlaceOrder(order.layers_, order.expected_);
-    // Answers name no request: on a kept connection, a late one could be taken for the outcome.
     client_.send(order.address_, std::move(request),
-                 {detail::EndpointTimeout, true, detail::MaxAnswerBytes},
+                 {detail::EndpointTimeout, detail::FreshConnection, detail::MaxAnswerBytes},
                  [callback = std::move(callback)](const http::ClientResult &answer) {
                      callback(answer.response_ ? orderOutcomeOf(answer.response_->status_)
                                                : OrderOutcome::Unknown);
