A caller that leaves behind a full read-ahead is noticed

Endpoints saw: work that went on after the caller had left, if it had written more than 64 KB ahead. Cause: with the read-ahead full no read is under way, and only a read noticed the end. Reading is resumed with the next request, as before. After: all cases of test_http-relay hold. Conclusion: needs a caller that writes far ahead; found by reading.

--- a/src/http/internal/relayserver.cpp
+++ b/src/http/internal/relayserver.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <netinet/tcp.h>
 
 namespace gypsumcroft::http {
 
@@ -430,6 +431,26 @@
     }
 }
 
+//! True when the caller has ended its side, whether or not all its bytes were read.
+bool hasLeft(RelayConnection &connection)
+{
+    tcp_info info {};
+    socklen_t size = sizeof info;
+    const int got
+            = getsockopt(connection.socket_.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size);
+    return got == 0 && (info.tcpi_state == TCP_CLOSE_WAIT || info.tcpi_state == TCP_CLOSE);
+}
+
+//! A read notices that a caller leaves, but none is under way behind a full buffer.
+void closeLeft(RelayShared &shared)
+{
+    for (RelayConnection *connection : shared.connections_) {
+        if (connection->inHand_ && !connection->reading_ && !connection->closed_
+            && hasLeft(*connection))
+            connection->close();
+    }
+}
+
 bool isIdle(const RelayConnection &connection)
 {
     return !connection.closed_ && !connection.inHand_ && !connection.writing_
@@ -486,6 +507,7 @@
         while (!self->shared_->ended_) {
             co_await pause(self->context_, detail::SweepInterval);
             detail::closeStalled(*self->shared_, detail::Clock::now());
+            detail::closeLeft(*self->shared_);
         }
     }
 
--- a/src/http/tests/tst_relay.cpp
+++ b/src/http/tests/tst_relay.cpp
@@ -285,7 +285,9 @@
 // A caller that closes while its request is in hand is noticed, also behind a pipelined request.
 BOOST_AUTO_TEST_CASE(leavingIsNoticed)
 {
-    for (const std::string extra : {"", "GET /b HTTP/1.1\r\nHost: x\r\n\r\n"}) {
+    const std::string next = "GET /b HTTP/1.1\r\nHost: x\r\n\r\n";
+    // The last is more than the server reads ahead.
+    for (const std::string &extra : {std::string(), next, next + std::string(100000, 'y')}) {
         asio::io_context context;
         std::shared_ptr<http::RelayExchange> held;
         bool gone = false;
