The relay server's connection in files of its own; its tests by what they test

Change: RelayConnection in internal/relayconnection, the server's tables in tst_relayserver (limits, leaving, last answers) and tst_relayrequests (requests on one connection); one runUntil for the module's tests. Nothing but places and names changes: the list of test cases is the same. Conclusion: one job a file.

--- a/src/http/internal/relayserver.cpp
+++ b/src/http/internal/relayserver.cpp
@@ -1,13 +1,13 @@
 #include "http/relayserver.h"
 
 #include <algorithm>
-#include <array>
 #include <cstdio>
-#include <unordered_set>
 
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+
+#include "relayconnection.h"
 #include <netinet/tcp.h>
 
 namespace gypsumcroft::http {
@@ -18,11 +18,6 @@
 
 namespace detail {
 
-constexpr std::size_t ReadBytes = 8192;
-//! Bytes of following requests that are kept while one is in hand.
-constexpr std::size_t MaxReadAhead = 64UL * 1024;
-//! A caller that is behind by more than this when more is to be sent is given up on.
-constexpr std::size_t MaxWaitingBytes = 1024UL * 1024;
 //! Time for a caller to take the last answer while what it still sends is read and dropped.
 constexpr std::chrono::milliseconds LingerTime {500};
 //! Connections are looked over this often.
@@ -41,184 +36,6 @@
 
 using Parser = beast::http::request_parser<beast::http::string_body>;
 
-enum class Answer { None, Begun, Whole };
-
-//! How the body of an answer in parts ends.
-enum class Ending { NoBody, Chunks, Close };
-
-//! State that connections share with their server.
-struct RelayShared
-{
-    RelayHandler handler_;
-    RelayServerLimits limits_;
-    std::unordered_set<RelayConnection *> connections_;
-    //! Bytes that wait for callers, and bytes of requests that are not whole yet.
-    std::size_t waitingBytes_ = 0;
-    std::size_t unfinishedBytes_ = 0;
-    std::uint64_t accepted_ = 0;
-    bool closing_ = false;
-    bool stopped_ = false;
-    bool ended_ = false;
-};
-
-using Clock = asio::steady_timer::clock_type;
-
-struct RelayConnection : std::enable_shared_from_this<RelayConnection>
-{
-    RelayConnection(tcp::socket socket, std::shared_ptr<RelayShared> shared)
-        : socket_(std::move(socket)), wake_(socket_.get_executor()), shared_(std::move(shared))
-    {
-        id_ = {++shared_->accepted_};
-        shared_->connections_.insert(this);
-    }
-
-    ~RelayConnection()
-    {
-        countWaiting(0);
-        countUnfinished(0);
-        shared_->connections_.erase(this);
-    }
-
-    void countWaiting(std::size_t bytes)
-    {
-        shared_->waitingBytes_ += bytes - waitingBytes_;
-        waitingBytes_ = bytes;
-    }
-
-    void countUnfinished(std::size_t bytes)
-    {
-        shared_->unfinishedBytes_ += bytes - unfinishedBytes_;
-        unfinishedBytes_ = bytes;
-    }
-
-    void startRead()
-    {
-        if (reading_ || closed_)
-            return;
-        reading_ = true;
-        socket_.async_read_some(
-                asio::buffer(incoming_),
-                [self = shared_from_this()](boost::system::error_code error, std::size_t size) {
-                    self->reading_ = false;
-                    self->buffer_.commit(asio::buffer_copy(self->buffer_.prepare(size),
-                                                           asio::buffer(self->incoming_, size)));
-                    if (error)
-                        self->close();
-                    else if (self->inHand_ && self->buffer_.size() < MaxReadAhead)
-                        self->startRead();
-                    self->wake_.cancel();
-                });
-    }
-
-    void close()
-    {
-        if (closed_)
-            return;
-        closed_ = true;
-        boost::system::error_code ignored;
-        // Where the end of the connection ends the answer, only a reset says that it is cut.
-        if (answer_ == Answer::Begun && ending_ == Ending::Close)
-            socket_.set_option(asio::socket_base::linger(true, 0), ignored);
-        socket_.close(ignored);
-        waiting_ = {};
-        countWaiting(0);
-        wake_.cancel();
-        if (onGone_)
-            asio::post(socket_.get_executor(), std::exchange(onGone_, nullptr));
-    }
-
-    void send(std::string_view bytes)
-    {
-        if (closed_)
-            return;
-        if (waitingBytes_ > MaxWaitingBytes)
-            return close();
-        countWaiting(waitingBytes_ + bytes.size());
-        waiting_ += bytes;
-        if (!writing_)
-            writeNext();
-        if (shared_->waitingBytes_ > shared_->limits_.maxWaitingBytes_)
-            closeSlowest();
-    }
-
-    //! Gives up the connection with the most bytes waiting.
-    void closeSlowest()
-    {
-        const auto slower = [](const RelayConnection *left, const RelayConnection *right) {
-            return left->waitingBytes_ < right->waitingBytes_;
-        };
-        const auto &all = shared_->connections_;
-        (*std::max_element(all.begin(), all.end(), slower))->close();
-    }
-
-    void writeNext()
-    {
-        writing_ = true;
-        progressAt_ = Clock::now();
-        sending_ = std::move(waiting_);
-        waiting_.clear();
-        sent_ = 0;
-        writeSome();
-    }
-
-    void writeSome()
-    {
-        socket_.async_write_some(
-                asio::buffer(sending_) + sent_,
-                [self = shared_from_this()](boost::system::error_code error, std::size_t size) {
-                    self->written(error, size);
-                });
-    }
-
-    void written(boost::system::error_code error, std::size_t size)
-    {
-        sent_ += size;
-        countWaiting(waitingBytes_ - std::min(waitingBytes_, size));
-        writing_ = false;
-        if (error)
-            close();
-        if (closed_)
-            return;
-        progressAt_ = Clock::now();
-        writing_ = sent_ < sending_.size() || !waiting_.empty();
-        if (sent_ < sending_.size())
-            writeSome();
-        else if (!waiting_.empty())
-            writeNext();
-        else
-            wake_.cancel();
-    }
-
-    tcp::socket socket_;
-    asio::steady_timer wake_;
-    std::shared_ptr<RelayShared> shared_;
-    ConnectionId id_;
-    //! A read may be under way while the buffer is consumed, so it has a place of its own.
-    std::array<char, ReadBytes> incoming_;
-    beast::flat_buffer buffer_;
-    std::string waiting_;
-    std::string sending_;
-    std::size_t sent_ = 0;
-    std::size_t waitingBytes_ = 0;
-    std::size_t unfinishedBytes_ = 0;
-    //! When bytes were last taken by the caller, or began to be sent.
-    Clock::time_point progressAt_;
-    //! When the last request was taken, or the connection accepted.
-    Clock::time_point usedAt_ = Clock::now();
-    std::function<void()> onGone_;
-    Answer answer_ = Answer::None;
-    Ending ending_ = Ending::Chunks;
-    //! Counts requests, so that a late answer to an earlier one does nothing.
-    std::uint64_t exchange_ = 0;
-    bool headRequest_ = false;
-    bool knowsChunks_ = true;
-    bool keepAlive_ = true;
-    bool inHand_ = false;
-    bool reading_ = false;
-    bool writing_ = false;
-    bool closed_ = false;
-};
-
 namespace {
 
 std::string headText(RelayConnection &connection, const RelayHead &head, const std::string &framing)
@@ -419,12 +236,6 @@
     connection->close();
 }
 
-} // namespace
-} // namespace detail
-
-namespace detail {
-namespace {
-
 //! Gives up callers that take nothing of what waits for them.
 void closeStalled(RelayShared &shared, Clock::time_point now)
 {
--- a/src/http/tests/replyingserver.h
+++ b/src/http/tests/replyingserver.h
@@ -10,6 +10,7 @@
 #include <boost/asio.hpp>
 
 #include "core/ids.h"
+#include "rununtil.h"
 
 namespace gypsumcroft::http::tests {
 
@@ -85,13 +86,4 @@
     Connection *last_ = nullptr;
 };
 
-inline bool runUntil(asio::io_context &context, std::chrono::seconds limit,
-                     const std::function<bool()> &condition)
-{
-    const auto end = std::chrono::steady_clock::now() + limit;
-    while (!condition() && std::chrono::steady_clock::now() < end)
-        context.run_one_for(std::chrono::milliseconds(50));
-    return condition();
-}
-
 } // namespace gypsumcroft::http::tests
--- /dev/null
+++ b/src/http/tests/tst_relayserver.cpp
@@ -0,0 +1,349 @@
+#include <chrono>
+#include <functional>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <boost/asio.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "http/relayserver.h"
+#include "rununtil.h"
+
+using namespace gypsumcroft;
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using http::tests::runUntil;
+
+namespace {
+
+//! What a caller writes, and the beginning of each line of status that it gets.
+struct CallerCase
+{
+    const char *name_;
+    std::string bytes_;
+    const char *statuses_;
+};
+
+std::ostream &operator<<(std::ostream &out, const CallerCase &test)
+{
+    return out << test.name_;
+}
+
+const CallerCase CallerCases[] = {
+        {"one request", "GET /a HTTP/1.1\r\nHost: x\r\n\r\n", "200"},
+        {"two at once", "GET /a HTTP/1.1\r\nHost: x\r\n\r\nGET /b HTTP/1.1\r\nHost: x\r\n\r\n",
+         "200 200"},
+        {"a body with a length", "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabc",
+         "200"},
+        {"a body in chunks",
+         "POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+         "200"},
+        {"waits for leave to send the body",
+         "POST /a HTTP/1.1\r\nHost: x\r\nExpect: 100-continue\r\nContent-Length: 1\r\n\r\na",
+         "100 200"},
+        {"a body over the limit", "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 999\r\n\r\n",
+         "413"},
+        {"a header over the limit",
+         "GET /a HTTP/1.1\r\nHost: x\r\nX-Long: " + std::string(2000, 'y') + "\r\n\r\n", "431"},
+        {"no request", "hello there\r\n\r\n", "400"},
+        {"two lengths",
+         "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab", "400"},
+        {"a header that does not end", "GET /a HTTP/1.1\r\nHost: x\r\n", "408"},
+        {"a body that does not end", "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\nab",
+         "408"},
+};
+
+std::string statusesOf(const std::string &text)
+{
+    std::string statuses;
+    for (std::size_t at = text.find("HTTP/1.1 "); at != std::string::npos;
+         at = text.find("HTTP/1.1 ", at + 1))
+        statuses += (statuses.empty() ? "" : " ") + text.substr(at + 9, 3);
+    return statuses;
+}
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(callersAreAnswered, CallerCases, test)
+{
+    asio::io_context context;
+    http::RelayServer server(context, [](const http::RelayRequest &,
+                                         const std::shared_ptr<http::RelayExchange> &exchange) {
+        exchange->answer({200, {}}, "ok");
+    });
+    http::RelayServerLimits limits;
+    limits.maxHeaderBytes_ = 1000;
+    limits.maxBodyBytes_ = 100;
+    limits.headerTimeout_ = limits.bodyTimeout_ = std::chrono::milliseconds(200);
+    limits.idleTimeout_ = std::chrono::milliseconds(400);
+    server.setLimits(limits);
+    const auto address = server.listen({"127.0.0.1", 0});
+    BOOST_REQUIRE_MESSAGE(address, address.lastReason_);
+    std::string answer;
+    std::jthread caller([&] {
+        asio::io_context own;
+        tcp::socket socket(own);
+        socket.connect({asio::ip::make_address(address->host_), address->port_});
+        boost::system::error_code error;
+        asio::write(socket, asio::buffer(test.bytes_), error);
+        asio::read(socket, asio::dynamic_buffer(answer), error);
+        asio::post(context, [&context] { context.stop(); });
+    });
+    context.run_for(std::chrono::seconds(10));
+    caller.join();
+    BOOST_TEST(statusesOf(answer) == test.statuses_);
+}
+
+// A caller that closes while its request is in hand is noticed, also behind a pipelined request.
+BOOST_AUTO_TEST_CASE(leavingIsNoticed)
+{
+    const std::string next = "GET /b HTTP/1.1\r\nHost: x\r\n\r\n";
+    // The last is more than the server reads ahead.
+    for (const std::string &extra : {std::string(), next, next + std::string(100000, 'y')}) {
+        asio::io_context context;
+        std::shared_ptr<http::RelayExchange> held;
+        bool gone = false;
+        tcp::socket caller(context);
+        http::RelayServer server(context,
+                                 [&](const http::RelayRequest &,
+                                     const std::shared_ptr<http::RelayExchange> &exchange) {
+                                     held = exchange;
+                                     exchange->onGone([&] { gone = true; });
+                                     caller.close();
+                                 });
+        const auto address = server.listen({"127.0.0.1", 0});
+        BOOST_REQUIRE(address);
+        caller.connect({asio::ip::make_address(address->host_), address->port_});
+        asio::write(caller, asio::buffer("GET /a HTTP/1.1\r\nHost: x\r\n\r\n" + extra));
+        BOOST_TEST(runUntil(context, [&] { return gone; }));
+        held->answer({200, {}}, "late");
+    }
+}
+
+//! A caller that has more to send than it is answered, on a connection that ends with the answer.
+struct LastAnswerCase
+{
+    const char *name_;
+    std::size_t answerBytes_;
+    //! Sent behind the request, never read by the server as a request.
+    std::size_t extraBytes_;
+    //! The caller asks for the end; else the server begins to close with the request in hand.
+    bool callerCloses_;
+};
+
+std::ostream &operator<<(std::ostream &out, const LastAnswerCase &test)
+{
+    return out << test.name_;
+}
+
+constexpr std::size_t Megabyte = 1024UL * 1024;
+
+const LastAnswerCase LastAnswerCases[] = {
+        {"short", 2, 0, true},
+        {"large", 3 * Megabyte, 0, true},
+        {"short, bytes behind the request", 2, Megabyte, true},
+        {"900 KB, bytes behind the request", 900UL * 1024, Megabyte, true},
+        {"large, bytes behind the request", 3 * Megabyte, Megabyte, true},
+        {"the server begins to close", 2, 0, false},
+        {"the server begins to close, large", 3 * Megabyte, 0, false},
+};
+
+// The answer is whole and says that the connection ends, even if the caller reads it late.
+BOOST_DATA_TEST_CASE(lastAnswerIsWholeAndSaysSo, LastAnswerCases, test)
+{
+    namespace beast = boost::beast;
+    asio::io_context context;
+    std::unique_ptr<http::RelayServer> server;
+    const std::string body(test.answerBytes_, 'x');
+    server = std::make_unique<http::RelayServer>(
+            context,
+            [&](const http::RelayRequest &, const std::shared_ptr<http::RelayExchange> &exchange) {
+                if (!test.callerCloses_)
+                    server->closeAfterAnswers();
+                exchange->answer({200, {}}, body);
+            });
+    const auto address = server->listen({"127.0.0.1", 0});
+    BOOST_REQUIRE(address);
+    beast::http::response_parser<beast::http::string_body> answer;
+    answer.body_limit(2 * test.answerBytes_);
+    boost::system::error_code error;
+    std::jthread caller([&] {
+        asio::io_context own;
+        tcp::socket socket(own);
+        socket.connect({asio::ip::make_address(address->host_), address->port_});
+        const std::string end = test.callerCloses_ ? "Connection: close\r\n" : "";
+        asio::write(socket,
+                    asio::buffer("GET /a HTTP/1.1\r\nHost: x\r\n" + end + "\r\n"
+                                 + std::string(test.extraBytes_, 'y')),
+                    error);
+        std::this_thread::sleep_for(std::chrono::milliseconds(100));
+        beast::flat_buffer buffer;
+        beast::http::read(socket, buffer, answer, error);
+        asio::post(context, [&context] { context.stop(); });
+    });
+    context.run_for(std::chrono::seconds(10));
+    caller.join();
+    BOOST_TEST(!error, error.message());
+    BOOST_TEST(answer.get().body().size() == body.size());
+    BOOST_TEST(!answer.get().keep_alive());
+}
+
+//! Many callers at once that don't read, or don't come to an end.
+struct GreedyCase
+{
+    const char *name_;
+    std::size_t callers_;
+    std::string bytes_;
+    //! Written again and again until the connection ends.
+    std::string trickle_;
+    std::size_t answerBytes_;
+    std::size_t mostConnections_;
+    std::size_t mostBytes_;
+    //! Whether all are given up on in time.
+    bool allEnd_;
+};
+
+std::ostream &operator<<(std::ostream &out, const GreedyCase &test)
+{
+    return out << test.name_;
+}
+
+const std::string GetB = "GET /b HTTP/1.1\r\nHost: x\r\n\r\n";
+const std::string PostHead = "POST /a HTTP/1.1\r\nHost: x\r\n";
+
+const GreedyCase GreedyCases[] = {
+        {"never read a whole answer", 1, GetB, "", 6 * Megabyte, 1, 7 * Megabyte, true},
+        {"never read, many", 16, GetB, "", 6 * Megabyte, 16, 32 * Megabyte, true},
+        {"never read a stream", 4, "GET /stream HTTP/1.1\r\nHost: x\r\n\r\n", "", 256UL * 1024, 4,
+         8 * Megabyte, true},
+        {"a head that trickles", 2, PostHead, "X-More: y\r\n", 2, 2, Megabyte, true},
+        {"a body that trickles", 2, PostHead + "Content-Length: 99999\r\n\r\n", "y", 2, 2, Megabyte,
+         true},
+        {"chunks that trickle", 2, PostHead + "Transfer-Encoding: chunked\r\n\r\n", "1\r\ny\r\n", 2,
+         2, Megabyte, true},
+        {"bodies without an end, many", 40,
+         PostHead + "Content-Length: 2000000\r\n\r\n" + std::string(1900000, 'y'), "", 2, 40,
+         33 * Megabyte, true},
+        {"idle, many", 100, "", "", 2, 20, Megabyte, false},
+};
+
+http::RelayServerLimits greedyLimits()
+{
+    http::RelayServerLimits limits;
+    limits.headerTimeout_ = limits.bodyTimeout_ = limits.sendTimeout_
+            = std::chrono::milliseconds(400);
+    limits.maxConnections_ = 20;
+    limits.maxWaitingBytes_ = limits.maxUnfinishedBytes_ = 32 * Megabyte;
+    return limits;
+}
+
+//! Streams pieces until the caller is given up on.
+void streamOn(asio::io_context &context, const std::shared_ptr<http::RelayExchange> &exchange,
+              const std::shared_ptr<bool> &gone, std::size_t size)
+{
+    if (*gone)
+        return;
+    exchange->write(std::string(size, 'x'));
+    auto timer = std::make_shared<asio::steady_timer>(context, std::chrono::milliseconds(5));
+    timer->async_wait([&context, timer, exchange, gone, size](boost::system::error_code) {
+        streamOn(context, exchange, gone, size);
+    });
+}
+
+struct GreedyCaller
+{
+    explicit GreedyCaller(asio::io_context &context) : socket_(context) { }
+
+    void write(const GreedyCase &test)
+    {
+        asio::async_write(socket_, asio::buffer(test.bytes_),
+                          [this, &test](boost::system::error_code error, std::size_t) {
+                              if (!error && !test.trickle_.empty())
+                                  trickle(test);
+                          });
+    }
+
+    void trickle(const GreedyCase &test)
+    {
+        timer_.expires_after(std::chrono::milliseconds(20));
+        timer_.async_wait([this, &test](boost::system::error_code) {
+            boost::system::error_code error;
+            asio::write(socket_, asio::buffer(test.trickle_), error);
+            if (!error)
+                trickle(test);
+        });
+    }
+
+    tcp::socket socket_;
+    asio::steady_timer timer_ {socket_.get_executor()};
+};
+
+BOOST_DATA_TEST_CASE(greedyCallersAreBounded, GreedyCases, test)
+{
+    asio::io_context context;
+    http::RelayServer server(context, [&](const http::RelayRequest &request,
+                                          const std::shared_ptr<http::RelayExchange> &exchange) {
+        if (request.target_ != "/stream")
+            return exchange->answer({200, {}}, std::string(test.answerBytes_, 'x'));
+        const auto gone = std::make_shared<bool>(false);
+        exchange->onGone([gone] { *gone = true; });
+        exchange->begin({200, {}});
+        streamOn(context, exchange, gone, test.answerBytes_);
+    });
+    http::RelayServerLimits limits = greedyLimits();
+    limits.maxConnections_ = std::max<std::size_t>(test.mostConnections_, 20);
+    server.setLimits(limits);
+    const auto address = server.listen({"127.0.0.1", 0});
+    BOOST_REQUIRE(address);
+    std::vector<std::unique_ptr<GreedyCaller>> callers;
+    for (std::size_t i = 0; i < test.callers_; ++i) {
+        callers.push_back(std::make_unique<GreedyCaller>(context));
+        callers.back()->socket_.connect({asio::ip::make_address(address->host_), address->port_});
+        callers.back()->write(test);
+    }
+    std::size_t mostConnections = 0;
+    std::size_t mostBytes = 0;
+    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(4);
+    while (std::chrono::steady_clock::now() < end
+           && (mostConnections == 0 || server.connections() > 0)) {
+        context.run_one_for(std::chrono::milliseconds(10));
+        mostConnections = std::max(mostConnections, server.connections());
+        mostBytes = std::max(mostBytes, server.bytesHeld());
+    }
+    BOOST_TEST(mostConnections <= test.mostConnections_);
+    BOOST_TEST(mostBytes <= test.mostBytes_);
+    BOOST_TEST((server.connections() == 0) == test.allEnd_);
+}
+
+// The end of the connection ends an answer to HTTP/1.0, so one that is broken off must be reset.
+BOOST_AUTO_TEST_CASE(brokenOffAnswerIsNotWholeToOldCallers)
+{
+    asio::io_context context;
+    http::RelayServer server(context, [&](const http::RelayRequest &,
+                                          const std::shared_ptr<http::RelayExchange> &exchange) {
+        exchange->begin({200, {}});
+        exchange->write("half");
+        const auto timer
+                = std::make_shared<asio::steady_timer>(context, std::chrono::milliseconds(30));
+        timer->async_wait([timer, exchange](boost::system::error_code) { exchange->breakOff(); });
+    });
+    const auto address = server.listen({"127.0.0.1", 0});
+    BOOST_REQUIRE(address);
+    asio::io_context own;
+    tcp::socket socket(own);
+    socket.connect({asio::ip::make_address(address->host_), address->port_});
+    asio::write(socket, asio::buffer(std::string("GET /a HTTP/1.0\r\n\r\n")));
+    boost::system::error_code end;
+    std::jthread caller([&] {
+        std::string answer;
+        asio::read(socket, asio::dynamic_buffer(answer), end);
+        asio::post(context, [&context] { context.stop(); });
+    });
+    context.run_for(std::chrono::seconds(5));
+    caller.join();
+    BOOST_TEST(end == asio::error::connection_reset);
+}
