One measure of a server without descriptors, for both of its tests

Cause: tst_serverend and tst_meshend each had their own copy of timeSpentWithoutDescriptors. Change: it stands in wire/tests/descriptorshortage.h and both call it; the cases, the bounds and the assertions are as they were. Ruled out: a place in core/tests, which every module could reach; only these two need it, and http may include wire. Conclusion: tests only.

--- a/src/wire/tests/tst_meshend.cpp
+++ b/src/wire/tests/tst_meshend.cpp
@@ -1,6 +1,5 @@
 #include <atomic>
 #include <chrono>
-#include <ctime>
 #include <fstream>
 #include <memory>
 #include <string>
@@ -11,14 +10,14 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
-#include <sys/resource.h>
-
 #include "wire/codec.h"
 #include "wire/mesh.h"
+#include "wire/tests/descriptorshortage.h"
 
 using namespace gypsumcroft;
 namespace asio = boost::asio;
 using asio::ip::tcp;
+using tests::timeSpentWithoutDescriptors;
 
 namespace {
 
@@ -42,29 +41,6 @@
         {"peers both ways on many contexts", 4, 16, 8},
 };
 
-//! Time that a thread spends in 200 ms while no descriptor is left for a caller that waits.
-template <typename Listen>
-std::chrono::milliseconds timeSpentWithoutDescriptors(asio::io_context &context,
-                                                      const Listen &listen)
-{
-    const Address address = listen();
-    asio::io_context own;
-    tcp::socket caller(own, tcp::v4());
-    context.run_for(std::chrono::milliseconds(20));
-    rlimit before {};
-    getrlimit(RLIMIT_NOFILE, &before);
-    rlimit none = before;
-    none.rlim_cur = 3;
-    setrlimit(RLIMIT_NOFILE, &none);
-    caller.connect({asio::ip::make_address(address.host_), address.port_});
-    const std::clock_t start = std::clock();
-    context.restart();
-    context.run_for(std::chrono::milliseconds(200));
-    const std::clock_t spent = std::clock() - start;
-    setrlimit(RLIMIT_NOFILE, &before);
-    return std::chrono::milliseconds(spent * 1000 / CLOCKS_PER_SEC);
-}
-
 } // namespace
 
 // The contexts are destroyed in their order, the listener's first, as in a process that ends.
