--- a/lab/gatewayprogram.h
+++ b/lab/gatewayprogram.h
@@ -43,6 +43,8 @@
     int exitCode() const { return exitCode_; }
     bool isReady() const;
     std::string log() const;
+    std::string settings() const;
+    void writeSettings(const std::string &text) const;
     //! The most memory that the running process has held; 0 if it is gone.
     std::uint64_t peakBytes() const;
 
@@ -52,6 +54,7 @@
 
 private:
     std::vector<std::string> command_;
+    std::string settingsFile_;
     std::string log_;
     pid_t pid_ = -1;
     int exitCode_ = 0;
--- a/lab/tests/tst_gatewayprocess.cpp
+++ b/lab/tests/tst_gatewayprocess.cpp
@@ -241,3 +241,138 @@
                              "gypsumcroft_retries", "gypsumcroft_config_age_ms"})
         BOOST_TEST(metrics.find(name) != std::string::npos, name);
 }
+
+namespace {
+
+//! How often a text occurs in the gateway's log.
+std::size_t countInLog(const GatewayProgram &gateway, const std::string &text)
+{
+    const std::string log = gateway.log();
+    std::size_t count = 0;
+    for (std::size_t at = log.find(text); at != std::string::npos; at = log.find(text, at + 1))
+        ++count;
+    return count;
+}
+
+std::string oddEntry(const char *field, const std::string &value)
+{
+    const std::vector<std::pair<std::string, std::string>> fields
+            = {{"Service", R"("desk")"}, {"Address", R"("127.0.0.1:9")"}, {"Zone", R"("a")"},
+               {"Slots", "4"},           {"State", R"("ready")"},         {"Sequence", "1"}};
+    std::string text = "{";
+    for (const auto &[name, usual] : fields)
+        text += (text.size() == 1 ? "\"" : ",\"") + name + "\":" + (name == field ? value : usual);
+    return text + "}";
+}
+
+} // namespace
+
+// Entries of another writer among those of the servers: both gateways go on following the list,
+// neither ends, and each entry is logged once.
+BOOST_FIXTURE_TEST_CASE(oddEntriesCostNothing, Fixture)
+{
+    const std::string deep(10'000, '[');
+    platform_.putOddEntry("i-deep", deep);
+    platform_.putOddEntry("i-deep-object", oddEntry("Slots", deep + std::string(10'000, ']')));
+    platform_.putOddEntry("i-number", oddEntry("Slots", "1e400"));
+    platform_.putOddEntry("i-number-2", oddEntry("Slots", "18446744073709551616"));
+    platform_.putOddEntry("i-port", oddEntry("Address", R"("127.0.0.1:70000")"));
+    platform_.putOddEntry("i-port-2", oddEntry("Address", R"("127.0.0.1:80a")"));
+    platform_.putOddEntry("i-port-3", oddEntry("Address", R"("127.0.0.1:-1")"));
+    platform_.putOddEntry("i-bytes", std::string("\x00\xff\n{", 4));
+    platform_.putOddEntry("i-long", oddEntry("State", '"' + std::string(200'000, 'x') + '"'));
+    for (const auto &gateway : gateways_)
+        BOOST_TEST(waitFor([&] { return countInLog(*gateway, "endpoint=i-port-3") == 1; }));
+    // The list is still followed: a change of another entry takes effect.
+    platform_.setDraining("i-model1");
+    for (const auto &gateway : gateways_) {
+        BOOST_TEST(waitFor([&] {
+            return countInLog(*gateway, "event=endpoint-changed endpoint=i-model1") > 0;
+        }));
+        BOOST_TEST(!gateway->hasEnded());
+        BOOST_TEST(countInLog(*gateway, "event=endpoint-unreadable") <= 10U);
+        BOOST_TEST(countInLog(*gateway, "event=endpoint-list-lost") == 0U);
+        BOOST_TEST(ask(gateway->callers_, "GET", "/look/x", "odd", "key").status_
+                   == "HTTP/1.1 200");
+    }
+}
+
+// A server that says in its answers that it leaves, while its entry still says ready: its layers
+// are placed elsewhere, and neither the gateway that heard it nor the other sends it anything.
+BOOST_FIXTURE_TEST_CASE(aLeavingServerGetsNothingNew, Fixture)
+{
+    const std::string path = platform_.runs().back().path_;
+    std::string leaving;
+    for (const std::string &server : platform_.modelServers()) {
+        if (path.starts_with("127.0.0.1:" + std::to_string(platform_.addressOf(server).port_)))
+            leaving = server;
+    }
+    BOOST_REQUIRE(!leaving.empty());
+    platform_.setLeaving(leaving);
+    BOOST_TEST(quote("tells").whole_);
+    BOOST_TEST(waitFor([&] { return quote("elsewhere").whole_; }));
+    for (const auto &gateway : gateways_)
+        BOOST_TEST(waitFor([&] {
+            return countInLog(*gateway, "event=endpoint-leaving") > 0
+                   || countInLog(*gateway, "event=endpoint-leaving-elsewhere") > 0;
+        }));
+    const std::size_t before = platform_.arrivals().size();
+    for (int i = 0; i < 4; ++i) {
+        for (const auto &gateway : gateways_)
+            ask(gateway->callers_, "POST", "/quote/x", "later" + std::to_string(i), "key");
+    }
+    const auto arrivals = platform_.arrivals();
+    for (std::size_t i = before; i < arrivals.size(); ++i)
+        BOOST_TEST(arrivals[i].server_ != leaving);
+    BOOST_TEST(arrivals.size() > before);
+}
+
+// A server that turns requests away for two seconds gets none meanwhile, and some again afterwards.
+BOOST_FIXTURE_TEST_CASE(aServerIsNotAskedBeforeItsTime, Fixture)
+{
+    constexpr std::chrono::milliseconds Pause {2000};
+    constexpr std::chrono::milliseconds Late {500};
+    platform_.turnAwayFor("i-desk", Pause);
+    const Address to = gateways_[0]->callers_;
+    const auto end = std::chrono::steady_clock::now() + 2 * Pause;
+    for (int i = 0; std::chrono::steady_clock::now() < end; ++i) {
+        const Answer answer = ask(to, "GET", "/look/x", "turned" + std::to_string(i), "key");
+        BOOST_TEST(answer.status_ == "HTTP/1.1 503");
+    }
+    std::vector<std::chrono::steady_clock::time_point> arrivals;
+    for (const standins::ServerRun &arrival : platform_.arrivals()) {
+        if (arrival.request_.starts_with("turned"))
+            arrivals.push_back(arrival.at_);
+    }
+    BOOST_REQUIRE(arrivals.size() >= 2U);
+    for (std::size_t i = 1; i < arrivals.size(); ++i) {
+        const auto since = arrivals[i] - arrivals[0];
+        BOOST_TEST((since < Late || since >= Pause));
+    }
+}
+
+// Settings with findings change nothing and are all reported; good ones take effect; in neither
+// case is a stream cut.
+BOOST_FIXTURE_TEST_CASE(settingsAreReadAgain, Fixture)
+{
+    GatewayProgram &gateway = *gateways_[0];
+    const std::string good = gateway.settings();
+    Answer answer;
+    std::jthread caller([&] { answer = quote("meanwhile"); });
+    BOOST_REQUIRE(waitFor([&] { return runsOf("meanwhile") == 1; }));
+    gateway.writeSettings(R"({"role":"gateway","instance":7,"bounds":{"graceS":-1}})");
+    gateway.signal(SIGHUP);
+    BOOST_TEST(waitFor([&] { return countInLog(gateway, "event=reload outcome=kept") == 1; }));
+    BOOST_TEST(countInLog(gateway, "event=reload-finding") >= 3U);
+    std::string changed = good;
+    changed.replace(changed.find("\"retrySlack\":100"), 16, "\"retrySlack\":50");
+    gateway.writeSettings(changed);
+    gateway.signal(SIGHUP);
+    BOOST_TEST(waitFor([&] {
+        return countInLog(gateway, "event=reload-changed setting=bounds/retrySlack") == 1;
+    }));
+    caller.join();
+    BOOST_TEST(answer.whole_);
+    BOOST_TEST(quote("afterwards").whole_);
+    BOOST_TEST(!gateway.hasEnded());
+}
--- a/src/app/internal/gatewaycontrol.cpp
+++ b/src/app/internal/gatewaycontrol.cpp
@@ -18,13 +18,20 @@
 //! Wait of a read for a newer desired state; each answer confirms the one in force.
 constexpr Duration ConfigWait = std::chrono::milliseconds(1400);
 constexpr Duration RetryDelay = std::chrono::milliseconds(150);
+constexpr std::size_t MaxLoggedKeyBytes = 64;
+//! Lines about unreadable entries that one poll of the endpoint list may log.
+constexpr std::uint64_t MaxUnreadableLines = 20;
 
 } // namespace
 
 GatewayControlLoop::GatewayControlLoop(asio::io_context &context, const GatewaySettings &settings,
                                        std::uint64_t incarnation, Publish publish)
     : context_(context), topicPartitions_(settings.topicPartitions_), publish_(std::move(publish)),
-      store_(context, settings.storeAddress_), endpoints_(context),
+      store_(context, settings.storeAddress_),
+      endpoints_(context,
+                 [this](const EndpointId &endpoint, const EndpointNotice &notice) {
+                     onControlNotice(control_, endpoint, notice, monotonicNow());
+                 }),
       datagrams_(
               context, [this](Datagram datagram) { onDatagram(std::move(datagram)); },
               [this](const std::string &reason) {
@@ -34,7 +41,8 @@
 {
     control_.self_ = settings.instance_;
     control_.incarnation_ = {incarnation};
-    control_.domain_ = settings.domain_;
+    control_.random_ = {incarnation};
+    control_.members_.domain_ = settings.domain_;
     control_.bounds_ = settings.bounds_;
     control_.lease_.limits_ = settings.lease_;
 }
@@ -51,19 +59,28 @@
     auto bound = datagrams_.bind(mesh);
     if (!bound)
         return bound;
-    control_.address_ = *bound;
+    control_.members_.self_ = *bound;
     // Members are named by where they are reached, so that peers find them.
     member_ = formatAddress(*bound) + MemberSeparator
               + std::to_string(control_.incarnation_.value_);
     return bound;
 }
 
+void GatewayControlLoop::applySettings(const GatewaySettings &settings)
+{
+    topicPartitions_ = settings.topicPartitions_;
+    onBoundsChanged(control_, settings.bounds_, settings.lease_);
+    perform();
+}
+
 void GatewayControlLoop::note(TrafficNote note)
 {
     if (const auto *doubt = std::get_if<RequestProbe>(&note))
         onProbeRequested(control_, doubt->endpoint_, monotonicNow());
     else if (auto *shares = std::get_if<OwnEndpointLoads>(&note))
         onOwnLoads(control_, std::move(*shares));
+    else if (const auto *notice = std::get_if<EndpointNoticeSeen>(&note))
+        onEndpointNotice(control_, *notice, monotonicNow());
     perform();
 }
 
@@ -95,18 +112,18 @@
 void GatewayControlLoop::readNewestConfig()
 {
     const TimePoint asked = monotonicNow();
-    store_.readLatest(platform::DesiredStateTopic,
-                      [this, asked](const Result<platform::CompactedTopic> &topic) {
-                          if (!topic) {
-                              onPlatformRequestFailed(control_, "config", topic.lastReason_,
-                                                      monotonicNow());
-                              perform();
-                              return later(RetryDelay, [this] { readNewestConfig(); });
-                          }
-                          configNext_ = topic->endOffset_;
-                          takeConfig(topic->records_, asked);
-                          tailConfig();
-                      });
+    store_.readLatest(
+            platform::DesiredStateTopic,
+            [this, asked](const Result<platform::CompactedTopic> &topic) {
+                if (!topic) {
+                    onPlatformRequestFailed(control_, "config", topic.lastReason_, monotonicNow());
+                    perform();
+                    return later(RetryDelay, [this] { readNewestConfig(); });
+                }
+                configNext_ = topic->endOffset_;
+                runGuarded(errors_, "config", [&] { takeConfig(topic->records_, asked); });
+                tailConfig();
+            });
 }
 
 void GatewayControlLoop::tailConfig()
@@ -126,7 +143,7 @@
                     // Nothing came for the whole wait, so nothing was newer at its end.
                     if (span->records_.empty() && now - asked >= ConfigWait)
                         onDesiredStateConfirmed(control_, asked + ConfigWait, now);
-                    takeConfig(span->records_, asked);
+                    runGuarded(errors_, "config", [&] { takeConfig(span->records_, asked); });
                     tailConfig();
                 });
 }
@@ -158,23 +175,47 @@
                     perform();
                     return later(RetryDelay, [this] { readEndpoints(); });
                 }
-                std::vector<ListedEndpoint> listed;
-                for (const platform::CompactedRecord &record : topic->records_) {
-                    auto endpoint = platform::decodeListedEndpoint(record.key_,
-                                                                   record.value_.value_or(""));
-                    if (endpoint)
-                        listed.push_back(std::move(*endpoint));
-                    else
-                        GC_LOG_WARNING(LogLine("endpoint-unreadable")
-                                               .add("endpoint", record.key_)
-                                               .add("reason", endpoint.lastReason_));
-                }
-                onEndpointList(control_, listed, asked, now);
-                perform();
+                runGuarded(errors_, "endpoint-list", [&] { takeEndpoints(*topic, asked); });
                 later(nextListPoll(control_.endpoints_, now) - now, [this] { readEndpoints(); });
             });
 }
 
+void GatewayControlLoop::logUnreadable(const std::map<std::string, std::string> &unreadable)
+{
+    std::uint64_t changed = 0;
+    for (const auto &[key, reason] : unreadable) {
+        const auto known = unreadable_.find(key);
+        if (known != unreadable_.end() && known->second == reason)
+            continue;
+        if (++changed <= MaxUnreadableLines)
+            GC_LOG_WARNING(LogLine("endpoint-unreadable")
+                                   .add("endpoint", key.substr(0, MaxLoggedKeyBytes))
+                                   .add("reason", reason));
+    }
+    if (changed > MaxUnreadableLines)
+        GC_LOG_WARNING(LogLine("endpoints-unreadable")
+                               .add("left_out", changed - MaxUnreadableLines)
+                               .add("all", std::uint64_t {unreadable.size()}));
+}
+
+//! Takes the entries that can be read; each of the others is logged when it appears or changes.
+void GatewayControlLoop::takeEndpoints(const platform::CompactedTopic &topic, TimePoint asked)
+{
+    std::vector<ListedEndpoint> listed;
+    std::map<std::string, std::string> unreadable;
+    for (const platform::CompactedRecord &record : topic.records_) {
+        auto endpoint = platform::decodeListedEndpoint(record.key_, record.value_.value_or(""));
+        if (endpoint)
+            listed.push_back(std::move(*endpoint));
+        else
+            unreadable[record.key_] = endpoint.lastReason_;
+    }
+    logUnreadable(unreadable);
+    unreadable_ = std::move(unreadable);
+    onEndpointList(control_, listed, asked, monotonicNow());
+    perform();
+}
+
 void GatewayControlLoop::perform()
 {
     std::vector<GatewayControlEffect> effects = std::move(control_.effects_);
@@ -185,7 +226,7 @@
         perform(effect);
     }
     if (changed)
-        publish_(std::make_shared<const GatewayView>(gatewayViewOf(control_)));
+        publish_(std::make_shared<const GatewayView>(gatewayViewOf(control_, monotonicNow())));
 }
 
 void GatewayControlLoop::perform(GatewayControlEffect &effect)
@@ -223,10 +264,7 @@
         const auto &held = membership->partitions_;
         const bool granted = std::find(held.begin(), held.end(), LeasePartition) != held.end();
         onJoinResponse(control_, {membership->generation_}, granted, sent, now);
-        // Partitions are dealt evenly, so one's own share tells how many members there are.
-        const auto share = static_cast<std::uint32_t>(held.size());
-        onGatewayCount(control_,
-                       share == 0 ? 2 * topicPartitions_ : (topicPartitions_ + share - 1) / share);
+        onPartitionShare(control_, static_cast<std::uint32_t>(held.size()), topicPartitions_);
         perform();
     });
 }
@@ -251,7 +289,7 @@
             if (const auto address = parseAddress(member.substr(0, member.find(MemberSeparator))))
                 peers.push_back(*address);
         }
-        onPeersListed(control_, std::move(peers));
+        onPeersListed(control_, std::move(peers), topicPartitions_);
     });
 }
 
--- a/src/app/internal/gatewaycontrol.h
+++ b/src/app/internal/gatewaycontrol.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -26,6 +27,8 @@
 
     Result<Address> listen(const Address &mesh);
     void start();
+    //! Takes the settings that may change in a running process.
+    void applySettings(const GatewaySettings &settings);
     void note(TrafficNote note);
     //! The process is stopping; the lease goes to another.
     void beginStop();
@@ -37,6 +40,8 @@
     void tailConfig();
     void takeConfig(const std::vector<platform::CompactedRecord> &records, TimePoint asked);
     void readEndpoints();
+    void takeEndpoints(const platform::CompactedTopic &topic, TimePoint asked);
+    void logUnreadable(const std::map<std::string, std::string> &unreadable);
     void later(Duration delay, std::function<void()> action);
     Duration tick();
 
@@ -58,6 +63,9 @@
     platform::StoreClient store_;
     platform::EndpointClient endpoints_;
     RateLimitedLog garbage_;
+    RateLimitedLog errors_;
+    //! Reason for which an entry of the endpoint list could not be read, by its key.
+    std::map<std::string, std::string> unreadable_;
     DatagramSocket datagrams_;
     std::optional<Ticker> ticker_;
 };
--- a/src/app/internal/gatewayprocess.cpp
+++ b/src/app/internal/gatewayprocess.cpp
@@ -19,18 +19,20 @@
 class GatewayProcess
 {
 public:
-    explicit GatewayProcess(const GatewaySettings &settings);
+    GatewayProcess(const GatewaySettings &settings, SettingsLoader load);
     int run();
 
 private:
     void setUpMetrics();
     void waitForSignal();
+    void reload();
     void requestStop();
     void onTraffic(Duration delay, std::function<void()> action);
     void finishWhenIdle();
     void end(std::size_t cut);
 
     GatewaySettings settings_;
+    SettingsLoader load_;
     Runtime runtime_;
     std::uint64_t incarnation_;
     Mailbox<TrafficNote> mailbox_;
@@ -43,8 +45,8 @@
     StopPlan stop_;
 };
 
-GatewayProcess::GatewayProcess(const GatewaySettings &settings)
-    : settings_(settings), runtime_(1),
+GatewayProcess::GatewayProcess(const GatewaySettings &settings, SettingsLoader load)
+    : settings_(settings), load_(std::move(load)), runtime_(1),
       incarnation_(static_cast<std::uint64_t>(
               std::chrono::system_clock::now().time_since_epoch().count())),
       mailbox_(runtime_.control(), [this](TrafficNote note) { control_.note(std::move(note)); }),
@@ -107,13 +109,44 @@
         if (error)
             return;
         if (signal == SIGHUP)
-            GC_LOG_INFO(LogLine("reload").add("changed", "nothing"));
+            reload();
         else
             requestStop();
         waitForSignal();
     });
 }
 
+//! Takes what may change in a running process. Connections and requests in progress go on.
+void GatewayProcess::reload()
+{
+    Findings findings;
+    const auto loaded = load_(findings);
+    for (const Finding &finding : findings)
+        GC_LOG_ERROR(LogLine("reload-finding")
+                             .add("place", finding.place_)
+                             .add("reason", finding.message_));
+    if (!loaded || !findings.empty()) {
+        GC_LOG_ERROR(LogLine("reload")
+                             .add("outcome", "kept")
+                             .add("findings", std::uint64_t {findings.size()}));
+        return;
+    }
+    const SettingsChanges changes = compareSettings(settings_, *loaded);
+    for (const std::string &name : changes.needRestart_)
+        GC_LOG_WARNING(LogLine("reload-needs-restart").add("setting", name));
+    for (const std::string &name : changes.applied_)
+        GC_LOG_INFO(LogLine("reload-changed").add("setting", name));
+    settings_.bounds_ = loaded->bounds_;
+    settings_.lease_ = loaded->lease_;
+    settings_.topicPartitions_ = loaded->topicPartitions_;
+    settings_.grace_ = loaded->grace_;
+    control_.applySettings(settings_);
+    GC_LOG_INFO(LogLine("reload")
+                        .add("outcome", "applied")
+                        .add("changed", std::uint64_t {changes.applied_.size()})
+                        .add("need_restart", std::uint64_t {changes.needRestart_.size()}));
+}
+
 void GatewayProcess::onTraffic(Duration delay, std::function<void()> action)
 {
     callLater(*runtime_.traffic().front(), delay, std::move(action));
@@ -179,9 +212,9 @@
 
 } // namespace detail
 
-int runGateway(const GatewaySettings &settings)
+int runGateway(const GatewaySettings &settings, SettingsLoader load)
 {
-    detail::GatewayProcess process(settings);
+    detail::GatewayProcess process(settings, std::move(load));
     return process.run();
 }
 
--- a/src/app/internal/gatewaytraffic.cpp
+++ b/src/app/internal/gatewaytraffic.cpp
@@ -197,6 +197,8 @@
         refuse(*refusal);
     } else if (const auto *note = std::get_if<RequestProbe>(&effect)) {
         note_(*note);
+    } else if (const auto *notice = std::get_if<EndpointNoticeSeen>(&effect)) {
+        note_(*notice);
     } else if (const auto *event = std::get_if<LogEvent>(&effect)) {
         writeLog(event->level_, event->text_);
     }
--- a/src/app/internal/main.cpp
+++ b/src/app/internal/main.cpp
@@ -56,20 +56,33 @@
 }
 
 template <typename DaemonSettings>
-int runDaemon(std::optional<DaemonSettings> (*decode)(std::string_view, const std::string &,
-                                                      Findings &),
-              int (*run)(const DaemonSettings &))
+using Decoder
+        = std::optional<DaemonSettings> (*)(std::string_view, const std::string &, Findings &);
+
+template <typename DaemonSettings>
+std::optional<DaemonSettings> loadSettings(Decoder<DaemonSettings> decode, const std::string &path,
+                                           Findings &findings)
 {
-    const std::string path = settingsFile();
     std::ifstream file(path, std::ios::binary);
-    if (path.empty() || !file) {
-        std::cerr << "--settings must name a file that can be read\n";
-        return ExitUsage;
+    if (!file) {
+        addFinding(findings, path, "can't be read");
+        return std::nullopt;
     }
     std::ostringstream text;
     text << file.rdbuf();
+    return decode(text.str(), path, findings);
+}
+
+template <typename DaemonSettings, typename Run>
+int runDaemon(Decoder<DaemonSettings> decode, const Run &run)
+{
+    const std::string path = settingsFile();
+    if (path.empty() || !std::ifstream(path, std::ios::binary)) {
+        std::cerr << "--settings must name a file that can be read\n";
+        return ExitUsage;
+    }
     Findings findings;
-    const auto settings = decode(text.str(), path, findings);
+    const auto settings = loadSettings(decode, path, findings);
     for (const Finding &finding : findings)
         std::cerr << finding.place_ << ": " << finding.message_ << "\n";
     if (!findings.empty())
@@ -102,7 +115,11 @@
 
 int gateway(const Arguments &)
 {
-    return runDaemon<GatewaySettings>(decodeGatewaySettings, runGateway);
+    return runDaemon<GatewaySettings>(decodeGatewaySettings, [](const GatewaySettings &settings) {
+        return runGateway(settings, [path = settingsFile()](Findings &findings) {
+            return loadSettings<GatewaySettings>(decodeGatewaySettings, path, findings);
+        });
+    });
 }
 
 int check(const Arguments &arguments)
--- a/src/app/internal/runtime.h
+++ b/src/app/internal/runtime.h
@@ -5,8 +5,10 @@
 
 #include <atomic>
 #include <chrono>
+#include <exception>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <thread>
 #include <variant>
 #include <vector>
@@ -15,6 +17,7 @@
 #include <oneapi/tbb/concurrent_queue.h>
 
 #include "core/units.h"
+#include "ratelimitedlog.h"
 
 namespace gypsumcroft::detail {
 
@@ -30,6 +33,19 @@
             std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec)));
 }
 
+//! Runs an action. An exception ends the action only and is logged: one request or message that
+//! meets an unforeseen error must not end the process with all the others.
+template <typename Action>
+void runGuarded(RateLimitedLog &log, const char *where, const Action &action)
+{
+    try {
+        action();
+    } catch (const std::exception &error) {
+        log.warn(LogLine("unexpected-error").add("where", where).add("reason", error.what()),
+                 monotonicNow());
+    }
+}
+
 class Runtime
 {
 public:
@@ -54,13 +70,9 @@
     {
         std::vector<std::jthread> threads;
         for (const auto &context : traffic_) {
-            threads.emplace_back([&context] {
-                const auto guard = asio::make_work_guard(*context);
-                context->run();
-            });
+            threads.emplace_back([this, &context] { runContext(*context, "traffic"); });
         }
-        const auto guard = asio::make_work_guard(control_);
-        control_.run();
+        runContext(control_, "control");
         for (const auto &context : traffic_)
             context->stop();
     }
@@ -69,6 +81,14 @@
     void stop() { control_.stop(); }
 
 private:
+    void runContext(asio::io_context &context, const char *thread)
+    {
+        const auto guard = asio::make_work_guard(context);
+        while (!context.stopped())
+            runGuarded(errors_, thread, [&] { context.run(); });
+    }
+
+    RateLimitedLog errors_;
     asio::io_context control_ {1};
     std::vector<std::unique_ptr<asio::io_context>> traffic_;
 };
@@ -96,13 +116,14 @@
         woken_ = false;
         Note note;
         while (notes_.try_pop(note))
-            handler_(std::move(note));
+            runGuarded(errors_, "mailbox", [&] { handler_(std::move(note)); });
     }
 
     asio::io_context &control_;
     std::function<void(Note)> handler_;
     tbb::concurrent_queue<Note> notes_;
     std::atomic<bool> woken_ {false};
+    RateLimitedLog errors_;
 };
 
 //! Calls an action once, after the delay.
@@ -116,6 +137,7 @@
 }
 
 //! Calls an action again and again on an io_context; the action returns the time until the next.
+//! An exception out of the action is logged, and the next call comes after ErrorInterval.
 class Ticker
 {
 public:
@@ -126,17 +148,23 @@
     }
 
 private:
+    static constexpr Duration ErrorInterval = std::chrono::milliseconds(100);
+
     void arm(Duration delay)
     {
         timer_.expires_after(delay);
         timer_.async_wait([this](boost::system::error_code error) {
-            if (!error)
-                arm(action_());
+            if (error)
+                return;
+            Duration next = ErrorInterval;
+            runGuarded(errors_, "ticker", [&] { next = action_(); });
+            arm(next);
         });
     }
 
     asio::steady_timer timer_;
     std::function<Duration()> action_;
+    RateLimitedLog errors_;
 };
 
 } // namespace gypsumcroft::detail
--- a/src/controllers/gatewayview.h
+++ b/src/controllers/gatewayview.h
@@ -46,6 +46,8 @@
     std::shared_ptr<const EndpointLoads> lastDigestLoads_ = std::make_shared<EndpointLoads>();
     //! Endpoints that did not respond to their last probe.
     std::set<EndpointId> downEndpoints_;
+    //! Endpoints that asked for no requests until the given time.
+    std::unordered_map<EndpointId, TimePoint> pausedUntil_;
     //! When the desired state was last confirmed to be the newest one.
     std::optional<TimePoint> stateConfirmedAt_;
     //! When the last successful poll of the endpoint list was sent.
@@ -54,6 +56,8 @@
     FailureDomainId domain_;
     //! Number of gateways that share the retry budget and the endpoints, including this one.
     std::uint32_t gatewayCount_ = 1;
+    //! Number of other gateways whose loads are part of peerLoads_.
+    std::uint32_t peerCount_ = 0;
     RetryShareLimits retry_;
 };
 
@@ -64,6 +68,17 @@
     EndpointId endpoint_;
 };
 
+//! Message from traffic to control: what an endpoint said in a response.
+struct EndpointNoticeSeen
+{
+    EndpointId endpoint_;
+    //! Incarnation that the request was sent to.
+    std::uint64_t incarnation_ = 0;
+    bool leaving_ = false;
+    //! Set if the endpoint wants no requests until then.
+    std::optional<TimePoint> pausedUntil_;
+};
+
 //! Message from traffic to control: current load of this gateway's requests on the endpoints.
 struct OwnEndpointLoads
 {
--- a/src/controllers/internal/endpointlist.cpp
+++ b/src/controllers/internal/endpointlist.cpp
@@ -36,6 +36,29 @@
            && left.modelVersion_ == right.modelVersion_;
 }
 
+//! True if the endpoint is leaving in this incarnation.
+bool isLeaving(const EndpointListState &state, const ListedEndpoint &listed)
+{
+    const auto found = state.leaving_.find(listed.id_);
+    return found != state.leaving_.end() && found->second.incarnation_ == listed.incarnation_;
+}
+
+void forgetLeaving(EndpointListState &state, TimePoint now)
+{
+    std::erase_if(state.leaving_, [&](const auto &entry) {
+        return now - entry.second.since_ > state.limits_.forgetLeavingAfter_;
+    });
+}
+
+//! True while the list may lag behind the endpoint's own report. Later the list holds, even if it
+//! shows an earlier incarnation: the other one came from an entry that has been corrected.
+bool reportIsNewer(const EndpointListState &state, const KnownEndpoint &known,
+                   TimePoint requestedAt)
+{
+    return known.reportRequestedAt_
+           && requestedAt - *known.reportRequestedAt_ < state.limits_.maxListLag_;
+}
+
 bool applyListing(EndpointListState &state, ListedEndpoint listed, TimePoint requestedAt,
                   TimePoint now)
 {
@@ -44,13 +67,16 @@
     known.missingSince_.reset();
     if (isNew) {
         known.firstSeen_ = now;
-    } else if (listed.incarnation_ < known.listed_.incarnation_) {
-        return false;
-    } else if (known.reportRequestedAt_
-               && requestedAt - *known.reportRequestedAt_ < state.limits_.maxListLag_
-               && known.listed_.incarnation_ == listed.incarnation_) {
-        listed.layers_ = known.listed_.layers_;
+    } else if (reportIsNewer(state, known, requestedAt)) {
+        if (listed.incarnation_ < known.listed_.incarnation_)
+            return false;
+        if (listed.incarnation_ == known.listed_.incarnation_)
+            listed.layers_ = known.listed_.layers_;
     }
+    if (isLeaving(state, listed))
+        listed.state_ = ListedState::Draining;
+    if (listed.incarnation_ != known.listed_.incarnation_)
+        known.pausedUntil_ = {};
     if (!isNew && sameListing(known.listed_, listed))
         return false;
     known.listed_ = std::move(listed);
@@ -90,6 +116,7 @@
         && requestedAt - *state.lastResponseAt_ > state.limits_.unavailableAfter_)
         state.recoveredAt_ = now;
     detail::logRecovery(state, now);
+    detail::forgetLeaving(state, now);
     state.lastResponseAt_ = now;
     state.confirmedAt_ = requestedAt;
     bool changed = false;
@@ -164,4 +191,52 @@
     return changed;
 }
 
+bool markLeaving(EndpointListState &state, const EndpointId &endpoint, std::uint64_t incarnation,
+                 bool firstHand, TimePoint now)
+{
+    const auto known = state.endpoints_.find(endpoint);
+    if (known != state.endpoints_.end() && incarnation < known->second.listed_.incarnation_)
+        return false;
+    LeavingEndpoint &leaving = state.leaving_[endpoint];
+    if (incarnation < leaving.incarnation_)
+        return false;
+    if (incarnation > leaving.incarnation_ || leaving.since_ == TimePoint())
+        leaving = {incarnation, now, false};
+    leaving.firstHand_ = leaving.firstHand_ || firstHand;
+    if (known == state.endpoints_.end())
+        return false;
+    ListedEndpoint &listed = known->second.listed_;
+    if (listed.state_ == ListedState::Draining || listed.incarnation_ != incarnation)
+        return false;
+    listed.state_ = ListedState::Draining;
+    detail::logEndpoint(state, firstHand ? "endpoint-leaving" : "endpoint-leaving-elsewhere",
+                        listed);
+    return true;
+}
+
+std::vector<LeavingEndpointReport> leavingToReport(const EndpointListState &state, TimePoint now)
+{
+    std::vector<LeavingEndpointReport> reports;
+    for (const auto &[endpoint, leaving] : state.leaving_) {
+        if (leaving.firstHand_ && now - leaving.since_ < state.limits_.reportLeavingFor_)
+            reports.push_back({endpoint, leaving.incarnation_});
+    }
+    return reports;
+}
+
+void markPaused(EndpointListState &state, const EndpointId &endpoint, std::uint64_t incarnation,
+                TimePoint until)
+{
+    const auto known = state.endpoints_.find(endpoint);
+    if (known == state.endpoints_.end() || known->second.listed_.incarnation_ != incarnation)
+        return;
+    known->second.pausedUntil_ = std::max(known->second.pausedUntil_, until);
+}
+
+bool isPaused(const EndpointListState &state, const EndpointId &endpoint, TimePoint now)
+{
+    const auto known = state.endpoints_.find(endpoint);
+    return known != state.endpoints_.end() && now < known->second.pausedUntil_;
+}
+
 } // namespace gypsumcroft
--- a/src/controllers/internal/peers.cpp
+++ b/src/controllers/internal/peers.cpp
@@ -1,19 +1,9 @@
 #include "controllers/peers.h"
 
-#include <algorithm>
-#include <set>
 #include <tuple>
 
 namespace gypsumcroft {
 
-namespace detail {
-namespace {
-
-constexpr std::uint64_t CrossDomainDigestPeriod = 3;
-
-} // namespace
-} // namespace detail
-
 bool applyDigest(PeersState &state, GatewayDigestMessage digest, TimePoint now)
 {
     PeerGateway &peer = state.peers_[digest.instance_];
@@ -34,23 +24,6 @@
     });
 }
 
-std::vector<Address> digestRecipients(const PeersState &state, const Address &self,
-                                      const FailureDomainId &domain, std::uint64_t sequence)
-{
-    const bool toAll = sequence % detail::CrossDomainDigestPeriod == 0;
-    std::set<Address> targets;
-    if (toAll)
-        targets.insert(state.listedAddresses_.begin(), state.listedAddresses_.end());
-    for (const auto &[instance, peer] : state.peers_) {
-        if (toAll || peer.digest_.domain_ == domain)
-            targets.insert(peer.digest_.gateway_);
-    }
-    targets.erase(self);
-    std::vector<Address> list(targets.begin(), targets.end());
-    list.resize(std::min(list.size(), state.limits_.maxRecipients_));
-    return list;
-}
-
 std::shared_ptr<const EndpointLoads> totalPeerLoads(const PeersState &state)
 {
     auto sums = std::make_shared<EndpointLoads>();
--- a/src/controllers/internal/placement.cpp
+++ b/src/controllers/internal/placement.cpp
@@ -46,7 +46,7 @@
         PlacementNode node {id, known.listed_.domain_, known.listed_.accelerator_,
                             known.listed_.layers_};
         node.available_ = known.listed_.state_ == ListedState::Ready && !lost.contains(id);
-        node.assignable_ = node.available_;
+        node.assignable_ = node.available_ && now >= known.pausedUntil_;
         const auto step = state.steps_.find(id);
         if (step != state.steps_.end()) {
             if (isInProgress(step->second))
--- a/src/controllers/internal/probes.cpp
+++ b/src/controllers/internal/probes.cpp
@@ -8,10 +8,10 @@
 namespace {
 
 void sendProbe(ProbeState &state, const EndpointListState &list, const EndpointId &endpoint,
-               ProbeRecord &record)
+               ProbeRecord &record, TimePoint now)
 {
     const auto known = list.endpoints_.find(endpoint);
-    if (known == list.endpoints_.end() || record.inFlight_)
+    if (known == list.endpoints_.end() || record.inFlight_ || isPaused(list, endpoint, now))
         return;
     record.inFlight_ = true;
     state.reportRequests_.push_back({endpoint, known->second.listed_.address_});
@@ -30,7 +30,7 @@
 {
     ProbeRecord &record = state.records_[endpoint];
     if (now >= record.nextProbeAt_)
-        detail::sendProbe(state, list, endpoint, record);
+        detail::sendProbe(state, list, endpoint, record, now);
 }
 
 bool onProbeResult(ProbeState &state, const EndpointId &endpoint, bool answered, TimePoint now)
@@ -60,13 +60,22 @@
     return wasDown;
 }
 
+void onProbeVoid(ProbeState &state, const EndpointId &endpoint, TimePoint now)
+{
+    const auto found = state.records_.find(endpoint);
+    if (found == state.records_.end())
+        return;
+    found->second.inFlight_ = false;
+    found->second.nextProbeAt_ = now;
+}
+
 void tickProbes(ProbeState &state, const EndpointListState &list, TimePoint now)
 {
     std::erase_if(state.records_,
                   [&](const auto &entry) { return !list.endpoints_.contains(entry.first); });
     for (auto &[endpoint, record] : state.records_) {
         if (record.failures_ > 0 && now >= record.nextProbeAt_)
-            detail::sendProbe(state, list, endpoint, record);
+            detail::sendProbe(state, list, endpoint, record, now);
         // Without probes for a long time, the probe interval starts short again.
         if (now - record.nextProbeAt_ > state.limits_.maxProbeInterval_)
             record.responses_ = 0;
--- /dev/null
+++ b/src/controllers/members.h
@@ -0,0 +1,93 @@
+//! Controller of the set of gateways: which others there are, how many, and who gets the next
+//! digest. Learned from their digests, from the members that they name, and from the platform's
+//! group, whose list is complete only while it has fewer members than partitions.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "core/messages.h"
+#include "core/units.h"
+
+namespace gypsumcroft {
+
+struct MemberLimits
+{
+    //! Time without news of a gateway after which it no longer counts. Much longer than an outage
+    //! of a link or a restart: a gateway that is counted too long costs a part of the retry slack,
+    //! one that is dropped too early lets the others exceed it.
+    Duration forgetAfter_ = std::chrono::seconds(60);
+    //! Time without news after which a gateway gets no more digests.
+    Duration sendWithin_ = std::chrono::seconds(10);
+    //! Time from the first digest of another gateway until the known members count as complete.
+    Duration settleTime_ = std::chrono::seconds(2);
+    //! Members that one digest names.
+    std::size_t namedPerDigest_ = 12;
+    //! Maximum number of recipients of one digest; beyond it they take turns.
+    std::size_t maxRecipients_ = 256;
+};
+
+struct GatewayMember
+{
+    //! Empty until the first digest of the gateway itself.
+    FailureDomainId domain_;
+    //! When it is known to have been alive last.
+    TimePoint aliveAt_;
+    //! When its last own digest arrived.
+    std::optional<TimePoint> digestAt_;
+};
+
+//! The platform's group as this process sees it.
+struct GroupSize
+{
+    //! The group has at least this many members.
+    std::uint32_t atLeast_ = 0;
+    //! The list names every member, so that atLeast_ is the exact number.
+    bool complete_ = false;
+};
+
+struct MembersState
+{
+    MemberLimits limits_;
+    Address self_;
+    FailureDomainId domain_;
+    std::map<Address, GatewayMember> members_;
+    //! Members that the platform lists; some may not have sent a digest yet.
+    std::vector<Address> listed_;
+    GroupSize group_;
+    //! When the first digest of another gateway arrived.
+    std::optional<TimePoint> firstDigestAt_;
+    //! Last member named in a digest; the next digest goes on after it.
+    Address lastNamed_;
+};
+
+//! Notes a digest of the gateway itself.
+void applyMemberDigest(MembersState &state, const GatewayDigestMessage &digest, TimePoint now);
+
+//! Handles the platform's list of the members that hold a partition.
+void applyListedMembers(MembersState &state, std::vector<Address> listed, std::uint32_t partitions);
+
+//! Handles the number of partitions that the platform assigned to this process. They are dealt
+//! evenly, so it bounds the number of members from below.
+void applyPartitionShare(MembersState &state, std::uint32_t share, std::uint32_t partitions);
+
+void forgetMembers(MembersState &state, TimePoint now);
+
+//! Members for the next digest to name. Only those whose own digests arrive here are named:
+//! second-hand news passed on in circles would keep a dead gateway alive.
+std::vector<GatewayMemberReport> takeMembersToName(MembersState &state, TimePoint now);
+
+//! Recipients of the digest with the given sequence number. Gateways of the own failure domain get
+//! every digest. Traffic between domains is expensive and a gateway mostly uses endpoints of its
+//! own domain, so each of the others gets every third one.
+std::vector<Address> digestRecipients(const MembersState &state, std::uint64_t sequence,
+                                      TimePoint now);
+
+//! Number of gateways including this one; never less than known.
+std::uint32_t knownGateways(const MembersState &state);
+
+//! True once the known members are all that can be learned soon. Until then there may be far more.
+bool membersSettled(const MembersState &state, TimePoint now);
+
+} // namespace gypsumcroft
--- a/src/controllers/probes.h
+++ b/src/controllers/probes.h
@@ -59,6 +59,9 @@
 //! again.
 bool onProbeResult(ProbeState &state, const EndpointId &endpoint, bool answered, TimePoint now);
 
+//! Handles a probe whose result says nothing: the endpoint is probed again when requested.
+void onProbeVoid(ProbeState &state, const EndpointId &endpoint, TimePoint now);
+
 //! Probes endpoints that are down again and removes the records of endpoints no longer listed.
 void tickProbes(ProbeState &state, const EndpointListState &list, TimePoint now);
 
--- a/src/core/messages.h
+++ b/src/core/messages.h
@@ -332,6 +332,21 @@
     Duration remainingTime_ {};
 };
 
+//! An endpoint that said in a response to the sender that it is leaving.
+struct LeavingEndpointReport
+{
+    EndpointId endpoint_;
+    std::uint64_t incarnation_ = 0;
+};
+
+//! Another gateway whose digests the sender receives.
+struct GatewayMemberReport
+{
+    Address address_;
+    //! Time since its last digest arrived at the sender.
+    Duration age_ {};
+};
+
 //! State that a gateway shares with the other gateways over UDP.
 struct GatewayDigestMessage
 {
@@ -345,6 +360,9 @@
     std::vector<LayerMoveReport> layerMoves_;
     //! Endpoints that don't respond.
     std::vector<EndpointId> downEndpoints_;
+    std::vector<LeavingEndpointReport> leavingEndpoints_;
+    //! Some of the gateways that the sender hears; consecutive digests name different ones.
+    std::vector<GatewayMemberReport> members_;
 };
 
 //! Messages sent over UDP between processes.
--- a/src/documents/gatewaysettings.h
+++ b/src/documents/gatewaysettings.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "core/findings.h"
 #include "core/ids.h"
@@ -36,6 +37,17 @@
 std::optional<GatewaySettings> decodeGatewaySettings(std::string_view text,
                                                      const std::string &place, Findings &findings);
 
+//! What a reload of the settings changes in a running process.
+struct SettingsChanges
+{
+    //! Names of settings that take effect at once.
+    std::vector<std::string> applied_;
+    //! Names of settings that take effect when the process starts again.
+    std::vector<std::string> needRestart_;
+};
+
+SettingsChanges compareSettings(const GatewaySettings &running, const GatewaySettings &loaded);
+
 //! True if the text is a JSON object with the "role" "gateway".
 bool isGatewaySettings(std::string_view text);
 
--- a/src/documents/internal/gatewaysettings.cpp
+++ b/src/documents/internal/gatewaysettings.cpp
@@ -107,6 +107,38 @@
     return settings;
 }
 
+SettingsChanges compareSettings(const GatewaySettings &running, const GatewaySettings &loaded)
+{
+    SettingsChanges changes;
+    const auto compare = [](std::vector<std::string> &names, const char *name, const auto &before,
+                            const auto &after) {
+        if (before != after)
+            names.emplace_back(name);
+    };
+    const GatewayBounds &old = running.bounds_;
+    const GatewayBounds &now = loaded.bounds_;
+    compare(changes.applied_, "bounds/revokeMs", old.freshness_.maxKeyAge_,
+            now.freshness_.maxKeyAge_);
+    compare(changes.applied_, "bounds/applyMs", old.freshness_.maxStateAge_,
+            now.freshness_.maxStateAge_);
+    compare(changes.applied_, "bounds/retryRatio", old.retry_.ratio_, now.retry_.ratio_);
+    compare(changes.applied_, "bounds/retrySlack", old.retry_.slack_, now.retry_.slack_);
+    compare(changes.applied_, "bounds/retryWindowS", old.retry_.window_, now.retry_.window_);
+    compare(changes.applied_, "bounds/graceS", running.grace_, loaded.grace_);
+    compare(changes.applied_, "store/shortestLifetimeMs", running.lease_.lifetime_,
+            loaded.lease_.lifetime_);
+    compare(changes.applied_, "store/partitions", running.topicPartitions_,
+            loaded.topicPartitions_);
+    compare(changes.needRestart_, "instance", running.instance_, loaded.instance_);
+    compare(changes.needRestart_, "failureDomain", running.domain_, loaded.domain_);
+    compare(changes.needRestart_, "mesh", running.meshAddress_, loaded.meshAddress_);
+    compare(changes.needRestart_, "callers", running.callerAddress_, loaded.callerAddress_);
+    compare(changes.needRestart_, "ready", running.readinessAddress_, loaded.readinessAddress_);
+    compare(changes.needRestart_, "metrics", running.metricsAddress_, loaded.metricsAddress_);
+    compare(changes.needRestart_, "store/address", running.storeAddress_, loaded.storeAddress_);
+    return changes;
+}
+
 bool isGatewaySettings(std::string_view text)
 {
     boost::system::error_code error;
--- a/src/documents/tests/tst_documents.cpp
+++ b/src/documents/tests/tst_documents.cpp
@@ -4,6 +4,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "documents/configdocuments.h"
+#include "documents/gatewaysettings.h"
 #include "documents/settings.h"
 
 using namespace gypsumcroft;
@@ -105,3 +106,73 @@
     for (const char *bad : {"", "[]", "{}", R"({"record":"publish"})", R"({"record":"x"})"})
         BOOST_TEST(std::holds_alternative<MalformedRecord>(decodeConfigRecord(bad)));
 }
+
+namespace {
+
+//! Replaces one text in the settings of a running gateway.
+struct ReloadCase
+{
+    const char *before_;
+    const char *after_;
+    const char *applied_;
+    const char *needRestart_;
+};
+
+std::ostream &operator<<(std::ostream &out, const ReloadCase &test)
+{
+    return out << test.before_ << " -> " << test.after_;
+}
+
+constexpr const char *RunningSettings
+        = R"({"role":"gateway","instance":"g","failureDomain":"a","mesh":"127.0.0.1:1",)"
+          R"("callers":"127.0.0.1:2","ready":"127.0.0.1:3","metrics":"127.0.0.1:4",)"
+          R"("store":{"address":"127.0.0.1:5","partitions":12,"shortestLifetimeMs":3000},)"
+          R"("bounds":{"strictRevoke":true,"revokeMs":5000,"applyMs":2000,"retryRatio":0.2,)"
+          R"("retrySlack":100,"retryWindowS":10,"graceS":8}})";
+
+const ReloadCase ReloadCases[] = {
+        {"{", "{", "", ""},
+        {"\"revokeMs\":5000", "\"revokeMs\":4000", "bounds/revokeMs", ""},
+        {"\"strictRevoke\":true", "\"strictRevoke\":false", "bounds/revokeMs", ""},
+        {"\"applyMs\":2000", "\"applyMs\":4000", "bounds/applyMs", ""},
+        {"\"retryRatio\":0.2", "\"retryRatio\":0.3", "bounds/retryRatio", ""},
+        {"\"retrySlack\":100", "\"retrySlack\":320", "bounds/retrySlack", ""},
+        {"\"retryWindowS\":10", "\"retryWindowS\":5", "bounds/retryWindowS", ""},
+        {"\"graceS\":8", "\"graceS\":4", "bounds/graceS", ""},
+        {"\"partitions\":12", "\"partitions\":24", "store/partitions", ""},
+        {"\"shortestLifetimeMs\":3000", "\"shortestLifetimeMs\":4000", "store/shortestLifetimeMs",
+         ""},
+        {"\"instance\":\"g\"", "\"instance\":\"h\"", "", "instance"},
+        {"\"failureDomain\":\"a\"", "\"failureDomain\":\"b\"", "", "failureDomain"},
+        {"127.0.0.1:1\"", "127.0.0.1:9\"", "", "mesh"},
+        {"127.0.0.1:2\"", "127.0.0.1:9\"", "", "callers"},
+        {"127.0.0.1:3\"", "127.0.0.1:9\"", "", "ready"},
+        {"127.0.0.1:4\"", "127.0.0.1:9\"", "", "metrics"},
+        {"127.0.0.1:5\"", "127.0.0.1:9\"", "", "store/address"},
+};
+
+std::string joined(const std::vector<std::string> &names)
+{
+    std::string text;
+    for (const std::string &name : names)
+        text += (text.empty() ? "" : " ") + name;
+    return text;
+}
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(changedSettingsAreNamed, ReloadCases, test)
+{
+    Findings findings;
+    const std::string before = RunningSettings;
+    std::string after = before;
+    const std::string replaced = test.before_;
+    BOOST_REQUIRE(after.find(replaced) != std::string::npos);
+    after.replace(after.find(replaced), replaced.size(), test.after_);
+    const auto running = decodeGatewaySettings(before, "s", findings);
+    const auto loaded = decodeGatewaySettings(after, "s", findings);
+    BOOST_REQUIRE(findings.empty());
+    const SettingsChanges changes = compareSettings(*running, *loaded);
+    BOOST_TEST(joined(changes.applied_) == test.applied_);
+    BOOST_TEST(joined(changes.needRestart_) == test.needRestart_);
+}
--- a/src/filters/gatewaystate.h
+++ b/src/filters/gatewaystate.h
@@ -12,13 +12,16 @@
 #include <vector>
 
 #include "controllers/gatewayview.h"
+#include "core/endpointnotice.h"
 #include "core/logline.h"
 #include "core/random.h"
 #include "core/routes.h"
 #include "policy/crossdomainbudget.h"
 #include "policy/endpointhealth.h"
+#include "policy/endpointpause.h"
 #include "policy/fairqueue.h"
 #include "policy/pathplan.h"
+#include "policy/patience.h"
 #include "policy/retry.h"
 #include "policy/retrydecision.h"
 #include "policy/retryshare.h"
@@ -138,9 +141,9 @@
     Duration retryAfter_ {};
 };
 
-using GatewayEffect
-        = std::variant<DispatchRequest, CancelDispatch, DeliverResponse, BeginStream, ForwardEvents,
-                       FinishStream, AbortResponse, RefuseRequest, RequestProbe, LogEvent>;
+using GatewayEffect = std::variant<DispatchRequest, CancelDispatch, DeliverResponse, BeginStream,
+                                   ForwardEvents, FinishStream, AbortResponse, RefuseRequest,
+                                   RequestProbe, EndpointNoticeSeen, LogEvent>;
 
 //! Status and headers of an endpoint's response, decoded.
 struct EndpointResponseHead
@@ -155,6 +158,7 @@
     std::optional<std::uint32_t> reportedLoad_;
     //! HTTP status code, for the log.
     std::uint16_t status_ = 0;
+    EndpointNotice notice_;
 };
 
 //! Connection that a dispatch used, for the log.
@@ -173,6 +177,7 @@
 {
     DispatchId id_;
     EndpointId endpoint_;
+    std::uint64_t incarnation_ = 0;
     LayerPath path_;
     TimePoint sentAt_;
     TimePoint lastProgressAt_;
@@ -228,6 +233,11 @@
     std::uint32_t requestsAtEndpoint_ = 0;
     TimePoint reportedAt_;
     EndpointHealth health_;
+    //! Incarnation that said that it is leaving.
+    std::optional<std::uint64_t> leavingIncarnation_;
+    //! Incarnation that asked for a pause, and the end of that pause.
+    std::uint64_t pausedIncarnation_ = 0;
+    TimePoint pausedUntil_;
 };
 
 //! Queued requests of one target.
@@ -268,9 +278,12 @@
     double overdueFactor_ = 0.75;
     //! After this time without an event, probes of a stream's endpoints are requested.
     Duration probeAfter_ = std::chrono::milliseconds(400);
-    //! After this time without an event, a stream fails over to another path even if its endpoints
-    //! answer probes: callers disconnect after two seconds.
-    Duration failoverAfter_ = std::chrono::milliseconds(1500);
+    //! A stream without an event for this part of its caller's patience fails over to another path
+    //! even if its endpoints answer probes.
+    double failoverPart_ = 0.75;
+    //! A tick that comes this late shows that the process was held up; the time doesn't count as
+    //! silence of endpoints, whose events may be waiting to be read.
+    Duration heldUpAfter_ = std::chrono::milliseconds(250);
     //! Highest utilisation of an endpoint's KV capacity, by this gateway's estimate, at which a
     //! request is dispatched.
     double maxUtilisation_ = 1.0;
@@ -284,6 +297,7 @@
     //! A load reported by an endpoint is ignored once it is older than this.
     Duration maxReportedLoadAge_ = std::chrono::milliseconds(300);
     EndpointHealthLimits health_;
+    EndpointPauseLimits pause_;
     RetryLimits retry_;
 };
 
@@ -300,6 +314,7 @@
     std::map<TargetName, RetryShare> retryShares_;
     std::map<TargetName, CrossDomainBudget> crossDomainBudgets_;
     std::uint64_t nextDispatch_ = 1;
+    TimePoint lastTickAt_;
     GatewayCounters counters_;
     std::vector<GatewayEffect> effects_;
 };
--- a/src/filters/internal/gatewayfilters.cpp
+++ b/src/filters/internal/gatewayfilters.cpp
@@ -133,13 +133,26 @@
 {
     const auto reported = view.lastDigestLoads_->find(endpoint);
     const double before = reported == view.lastDigestLoads_->end() ? 0 : reported->second.kvUsed_;
-    return std::max(0.0, own.kvUsed_ - before) * (view.gatewayCount_ - 1);
+    return std::max(0.0, own.kvUsed_ - before) * view.peerCount_;
 }
 
-//! True if the endpoint list has the endpoint as ready and it answers probes.
-bool isUsable(const GatewayView &view, const ListedEndpoint &listed)
+bool hasAskedForPause(const GatewayView &view, const EndpointUsage &usage,
+                      const ListedEndpoint &listed, TimePoint now)
 {
-    return listed.state_ == ListedState::Ready && !view.downEndpoints_.contains(listed.id_);
+    if (usage.pausedIncarnation_ == listed.incarnation_ && now < usage.pausedUntil_)
+        return true;
+    const auto paused = view.pausedUntil_.find(listed.id_);
+    return paused != view.pausedUntil_.end() && now < paused->second;
+}
+
+//! True if the endpoint list has the endpoint as ready, it answers probes, and it has not said that
+//! it is leaving or wants no requests for now.
+bool isUsable(const GatewayView &view, const EndpointUsage &usage, const ListedEndpoint &listed,
+              TimePoint now)
+{
+    return listed.state_ == ListedState::Ready && !view.downEndpoints_.contains(listed.id_)
+           && usage.leavingIncarnation_ != listed.incarnation_
+           && !hasAskedForPause(view, usage, listed, now);
 }
 
 std::vector<PathNode> pathNodes(const GatewayContext &context, const GatewayView &view,
@@ -152,9 +165,10 @@
     for (const std::size_t index : found->second) {
         const ListedEndpoint &listed = view.endpoints_->endpoints_[index];
         const auto kind = engine.accelerators_.find(listed.accelerator_);
-        if (!isUsable(view, listed) || !listed.layers_ || kind == engine.accelerators_.end())
-            continue;
         const EndpointUsage &usage = state.endpointUsage_[listed.id_];
+        if (!isUsable(view, usage, listed, now) || !listed.layers_
+            || kind == engine.accelerators_.end())
+            continue;
         PathNode node {listed.id_, listed.address_, listed.domain_, *listed.layers_};
         node.decodeFactor_ = kind->second.decodeFactor_;
         node.prefillFactor_ = kind->second.prefillFactor_;
@@ -193,9 +207,9 @@
     std::vector<ServiceNode> nodes;
     for (const std::size_t index : found->second) {
         const ListedEndpoint &listed = view.endpoints_->endpoints_[index];
-        if (!isUsable(view, listed))
-            continue;
         const EndpointUsage &usage = state.endpointUsage_[listed.id_];
+        if (!isUsable(view, usage, listed, now))
+            continue;
         const bool isRecent = now - usage.reportedAt_ < state.limits_.maxReportedLoadAge_;
         const std::uint32_t calls = usage.load_.calls_ + peerLoad(view, listed.id_).calls_;
         const std::uint32_t load = std::max(calls, isRecent ? usage.requestsAtEndpoint_ : 0);
@@ -288,6 +302,11 @@
                              .add("list_age_ms", now - view.listConfirmedAt_.value_or(now))));
 }
 
+std::uint64_t incarnationOf(const GatewayView &view, const EndpointId &endpoint)
+{
+    return view.endpoints_->endpoints_[view.endpoints_->byId_.at(endpoint)].incarnation_;
+}
+
 GatewayFilterResult dispatch(GatewayContext &context, const GatewayView &view,
                              GatewayTraffic &state, TimePoint now)
 {
@@ -295,6 +314,7 @@
     ActiveDispatch active;
     active.id_ = {state.nextDispatch_++};
     active.endpoint_ = context.plan_->path_.front().endpoint_;
+    active.incarnation_ = incarnationOf(view, active.endpoint_);
     active.path_ = context.plan_->path_;
     active.sentAt_ = active.lastProgressAt_ = now;
     active.reservedTokens_
--- a/src/gateway/control.h
+++ b/src/gateway/control.h
@@ -9,10 +9,14 @@
 #include "controllers/endpointlist.h"
 #include "controllers/gatewayview.h"
 #include "controllers/lease.h"
+#include "controllers/members.h"
 #include "controllers/peers.h"
 #include "controllers/placement.h"
 #include "controllers/probes.h"
 #include "controllers/routetable.h"
+#include "core/endpointnotice.h"
+#include "core/random.h"
+#include "policy/endpointpause.h"
 
 namespace gypsumcroft {
 
@@ -57,23 +61,27 @@
     Duration peersInterval_ = std::chrono::seconds(10);
     //! The same while no peer is known.
     Duration noPeersInterval_ = std::chrono::seconds(1);
+    //! Minimum time between two log lines on the number of gateways.
+    Duration gatewaysLogInterval_ = std::chrono::seconds(1);
     //! Time for which digests include an endpoint's report of its loaded layers.
     Duration reportForwardTime_ = std::chrono::seconds(2);
+    EndpointPauseLimits pause_;
+    //! A report request without a response that took longer than this was cut short by a hold-up of
+    //! this process, and says nothing about the endpoint.
+    Duration maxReportTime_ = std::chrono::milliseconds(900);
 };
 
 struct GatewayControl
 {
     InstanceId self_;
-    //! Address to which peers send their digests.
-    Address address_;
     Incarnation incarnation_;
-    FailureDomainId domain_;
     GatewayBounds bounds_;
     RouteTableState routes_;
     EndpointListState endpoints_;
     LeaseState lease_;
     std::map<TargetName, PlacementState> placement_;
     ProbeState probes_;
+    MembersState members_;
     PeersState peers_;
     std::vector<EndpointLoad> ownLoads_;
     std::shared_ptr<const EndpointLoads> reportedLoads_ = std::make_shared<EndpointLoads>();
@@ -84,9 +92,12 @@
     std::shared_ptr<const EndpointIndex> endpointIndex_ = std::make_shared<EndpointIndex>();
     //! The view has changed in parts that are published only with the next tick.
     bool viewStale_ = false;
-    std::uint32_t gatewayCount_ = 1;
+    //! Number of gateways in the last log line about it.
+    std::uint32_t loggedGateways_ = 1;
+    TimePoint gatewaysLoggedAt_;
     //! False from the first failed request to the platform until one succeeds.
     bool platformReachable_ = true;
+    Random random_;
     std::vector<GatewayControlEffect> effects_;
 };
 
@@ -113,12 +124,16 @@
                     TimePoint sentAt, TimePoint now);
 void onJoinFailed(GatewayControl &state, TimePoint now);
 
+//! Handles new settings in a running process.
+void onBoundsChanged(GatewayControl &state, const GatewayBounds &bounds, const LeaseLimits &lease);
+
 //! Handles the stop of this process: it gives up the lease and placement, and leaves its part of
 //! the retry slack to the remaining gateways.
 void onStopping(GatewayControl &state);
 
-//! Handles the number of gateways, derived from the group membership; 0 if it is unknown.
-void onGatewayCount(GatewayControl &state, std::uint32_t entries);
+//! Handles the number of partitions of the group's topic that the platform assigned to this
+//! process.
+void onPartitionShare(GatewayControl &state, std::uint32_t share, std::uint32_t partitions);
 
 //! Handles the result of a report request; report is empty if the endpoint did not respond.
 void onReportResponse(GatewayControl &state, const EndpointId &endpoint,
@@ -127,6 +142,14 @@
 void onOrderResponse(GatewayControl &state, const EndpointId &endpoint, OrderOutcome outcome,
                      TimePoint now);
 
+//! Handles what an endpoint said in a response about further requests, here or to the traffic
+//! threads.
+void onEndpointNotice(GatewayControl &state, const EndpointNoticeSeen &notice, TimePoint now);
+
+//! Handles the same in a response to a report request or a load order of this process.
+void onControlNotice(GatewayControl &state, const EndpointId &endpoint,
+                     const EndpointNotice &notice, TimePoint now);
+
 //! Probes an endpoint at the request of the traffic threads or a peer.
 void onProbeRequested(GatewayControl &state, const EndpointId &endpoint, TimePoint now);
 
@@ -135,14 +158,14 @@
 
 void onGatewayDigest(GatewayControl &state, GatewayDigestMessage digest, TimePoint now);
 
-//! Handles the addresses of the other gateways, as the platform lists them.
-void onPeersListed(GatewayControl &state, std::vector<Address> peers);
+//! Handles the addresses of the gateways that hold a partition, as the platform lists them.
+void onPeersListed(GatewayControl &state, std::vector<Address> peers, std::uint32_t partitions);
 
 //! Advances lease, placement, probes and digests; to be called every GatewayControlInterval.
 void onGatewayControlTick(GatewayControl &state, TimePoint now);
 inline constexpr Duration GatewayControlInterval = std::chrono::milliseconds(100);
 
-GatewayView gatewayViewOf(const GatewayControl &state);
+GatewayView gatewayViewOf(const GatewayControl &state, TimePoint now);
 
 //! True while the process knows a desired state that was confirmed recently enough.
 bool isGatewayReady(const GatewayControl &state, TimePoint now);
--- a/src/gateway/internal/control.cpp
+++ b/src/gateway/internal/control.cpp
@@ -57,10 +57,22 @@
     return target == nullptr || !target->engine_ ? nullptr : target;
 }
 
-void emitPlacementEffects(GatewayControl &state, PlacementState &placing)
+//! True for a request to an endpoint that wants none for now. Placement takes it for one without a
+//! response.
+bool isHeldBack(const GatewayControl &state, const PlacementEffect &effect, TimePoint now)
 {
-    for (PlacementEffect &effect : placing.effects_)
-        std::visit([&](auto &value) { state.effects_.emplace_back(std::move(value)); }, effect);
+    if (const auto *report = std::get_if<RequestStatusReport>(&effect))
+        return isPaused(state.endpoints_, report->endpoint_, now);
+    const auto *order = std::get_if<SendLoadOrder>(&effect);
+    return order != nullptr && isPaused(state.endpoints_, order->endpoint_, now);
+}
+
+void emitPlacementEffects(GatewayControl &state, PlacementState &placing, TimePoint now)
+{
+    for (PlacementEffect &effect : placing.effects_) {
+        if (!isHeldBack(state, effect, now))
+            std::visit([&](auto &value) { state.effects_.emplace_back(std::move(value)); }, effect);
+    }
     placing.effects_.clear();
 }
 
@@ -84,11 +96,12 @@
     const auto down = downEndpoints(state.probes_);
     GatewayDigestMessage &digest = send.digest_;
     digest.instance_ = state.self_;
-    digest.gateway_ = state.address_;
+    digest.gateway_ = state.members_.self_;
     digest.incarnation_ = state.incarnation_;
-    digest.domain_ = state.domain_;
+    digest.domain_ = state.members_.domain_;
     digest.sequence_ = ++state.digestSequence_;
-    send.to_ = digestRecipients(state.peers_, state.address_, state.domain_, digest.sequence_);
+    digest.members_ = takeMembersToName(state.members_, now);
+    send.to_ = digestRecipients(state.members_, digest.sequence_, now);
     digest.loads_ = state.ownLoads_;
     auto reported = std::make_shared<EndpointLoads>();
     for (const EndpointLoad &load : state.ownLoads_)
@@ -97,6 +110,7 @@
     state.viewStale_ = true;
     digest.loadedLayers_ = recentReports(state, now);
     digest.downEndpoints_ = {down.begin(), down.end()};
+    digest.leavingEndpoints_ = leavingToReport(state.endpoints_, now);
     for (const auto &[target, placing] : state.placement_) {
         const auto moves = movesInProgress(placing, now);
         digest.layerMoves_.insert(digest.layerMoves_.end(), moves.begin(), moves.end());
@@ -104,8 +118,26 @@
     state.effects_.emplace_back(std::move(send));
 }
 
+void logGatewayCount(GatewayControl &state, TimePoint now)
+{
+    const std::uint32_t count = knownGateways(state.members_);
+    if (count == state.loggedGateways_
+        || now - state.gatewaysLoggedAt_ < state.bounds_.gatewaysLogInterval_)
+        return;
+    state.loggedGateways_ = count;
+    state.gatewaysLoggedAt_ = now;
+    state.effects_.emplace_back(
+            logEvent(LogLevel::Info,
+                     LogLine("entries")
+                             .add("count", std::uint64_t {count})
+                             .add("heard", std::uint64_t {state.peers_.peers_.size()})
+                             .add("settled", membersSettled(state.members_, now) ? "yes" : "no")));
+}
+
 void tickPeers(GatewayControl &state, TimePoint now)
 {
+    forgetMembers(state.members_, now);
+    logGatewayCount(state, now);
     const std::size_t before = state.peers_.peers_.size();
     removeSilentPeers(state.peers_, now);
     state.viewStale_ = state.viewStale_ || state.peers_.peers_.size() != before;
@@ -129,7 +161,7 @@
             continue;
         PlacementState &placing = state.placement_[target.name_];
         tickPlacement(placing, *target.engine_, target.name_, state.endpoints_, lost, now);
-        emitPlacementEffects(state, placing);
+        emitPlacementEffects(state, placing, now);
     }
 }
 
@@ -209,6 +241,15 @@
     }
 }
 
+void onBoundsChanged(GatewayControl &state, const GatewayBounds &bounds, const LeaseLimits &lease)
+{
+    state.bounds_ = bounds;
+    state.lease_.limits_ = lease;
+    if (state.lease_.left_)
+        state.bounds_.retry_.slack_ = 0;
+    detail::publishView(state);
+}
+
 void onStopping(GatewayControl &state)
 {
     const bool held = releaseLease(state.lease_);
@@ -227,14 +268,10 @@
     applyJoinFailure(state.lease_, now);
 }
 
-void onGatewayCount(GatewayControl &state, std::uint32_t entries)
+void onPartitionShare(GatewayControl &state, std::uint32_t share, std::uint32_t partitions)
 {
-    if (entries == 0 || entries == state.gatewayCount_)
-        return;
-    state.gatewayCount_ = entries;
-    state.effects_.emplace_back(
-            logEvent(LogLevel::Info, LogLine("entries").add("count", std::uint64_t {entries})));
-    detail::publishView(state);
+    applyPartitionShare(state.members_, share, partitions);
+    state.viewStale_ = true;
 }
 
 void onReportResponse(GatewayControl &state, const EndpointId &endpoint,
@@ -248,7 +285,9 @@
         && applyLoadedLayers(state.endpoints_, endpoint, report->layers_, report->incarnation_,
                              requestedAt))
         detail::rebuildEndpointIndex(state);
-    if (onProbeResult(state.probes_, endpoint, report.has_value(), now))
+    if (!report && now - requestedAt > state.bounds_.maxReportTime_)
+        onProbeVoid(state.probes_, endpoint, now);
+    else if (onProbeResult(state.probes_, endpoint, report.has_value(), now))
         detail::publishView(state);
     detail::emitLog(state, state.endpoints_.log_);
     detail::emitProbeEffects(state);
@@ -263,7 +302,34 @@
         return;
     PlacementState &placing = state.placement_[target->name_];
     onOrderOutcome(placing, *target->engine_, endpoint, outcome, now);
-    detail::emitPlacementEffects(state, placing);
+    detail::emitPlacementEffects(state, placing, now);
+}
+
+void onEndpointNotice(GatewayControl &state, const EndpointNoticeSeen &notice, TimePoint now)
+{
+    if (notice.pausedUntil_) {
+        markPaused(state.endpoints_, notice.endpoint_, notice.incarnation_, *notice.pausedUntil_);
+        state.viewStale_ = true;
+    }
+    if (notice.leaving_
+        && markLeaving(state.endpoints_, notice.endpoint_, notice.incarnation_, true, now))
+        detail::rebuildEndpointIndex(state);
+    detail::emitLog(state, state.endpoints_.log_);
+}
+
+void onControlNotice(GatewayControl &state, const EndpointId &endpoint,
+                     const EndpointNotice &notice, TimePoint now)
+{
+    const auto known = state.endpoints_.endpoints_.find(endpoint);
+    if (known == state.endpoints_.endpoints_.end())
+        return;
+    EndpointNoticeSeen seen {endpoint, known->second.listed_.incarnation_, notice.leaving_, {}};
+    if (notice.pause_)
+        seen.pausedUntil_ = now + pauseTime(*notice.pause_, state.bounds_.pause_, state.random_);
+    if (!notice.ignoredPause_.empty())
+        state.effects_.emplace_back(
+                logEvent(LogLevel::Warning, ignoredPauseLine(endpoint, notice.ignoredPause_)));
+    onEndpointNotice(state, seen, now);
 }
 
 void onProbeRequested(GatewayControl &state, const EndpointId &endpoint, TimePoint now)
@@ -284,6 +350,8 @@
     const std::vector<LoadedLayersReport> loadedLayers = digest.loadedLayers_;
     const std::vector<EndpointId> down = digest.downEndpoints_;
     const std::vector<LayerMoveReport> moves = digest.layerMoves_;
+    const std::vector<LeavingEndpointReport> leavingEndpoints = digest.leavingEndpoints_;
+    applyMemberDigest(state.members_, digest, now);
     if (!applyDigest(state.peers_, std::move(digest), now))
         return;
     state.viewStale_ = true;
@@ -294,6 +362,9 @@
                                     now - report.age_)
                   || changed;
     }
+    for (const LeavingEndpointReport &leaving : leavingEndpoints)
+        changed = markLeaving(state.endpoints_, leaving.endpoint_, leaving.incarnation_, false, now)
+                  || changed;
     for (const EndpointId &endpoint : down)
         onProbeRequested(state, endpoint, now);
     for (const LayerMoveReport &move : moves) {
@@ -305,9 +376,10 @@
         detail::rebuildEndpointIndex(state);
 }
 
-void onPeersListed(GatewayControl &state, std::vector<Address> peers)
+void onPeersListed(GatewayControl &state, std::vector<Address> peers, std::uint32_t partitions)
 {
-    state.peers_.listedAddresses_ = std::move(peers);
+    applyListedMembers(state.members_, std::move(peers), partitions);
+    state.viewStale_ = true;
 }
 
 void onGatewayControlTick(GatewayControl &state, TimePoint now)
@@ -323,7 +395,7 @@
         detail::tickTargets(state, now);
 }
 
-GatewayView gatewayViewOf(const GatewayControl &state)
+GatewayView gatewayViewOf(const GatewayControl &state, TimePoint now)
 {
     GatewayView view;
     view.table_ = state.routes_.table_;
@@ -331,12 +403,20 @@
     view.peerLoads_ = totalPeerLoads(state.peers_);
     view.lastDigestLoads_ = state.reportedLoads_;
     view.downEndpoints_ = downEndpoints(state.probes_);
+    for (const auto &[endpoint, known] : state.endpoints_.endpoints_) {
+        if (now < known.pausedUntil_)
+            view.pausedUntil_[endpoint] = known.pausedUntil_;
+    }
     view.stateConfirmedAt_ = state.routes_.confirmedAt_;
     view.listConfirmedAt_ = state.endpoints_.confirmedAt_;
     view.freshness_ = state.bounds_.freshness_;
-    view.domain_ = state.domain_;
-    view.gatewayCount_ = state.gatewayCount_;
+    view.domain_ = state.members_.domain_;
+    view.gatewayCount_ = knownGateways(state.members_);
+    view.peerCount_ = static_cast<std::uint32_t>(state.peers_.peers_.size());
     view.retry_ = state.bounds_.retry_;
+    // A share of an unknown number of gateways could be too large.
+    if (!membersSettled(state.members_, now))
+        view.retry_.slack_ = 0;
     return view;
 }
 
--- a/src/gateway/internal/traffic.cpp
+++ b/src/gateway/internal/traffic.cpp
@@ -266,6 +266,32 @@
     }
 }
 
+//! Stores what the endpoint said about further requests, and tells control.
+void takeNotice(GatewayTraffic &state, const ActiveDispatch &dispatch, TimePoint now)
+{
+    const EndpointNotice &notice = dispatch.head_.notice_;
+    EndpointUsage &usage = state.endpointUsage_[dispatch.endpoint_];
+    if (!notice.ignoredPause_.empty())
+        emit(state, logEvent(LogLevel::Warning,
+                             ignoredPauseLine(dispatch.endpoint_, notice.ignoredPause_)));
+    EndpointNoticeSeen seen {dispatch.endpoint_, dispatch.incarnation_, notice.leaving_, {}};
+    const bool isNews = notice.leaving_ && usage.leavingIncarnation_ != dispatch.incarnation_;
+    if (isNews)
+        usage.leavingIncarnation_ = dispatch.incarnation_;
+    if (notice.pause_) {
+        seen.pausedUntil_ = now + pauseTime(*notice.pause_, state.limits_.pause_, state.random_);
+        if (usage.pausedIncarnation_ != dispatch.incarnation_)
+            usage.pausedUntil_ = {};
+        usage.pausedIncarnation_ = dispatch.incarnation_;
+        usage.pausedUntil_ = std::max(usage.pausedUntil_, *seen.pausedUntil_);
+        emit(state, logEvent(LogLevel::Info, LogLine("endpoint-paused")
+                                                     .add("endpoint", dispatch.endpoint_)
+                                                     .add("ms", *seen.pausedUntil_ - now)));
+    }
+    if (isNews || seen.pausedUntil_)
+        emit(state, std::move(seen));
+}
+
 Context *contextOf(GatewayTraffic &state, DispatchId dispatch)
 {
     const auto found = state.exchangesByDispatch_.find(dispatch);
@@ -352,6 +378,26 @@
     onDispatchEnded(state, view, context, AttemptOutcome::Unknown, reason, now);
 }
 
+Duration failoverAfter(const RouteRule &route, const GatewayLimits &limits)
+{
+    const Duration patience = streamPatience(route.latencyTarget_, route.eventGapTarget_);
+    return Duration(static_cast<std::int64_t>(limits.failoverPart_
+                                              * static_cast<double>(patience.count())));
+}
+
+//! Doesn't count time in which this process was held up as silence of its dispatches' endpoints.
+void creditHeldUpTime(GatewayTraffic &state, TimePoint now)
+{
+    const Duration sinceTick = now - std::exchange(state.lastTickAt_, now);
+    if (sinceTick < state.limits_.heldUpAfter_)
+        return;
+    for (auto &[id, context] : state.requests_) {
+        if (context.dispatch_)
+            context.dispatch_->lastProgressAt_
+                    = std::min(now, context.dispatch_->lastProgressAt_ + sinceTick);
+    }
+}
+
 //! Requests probes of the endpoints of a stalled stream. Fails the stream over if one of them is
 //! down, or if it stays stalled for too long.
 void checkStream(GatewayTraffic &state, const GatewayView &view, Context &context, TimePoint now)
@@ -367,7 +413,7 @@
         return;
     if (hasEndpointDown(context, view))
         failOver(state, view, context, "endpoint down", now);
-    else if (idle > state.limits_.failoverAfter_)
+    else if (idle > failoverAfter(context.route_, state.limits_))
         failOver(state, view, context, "silent", now);
 }
 
@@ -378,6 +424,8 @@
                       TimePoint now)
 {
     ++state.counters_.received_;
+    if (state.requests_.empty())
+        state.lastTickAt_ = now; // An idle process needs no ticks.
     const ExchangeId exchange = request.exchange_;
     GatewayContext &context = state.requests_[exchange];
     context.request_ = std::move(request);
@@ -416,6 +464,7 @@
     if (context == nullptr)
         return;
     context->dispatch_->head_ = head;
+    detail::takeNotice(state, *context->dispatch_, now);
     if (!head.reportedLoad_)
         return;
     EndpointUsage &usage = state.endpointUsage_[context->dispatch_->endpoint_];
@@ -496,6 +545,7 @@
 
 void onGatewayTick(GatewayTraffic &state, const GatewayView &view, TimePoint now)
 {
+    detail::creditHeldUpTime(state, now);
     std::vector<ExchangeId> ids;
     ids.reserve(state.requests_.size());
     for (const auto &[id, context] : state.requests_)
--- a/src/platform/endpointclient.h
+++ b/src/platform/endpointclient.h
@@ -5,6 +5,7 @@
 #include <optional>
 
 #include "controllers/placement.h"
+#include "core/endpointnotice.h"
 #include "http/client.h"
 
 namespace gypsumcroft::platform {
@@ -13,7 +14,9 @@
 class EndpointClient
 {
 public:
-    explicit EndpointClient(boost::asio::io_context &context);
+    //! Called with what a server said about further requests, before the callback of the request.
+    using NoticeHandler = std::function<void(const EndpointId &, const EndpointNotice &)>;
+    EndpointClient(boost::asio::io_context &context, NoticeHandler onNotice);
 
     //! Requests the server's report. The callback gets nullopt on a connection failure, a timeout,
     //! a status other than 200 or a malformed report.
@@ -24,6 +27,9 @@
     void sendLoadOrder(const SendLoadOrder &order, std::function<void(OrderOutcome)> callback);
 
 private:
+    void takeNotice(const EndpointId &endpoint, const http::ClientResult &result) const;
+
+    NoticeHandler onNotice_;
     http::Client client_;
 };
 
--- a/src/platform/forwarding.h
+++ b/src/platform/forwarding.h
@@ -20,6 +20,9 @@
 //! Decodes the status and the platform's headers of an endpoint's response.
 EndpointResponseHead decodeResponseHead(const http::ResponseHead &head);
 
+//! Decodes what a server says about further requests in a response with the given status.
+EndpointNotice decodeEndpointNotice(std::uint16_t status, const http::HeaderList &headers);
+
 //! Encodes the response head for a request that this process refuses.
 http::ResponseHead encodeRefusalHead(const GatewayRequest &request, const RefuseRequest &refusal);
 
--- a/src/platform/internal/documents.cpp
+++ b/src/platform/internal/documents.cpp
@@ -1,7 +1,9 @@
 #include "platform/documents.h"
 
+#include <algorithm>
 #include <stdexcept>
 
+#include <boost/asio/ip/address.hpp>
 #include <boost/json.hpp>
 
 #include "documents/settings.h"
@@ -16,7 +18,14 @@
 constexpr double BytesPerMegabyte = 1e6;
 constexpr double BitsPerByte = 8;
 constexpr double MicrosecondsPerMillisecond = 1000;
-constexpr double MicrosecondsPerSecond = 1e6;
+constexpr double MillisecondsPerSecond = 1000;
+//! Longer durations are decoded as this: about eleven days.
+constexpr double MaxMilliseconds = 1e9;
+constexpr double MaxMegabytes = 1e12;
+//! More layers than any model has.
+constexpr std::uint32_t MaxLayers = 100'000;
+//! Longest value that an error message repeats.
+constexpr std::size_t MaxShownBytes = 64;
 
 //! A JSON member is missing, or has a wrong type or value.
 struct BadMember : std::runtime_error
@@ -69,6 +78,18 @@
     return static_cast<std::uint64_t>(value);
 }
 
+std::uint64_t wholeNumberOr(const json::object &object, std::string_view name,
+                            std::uint64_t fallback)
+{
+    return object.contains(name) ? wholeNumber(object, name) : fallback;
+}
+
+//! The start of a text, for error messages.
+std::string shown(const std::string &text)
+{
+    return text.size() <= MaxShownBytes ? text : text.substr(0, MaxShownBytes) + "...";
+}
+
 //! A whole number; values above 2^30 are taken as 2^30.
 std::uint32_t count(const json::object &object, std::string_view name)
 {
@@ -76,14 +97,27 @@
             std::min<std::uint64_t>(wholeNumber(object, name), 1U << 30U));
 }
 
+std::uint32_t countOr(const json::object &object, std::string_view name, std::uint32_t fallback)
+{
+    return object.contains(name) ? count(object, name) : fallback;
+}
+
 Duration milliseconds(double value)
 {
-    return Duration(static_cast<std::int64_t>(value * MicrosecondsPerMillisecond));
+    return Duration(static_cast<std::int64_t>(std::clamp(value, 0.0, MaxMilliseconds)
+                                              * MicrosecondsPerMillisecond));
 }
 
 Bytes megabytes(double value)
 {
-    return {static_cast<std::uint64_t>(value * BytesPerMegabyte)};
+    return {static_cast<std::uint64_t>(std::clamp(value, 0.0, MaxMegabytes) * BytesPerMegabyte)};
+}
+
+bool isIpAddress(const std::string &host)
+{
+    boost::system::error_code error;
+    boost::asio::ip::make_address(host, error);
+    return !error;
 }
 
 const json::object &objectOf(const json::value &value)
@@ -124,9 +158,8 @@
     route.timeout_ = milliseconds(number(object, "TimeoutMs"));
     route.latencyTarget_ = milliseconds(numberOr(object, "TargetLatencyMs", 1000));
     route.eventGapTarget_ = milliseconds(numberOr(object, "TargetGapMs", 0));
-    route.priority_ = {static_cast<std::uint32_t>(numberOr(object, "Priority", 0))};
-    route.maxAttempts_
-            = static_cast<std::uint32_t>(std::max(1.0, numberOr(object, "MaxAttempts", 1)));
+    route.priority_ = {countOr(object, "Priority", 0)};
+    route.maxAttempts_ = std::max(1U, countOr(object, "MaxAttempts", 1));
     route.allowAnonymous_ = flag(object, "AllowAnonymous");
     if (object.contains("Service"))
         route.targets_.push_back({{text(object, "Service")}, 1});
@@ -143,22 +176,19 @@
     engine.layers_ = count(object, "Layers");
     engine.layerBytes_ = megabytes(number(object, "LayerMb"));
     engine.kvBytesPerToken_ = {wholeNumber(object, "KvTokenBytes")};
-    engine.activationBytesPerToken_
-            = {static_cast<std::uint64_t>(numberOr(object, "ActivationBytes", 0))};
+    engine.activationBytesPerToken_ = {wholeNumberOr(object, "ActivationBytes", 0)};
     engine.slots_ = count(object, "Slots");
     engine.decodeStepTime_ = milliseconds(number(object, "step_ms"));
     engine.decodeStepTimePerSequence_ = milliseconds(numberOr(object, "per_seq_ms", 0));
     engine.prefillTokensPerSecond_ = number(object, "read_per_s");
-    engine.concurrentLoads_
-            = static_cast<std::uint32_t>(std::max(1.0, numberOr(object, "loads_at_once", 1)));
+    engine.concurrentLoads_ = std::max(1U, countOr(object, "loads_at_once", 1));
     engine.linkBytesPerSecond_ = numberOr(object, "LinkMbps", 0) * BytesPerMegabyte / BitsPerByte;
     engine.crossDomainBytesPerSecond_
             = numberOr(object, "PipeMbps", 0) * BytesPerMegabyte / BitsPerByte;
     for (const json::value &entry : list(object, "Models")) {
         const double seconds = numberOr(objectOf(entry), "LoadS", 0);
         engine.loadTime_
-                = std::max(engine.loadTime_,
-                           Duration(static_cast<std::int64_t>(seconds * MicrosecondsPerSecond)));
+                = std::max(engine.loadTime_, milliseconds(seconds * MillisecondsPerSecond));
     }
     for (const json::value &entry : list(object, "Kinds")) {
         const json::object &kind = objectOf(entry);
@@ -174,10 +204,8 @@
                 = milliseconds(number(delay, "delay_ms"));
     }
     if (const json::value *usual = object.if_contains("usual"); usual && usual->is_object()) {
-        engine.typicalPrompt_
-                = {static_cast<std::int64_t>(numberOr(usual->as_object(), "prompt", 0))};
-        engine.typicalOutput_
-                = {static_cast<std::int64_t>(numberOr(usual->as_object(), "answer", 0))};
+        engine.typicalPrompt_ = {countOr(usual->as_object(), "prompt", 0)};
+        engine.typicalOutput_ = {countOr(usual->as_object(), "answer", 0)};
     }
     return engine;
 }
@@ -187,7 +215,7 @@
     TargetSpec target;
     target.name_ = {text(object, "Name")};
     target.healthPath_ = object.contains("HealthCheck") ? text(object, "HealthCheck") : "";
-    target.maxConnections_ = static_cast<std::uint32_t>(numberOr(object, "MaxConnections", 0));
+    target.maxConnections_ = countOr(object, "MaxConnections", 0);
     const json::value *engine = object.if_contains("Engine");
     if (engine != nullptr && engine->is_object() && engine->as_object().contains("Layers"))
         target.engine_ = engineOf(engine->as_object());
@@ -210,10 +238,8 @@
 
 void readLimits(const json::object &object, CallerLimits &limits)
 {
-    limits.maxHeaderBytes_ = static_cast<std::uint32_t>(
-            numberOr(object, "MaxHeaderBytes", limits.maxHeaderBytes_));
-    limits.maxBodyBytes_ = static_cast<std::uint64_t>(
-            numberOr(object, "MaxBodyBytes", static_cast<double>(limits.maxBodyBytes_)));
+    limits.maxHeaderBytes_ = countOr(object, "MaxHeaderBytes", limits.maxHeaderBytes_);
+    limits.maxBodyBytes_ = wholeNumberOr(object, "MaxBodyBytes", limits.maxBodyBytes_);
     limits.headerTimeout_ = milliseconds(
             numberOr(object, "HeaderTimeoutMs", toMilliseconds(limits.headerTimeout_)));
     limits.idleTimeout_
@@ -242,13 +268,17 @@
     for (const json::value &entry : list(object, "Models")) {
         const json::object &model = objectOf(entry);
         endpoint.model_ = text(model, "Name");
-        endpoint.modelVersion_ = static_cast<std::uint64_t>(numberOr(model, "Version", 0));
+        endpoint.modelVersion_ = wholeNumberOr(model, "Version", 0);
     }
     const json::value *layers = object.if_contains("Layers");
-    if (layers == nullptr || !layers->is_object())
+    if (layers == nullptr || layers->is_null())
         return;
+    if (!layers->is_object())
+        throw BadMember("Layers is not an object");
     const json::object &range = layers->as_object();
     const LayerRange loaded {{count(range, "From")}, {count(range, "Target")}};
+    if (loaded.end_.value_ > MaxLayers)
+        throw BadMember("Layers: Target is above " + std::to_string(MaxLayers));
     if (loaded.first_ < loaded.end_)
         endpoint.layers_ = loaded;
 }
@@ -259,18 +289,18 @@
     endpoint.id_ = {id};
     endpoint.target_ = {text(object, "Service")};
     const auto address = parseAddress(text(object, "Address"));
-    if (!address)
-        throw BadMember("Address: '" + text(object, "Address") + "' is not IP:PORT");
+    if (!address || address->port_ == 0 || !isIpAddress(address->host_))
+        throw BadMember("Address: '" + shown(text(object, "Address")) + "' is not IP:PORT");
     endpoint.address_ = *address;
     endpoint.domain_ = {text(object, "Zone")};
     const std::string state = text(object, "State");
     if (state != "ready" && state != "draining")
-        throw BadMember("State: '" + state + "' is not 'ready' or 'draining'");
+        throw BadMember("State: '" + shown(state) + "' is not 'ready' or 'draining'");
     endpoint.state_ = state == "ready" ? ListedState::Ready : ListedState::Draining;
     endpoint.slots_ = count(object, "Slots");
     if (object.contains("Kind"))
         endpoint.accelerator_ = {text(object, "Kind")};
-    endpoint.incarnation_ = static_cast<std::uint64_t>(numberOr(object, "born", 0));
+    endpoint.incarnation_ = wholeNumberOr(object, "born", 0);
     readModels(object, endpoint);
     return endpoint;
 }
@@ -310,7 +340,7 @@
         // "Sequence" counts accepted orders in a report, but heartbeats in an entry of the list.
         facts.acceptedOrders_ = {detail::wholeNumber(object, "Sequence")};
         facts.busy_ = detail::flag(object, "Busy");
-        facts.incarnation_ = static_cast<std::uint64_t>(detail::numberOr(object, "born", 0));
+        facts.incarnation_ = detail::wholeNumberOr(object, "born", 0);
         ListedEndpoint loaded;
         detail::readModels(object, loaded);
         facts.layers_ = loaded.layers_;
--- a/src/platform/internal/endpointclient.cpp
+++ b/src/platform/internal/endpointclient.cpp
@@ -1,6 +1,7 @@
 #include "platform/endpointclient.h"
 
 #include "platform/documents.h"
+#include "platform/forwarding.h"
 
 namespace gypsumcroft::platform {
 
@@ -18,7 +19,19 @@
 } // namespace
 } // namespace detail
 
-EndpointClient::EndpointClient(boost::asio::io_context &context) : client_(context) { }
+EndpointClient::EndpointClient(boost::asio::io_context &context, NoticeHandler onNotice)
+    : onNotice_(std::move(onNotice)), client_(context)
+{ }
+
+void EndpointClient::takeNotice(const EndpointId &endpoint, const http::ClientResult &result) const
+{
+    if (!result.response_)
+        return;
+    const EndpointNotice notice
+            = decodeEndpointNotice(result.response_->status_, result.response_->headers_);
+    if (notice.leaving_ || notice.pause_ || !notice.ignoredPause_.empty())
+        onNotice_(endpoint, notice);
+}
 
 void EndpointClient::requestReport(
         const RequestStatusReport &target,
@@ -28,7 +41,9 @@
     request.path_ = "/report";
     client_.send(target.address_, std::move(request),
                  {detail::ResponseTimeout, detail::NewConnection, detail::MaxResponseBytes},
-                 [callback = std::move(callback)](const http::ClientResult &result) {
+                 [this, endpoint = target.endpoint_,
+                  callback = std::move(callback)](const http::ClientResult &result) {
+                     takeNotice(endpoint, result);
                      if (!result.response_ || result.response_->status_ != detail::StatusOk)
                          return callback(std::nullopt);
                      callback(decodeServerReport(result.response_->body_).value_);
@@ -46,7 +61,9 @@
     request.body_ = encodeLoadOrder(order.layers_, order.expectedOrders_);
     client_.send(order.address_, std::move(request),
                  {detail::ResponseTimeout, detail::NewConnection, detail::MaxResponseBytes},
-                 [callback = std::move(callback)](const http::ClientResult &result) {
+                 [this, endpoint = order.endpoint_,
+                  callback = std::move(callback)](const http::ClientResult &result) {
+                     takeNotice(endpoint, result);
                      callback(result.response_ ? toOrderOutcome(result.response_->status_)
                                                : OrderOutcome::Unknown);
                  });
--- a/src/platform/internal/forwarding.cpp
+++ b/src/platform/internal/forwarding.cpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <charconv>
+#include <cmath>
 #include <cstdio>
 
 #include "documents/settings.h"
@@ -29,6 +30,13 @@
 constexpr std::string_view FaultyServerHeader = "At-Server";
 //! Numbers of running requests, waiting requests and slots, joined by commas.
 constexpr std::string_view LoadHeader = "X-Server-Load";
+//! "1" in every response of a server that is about to stop.
+constexpr std::string_view LeavingHeader = "Server-Leaving";
+//! With a 503: seconds, possibly with a fraction, for which the server wants no request.
+constexpr std::string_view RetryAfterHeader = "Retry-After";
+//! Longer waits are decoded as this, to stay within Duration.
+constexpr double MaxRetryAfterSeconds = 1e6;
+constexpr std::uint16_t StatusUnavailable = 503;
 constexpr std::uint16_t StatusMisdirected = 421;
 constexpr std::uint16_t StatusesPerClass = 100;
 constexpr std::uint16_t SuccessClass = 2;
@@ -54,6 +62,20 @@
     return value;
 }
 
+//! Seconds of a Retry-After header; nullopt if it is no finite number of 0 or more, such as a date.
+std::optional<Duration> parseSeconds(std::string_view text)
+{
+    double seconds = 0;
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), seconds,
+                                        std::chars_format::fixed);
+    const bool isWhole = !text.empty() && parsed.ptr == text.data() + text.size();
+    if (parsed.ec == std::errc::result_out_of_range && isWhole && text.front() != '-')
+        seconds = MaxRetryAfterSeconds;
+    else if (parsed.ec != std::errc() || !isWhole || !std::isfinite(seconds) || seconds < 0)
+        return std::nullopt;
+    return Duration(static_cast<std::int64_t>(std::min(seconds, MaxRetryAfterSeconds) * 1e6));
+}
+
 bool isStripped(std::string_view name)
 {
     for (const std::string_view stripped : StrippedHeaders) {
@@ -176,6 +198,19 @@
     return call;
 }
 
+EndpointNotice decodeEndpointNotice(std::uint16_t status, const http::HeaderList &headers)
+{
+    EndpointNotice notice;
+    notice.leaving_ = http::findHeader(headers, detail::LeavingHeader) == "1";
+    const auto wait = http::findHeader(headers, detail::RetryAfterHeader);
+    if (status != detail::StatusUnavailable || !wait)
+        return notice;
+    notice.pause_ = detail::parseSeconds(*wait);
+    if (!notice.pause_)
+        notice.ignoredPause_ = wait->empty() ? "(empty)" : std::string(*wait);
+    return notice;
+}
+
 EndpointResponseHead decodeResponseHead(const http::ResponseHead &head)
 {
     EndpointResponseHead decoded;
@@ -185,6 +220,7 @@
                       || http::findHeader(head.headers_, detail::NotExecutedHeader).has_value();
     if (const auto faulty = http::findHeader(head.headers_, detail::FaultyServerHeader))
         decoded.faultyAddress_ = parseAddress(*faulty);
+    decoded.notice_ = decodeEndpointNotice(head.status_, head.headers_);
     decoded.eventStream_ = http::findHeader(head.headers_, "Content-Type")
                                    .value_or("")
                                    .starts_with("text/event-stream");
--- a/src/platform/internal/storeclient.cpp
+++ b/src/platform/internal/storeclient.cpp
@@ -54,6 +54,33 @@
     return result.reason_.empty() ? "no response" : result.reason_;
 }
 
+//! The value as an unsigned number; nullopt for a negative one, a fraction, one out of range, and
+//! for another type.
+template <typename Number>
+std::optional<Number> unsignedOf(const json::value *value)
+{
+    if (value == nullptr || !value->is_number())
+        return std::nullopt;
+    boost::system::error_code error;
+    const auto number = value->to_number<Number>(error);
+    return error ? std::nullopt : std::optional<Number>(number);
+}
+
+//! Decodes one record of a page. A malformed one has no value, and no key if that is malformed.
+CompactedRecord recordOf(const json::value &item)
+{
+    const json::object *record = item.if_object();
+    const json::value *key = record == nullptr ? nullptr : record->if_contains("Key");
+    const json::value *data = record == nullptr ? nullptr : record->if_contains("Value");
+    CompactedRecord decoded;
+    if (key == nullptr || !key->is_string())
+        return decoded;
+    decoded.key_.assign(key->as_string().data(), key->as_string().size());
+    if (data != nullptr && data->is_string())
+        decoded.value_ = decodeBase64({data->as_string().data(), data->as_string().size()});
+    return decoded;
+}
+
 //! Appends one page of latest records to topic. Returns the key to pass as "After" for the next
 //! page, an empty string after the last page, or nullopt for a malformed page.
 std::optional<std::string> addPage(const std::string &body, CompactedTopic &topic)
@@ -63,23 +90,19 @@
     const json::object *page = error ? nullptr : value.if_object();
     const json::value *items = page == nullptr ? nullptr : page->if_contains("Items");
     const json::value *end = page == nullptr ? nullptr : page->if_contains("EndOffset");
-    if (items == nullptr || !items->is_array() || end == nullptr || !end->is_number())
+    const auto endOffset = unsignedOf<std::uint64_t>(end);
+    if (items == nullptr || !items->is_array() || !endOffset)
         return std::nullopt;
     std::string last;
     for (const json::value &item : items->as_array()) {
-        const json::object *record = item.if_object();
-        const json::value *key = record == nullptr ? nullptr : record->if_contains("Key");
-        const json::value *data = record == nullptr ? nullptr : record->if_contains("Value");
-        if (key == nullptr || !key->is_string() || data == nullptr || !data->is_string())
-            return std::nullopt;
-        last.assign(key->as_string().data(), key->as_string().size());
-        topic.records_.push_back(
-                {last, decodeBase64({data->as_string().data(), data->as_string().size()})});
+        topic.records_.push_back(recordOf(item));
+        if (!topic.records_.back().key_.empty())
+            last = topic.records_.back().key_;
     }
     // Records may be written between two pages. The end offset of the first page is returned, so
     // that a read from there returns all of them.
     if (topic.endOffset_ == 0)
-        topic.endOffset_ = end->to_number<std::uint64_t>();
+        topic.endOffset_ = *endOffset;
     const json::value *more = page->if_contains("HasMore");
     const bool hasMore = more != nullptr && more->is_bool() && more->as_bool() && !last.empty();
     return hasMore ? last : std::string();
@@ -121,17 +144,21 @@
     const json::object *object = error ? nullptr : value.if_object();
     const json::value *generation = object == nullptr ? nullptr : object->if_contains("Generation");
     const json::value *parts = object == nullptr ? nullptr : object->if_contains("parts");
-    if (generation == nullptr || !generation->is_number() || parts == nullptr || !parts->is_array())
+    const auto number = unsignedOf<std::uint64_t>(generation);
+    if (!number || parts == nullptr || !parts->is_array())
         return std::nullopt;
     GroupMembership membership;
-    membership.generation_ = generation->to_number<std::uint64_t>();
+    membership.generation_ = *number;
     for (const json::value &entry : parts->as_array()) {
         // Each row is an array of topic, partition and committed offset.
         const json::array *row = entry.if_array();
-        if (row == nullptr || row->size() < 2 || !(*row)[0].is_string() || !(*row)[1].is_number())
+        if (row == nullptr || row->size() < 2 || !(*row)[0].is_string())
+            return std::nullopt;
+        const auto partition = unsignedOf<std::uint32_t>(&(*row)[1]);
+        if (!partition)
             return std::nullopt;
         if ((*row)[0].as_string() == topic)
-            membership.partitions_.push_back((*row)[1].to_number<std::uint32_t>());
+            membership.partitions_.push_back(*partition);
     }
     return membership;
 }
--- a/src/platform/storeclient.h
+++ b/src/platform/storeclient.h
@@ -23,7 +23,7 @@
 struct CompactedRecord
 {
     std::string key_;
-    //! nullopt when the record deletes the key.
+    //! nullopt when the record deletes the key or can't be read.
     std::optional<std::string> value_;
 };
 
--- a/src/policy/tests/tst_forwarding.cpp
+++ b/src/policy/tests/tst_forwarding.cpp
@@ -3,7 +3,9 @@
 #include <rapidcheck.h>
 
 #include "policy/endpointhealth.h"
+#include "policy/endpointpause.h"
 #include "policy/leastload.h"
+#include "policy/patience.h"
 #include "policy/retrydecision.h"
 #include "policy/retryshare.h"
 
@@ -222,3 +224,70 @@
         }
     }));
 }
+
+namespace {
+
+struct PauseCase
+{
+    const char *name_;
+    std::int64_t requestedMs_;
+    std::int64_t leastMs_;
+    std::int64_t mostMs_;
+};
+
+std::ostream &operator<<(std::ostream &out, const PauseCase &test)
+{
+    return out << test.name_;
+}
+
+const PauseCase PauseCases[] = {
+        {"none", 0, 0, 0},
+        {"negative", -5, 0, 0},
+        {"short: spread over a quarter", 400, 400, 500},
+        {"long: spread over a second", 20'000, 20'000, 21'000},
+        {"longer than the limit", 3'600'000, 600'000, 601'000},
+};
+
+} // namespace
+
+// 68 gateways that were told the same time neither come back early nor all together.
+BOOST_DATA_TEST_CASE(pausesAreSpread, PauseCases, test)
+{
+    std::set<std::int64_t> ends;
+    for (std::uint64_t gateway = 0; gateway < 68; ++gateway) {
+        Random random {gateway};
+        const Duration pause = pauseTime(std::chrono::milliseconds(test.requestedMs_), {}, random);
+        BOOST_TEST(pause >= std::chrono::milliseconds(test.leastMs_));
+        BOOST_TEST(pause <= std::chrono::milliseconds(test.mostMs_));
+        ends.insert(pause.count());
+    }
+    BOOST_TEST(ends.size() >= (test.leastMs_ == 0 ? 1U : 60U));
+}
+
+namespace {
+
+struct PatienceCase
+{
+    int latencyTargetMs_;
+    int eventGapTargetMs_;
+    int patienceMs_;
+};
+
+std::ostream &operator<<(std::ostream &out, const PatienceCase &test)
+{
+    return out << test.latencyTargetMs_ << " ms, gaps " << test.eventGapTargetMs_ << " ms";
+}
+
+const PatienceCase PatienceCases[] = {
+        {0, 0, 2000},     {400, 250, 2000},  {500, 250, 2000},
+        {500, 300, 2400}, {1200, 300, 4800}, {100, 1000, 8000},
+};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(patienceFollowsTheTargets, PatienceCases, test)
+{
+    BOOST_TEST((streamPatience(milliseconds(test.latencyTargetMs_),
+                               milliseconds(test.eventGapTargetMs_))
+                == Duration(milliseconds(test.patienceMs_))));
+}
--- a/src/wire/internal/codec.cpp
+++ b/src/wire/internal/codec.cpp
@@ -168,12 +168,24 @@
     archive(move.endpoint_, move.layers_, move.remainingTime_);
 }
 
+template <typename Archive>
+void serialize(Archive &archive, LeavingEndpointReport &leaving)
+{
+    archive(leaving.endpoint_, leaving.incarnation_);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, GatewayMemberReport &member)
+{
+    archive(member.address_, member.age_);
+}
+
 template <typename Archive>
 void serialize(Archive &archive, GatewayDigestMessage &digest)
 {
     archive(digest.instance_, digest.domain_, digest.gateway_, digest.incarnation_,
             digest.sequence_, digest.loads_, digest.loadedLayers_, digest.layerMoves_,
-            digest.downEndpoints_);
+            digest.downEndpoints_, digest.leavingEndpoints_, digest.members_);
 }
 
 template <typename Archive>
--- a/standins/platform/platformstandin.h
+++ b/standins/platform/platformstandin.h
@@ -55,7 +55,15 @@
     //! The next stream breaks off after so many events, or ends in the middle of the next one.
     void breakNextStream(int afterEvents, StreamBreak how = StreamBreak::Closed);
     void setDraining(const std::string &server);
+    //! The server says in all its answers that it leaves; its entry in the store stays as it is.
+    void setLeaving(const std::string &server);
+    //! The server turns all requests away, not run, and asks for no other for that long.
+    void turnAwayFor(const std::string &server, std::chrono::milliseconds retryAfter);
+    //! Puts an entry of another writer beside those of the servers.
+    void putOddEntry(const std::string &key, const std::string &bytes);
     std::vector<ServerRun> runs();
+    //! All requests that reached a server, those that it turned away included.
+    std::vector<ServerRun> arrivals();
     //! Layers that a model server holds, "none" or "FIRST-END".
     std::string layersOf(const std::string &server);
     std::vector<std::string> modelServers() const;
