--- a/src/app/internal/gatewaycontrol.cpp
+++ b/src/app/internal/gatewaycontrol.cpp
@@ -15,9 +15,6 @@
 constexpr char MemberSeparator = '/';
 //! Partition whose holder places layers.
 constexpr std::uint32_t LeasePartition = 0;
-//! Wait of a read for a newer desired state; each answer confirms the one in force.
-constexpr Duration ConfigWait = std::chrono::milliseconds(1400);
-constexpr Duration RetryDelay = std::chrono::milliseconds(150);
 constexpr std::size_t MaxLoggedKeyBytes = 64;
 //! Lines about unreadable entries that one poll of the endpoint list may log.
 constexpr std::uint64_t MaxUnreadableLines = 20;
@@ -49,8 +46,6 @@
 
 void GatewayControlLoop::start()
 {
-    readNewestConfig();
-    readEndpoints();
     ticker_.emplace(context_, [this] { return tick(); });
 }
 
@@ -104,50 +99,48 @@
     return GatewayControlInterval;
 }
 
-void GatewayControlLoop::later(Duration delay, std::function<void()> action)
-{
-    callLater(context_, delay, std::move(action));
-}
-
 void GatewayControlLoop::readNewestConfig()
 {
     const TimePoint asked = monotonicNow();
-    store_.readLatest(
-            platform::DesiredStateTopic,
-            [this, asked](const Result<platform::CompactedTopic> &topic) {
-                if (!topic) {
-                    onPlatformRequestFailed(control_, "config", topic.lastReason_, monotonicNow());
-                    perform();
-                    return later(RetryDelay, [this] { readNewestConfig(); });
-                }
-                configNext_ = topic->endOffset_;
-                runGuarded(errors_, "config", [&] { takeConfig(topic->records_, asked); });
-                tailConfig();
-            });
+    store_.readLatest(platform::DesiredStateTopic,
+                      [this, asked](const Result<platform::CompactedTopic> &topic) {
+                          if (!topic)
+                              return configFailed(topic.lastReason_);
+                          configNext_ = topic->endOffset_;
+                          runGuarded(errors_, "config",
+                                     [&] { takeConfig(topic->records_, asked); });
+                          onDesiredStateRead(control_, asked, monotonicNow());
+                          perform();
+                      });
 }
 
-void GatewayControlLoop::tailConfig()
+void GatewayControlLoop::waitForConfig(Duration wait)
 {
     const TimePoint asked = monotonicNow();
-    store_.read(platform::DesiredStateTopic, configNext_, ConfigWait,
-                [this, asked](const Result<platform::RecordRange> &span) {
+    store_.read(platform::DesiredStateTopic, configNext_, wait,
+                [this, asked, wait](const Result<platform::RecordRange> &span) {
                     const TimePoint now = monotonicNow();
-                    if (!span) {
-                        onPlatformRequestFailed(control_, "config", span.lastReason_, now);
-                        perform();
-                        return later(RetryDelay, [this] { tailConfig(); });
-                    }
+                    if (!span)
+                        return configFailed(span.lastReason_);
                     if (span->expired_)
                         return readNewestConfig();
                     configNext_ = span->nextOffset_;
                     // Nothing came for the whole wait, so nothing was newer at its end.
-                    if (span->records_.empty() && now - asked >= ConfigWait)
-                        onDesiredStateConfirmed(control_, asked + ConfigWait, now);
+                    const bool isConfirmed = span->records_.empty() && now - asked >= wait;
+                    if (isConfirmed)
+                        onDesiredStateConfirmed(control_, asked + wait, now);
                     runGuarded(errors_, "config", [&] { takeConfig(span->records_, asked); });
-                    tailConfig();
+                    onDesiredStateRead(control_, isConfirmed ? asked + wait : asked, now);
+                    perform();
                 });
 }
 
+void GatewayControlLoop::configFailed(const std::string &reason)
+{
+    onDesiredStateReadFailed(control_, reason, monotonicNow());
+    perform();
+}
+
 void GatewayControlLoop::takeConfig(const std::vector<platform::CompactedRecord> &records,
                                     TimePoint asked)
 {
@@ -169,14 +162,11 @@
     const TimePoint asked = monotonicNow();
     store_.readLatest(
             platform::EndpointTopic, [this, asked](const Result<platform::CompactedTopic> &topic) {
-                const TimePoint now = monotonicNow();
-                if (!topic) {
-                    onEndpointListFailed(control_, topic.lastReason_, now);
-                    perform();
-                    return later(RetryDelay, [this] { readEndpoints(); });
-                }
-                runGuarded(errors_, "endpoint-list", [&] { takeEndpoints(*topic, asked); });
-                later(nextListPoll(control_.endpoints_, now) - now, [this] { readEndpoints(); });
+                if (topic)
+                    runGuarded(errors_, "endpoint-list", [&] { takeEndpoints(*topic, asked); });
+                else
+                    onEndpointListFailed(control_, topic.lastReason_, monotonicNow());
+                perform();
             });
 }
 
@@ -212,8 +202,7 @@
     }
     logUnreadable(unreadable);
     unreadable_ = std::move(unreadable);
-    onEndpointList(control_, listed, asked, monotonicNow());
-    perform();
+    onEndpointList(control_, listed, {topic.endOffset_}, asked, monotonicNow());
 }
 
 void GatewayControlLoop::perform()
@@ -237,9 +226,12 @@
         leave();
     else if (std::holds_alternative<RequestPeerAddresses>(effect))
         askPeers();
+    else if (const auto *read = std::get_if<ReadDesiredState>(&effect))
+        read->wait_ ? waitForConfig(*read->wait_) : readNewestConfig();
+    else if (std::holds_alternative<ReadEndpointList>(effect))
+        readEndpoints();
     else if (const auto *send = std::get_if<SendDigest>(&effect))
-        std::for_each(send->to_.begin(), send->to_.end(),
-                      [&](const Address &to) { datagrams_.send(to, send->digest_); });
+        datagrams_.send(send->to_, send->digest_);
     else if (const auto *question = std::get_if<RequestStatusReport>(&effect))
         ask(*question);
     else if (const auto *layers = std::get_if<SendLoadOrder>(&effect))
--- a/src/app/internal/gatewaycontrol.h
+++ b/src/app/internal/gatewaycontrol.h
@@ -37,12 +37,12 @@
 
 private:
     void readNewestConfig();
-    void tailConfig();
+    void waitForConfig(Duration wait);
+    void configFailed(const std::string &reason);
     void takeConfig(const std::vector<platform::CompactedRecord> &records, TimePoint asked);
     void readEndpoints();
     void takeEndpoints(const platform::CompactedTopic &topic, TimePoint asked);
     void logUnreadable(const std::map<std::string, std::string> &unreadable);
-    void later(Duration delay, std::function<void()> action);
     Duration tick();
 
     void perform();
--- a/src/controllers/internal/members.cpp
+++ b/src/controllers/internal/members.cpp
@@ -1,7 +1,9 @@
 #include "controllers/members.h"
 
 #include <algorithm>
+#include <map>
 #include <set>
+#include <utility>
 
 #include "core/hash.h"
 
@@ -10,8 +12,8 @@
 namespace detail {
 namespace {
 
-//! Gateways of other failure domains get one digest of this many.
-constexpr std::uint64_t CrossDomainDigestPeriod = 3;
+//! A settled first speaker sends one digest of this many to the listed members.
+constexpr std::uint64_t RepairPeriod = 10;
 
 //! Notes that a gateway was alive at the given time.
 GatewayMember &noteAlive(MembersState &state, const Address &address, TimePoint aliveAt)
@@ -21,17 +23,98 @@
     return member;
 }
 
+//! Order in which the gateways of a domain do what one of them does for all. Rendezvous weights:
+//! the loss of one moves only its own place.
+std::uint64_t weightOf(const FailureDomainId &domain, const Address &address)
+{
+    return mixHash(hashText(domain.value_), hashText(address.host_) + address.port_);
+}
+
+void setDomain(GatewayMember &member, const Address &address, const FailureDomainId &domain)
+{
+    if (member.weight_ != 0 && member.domain_ == domain)
+        return;
+    member.domain_ = domain;
+    member.weight_ = weightOf(domain, address);
+}
+
 void noteNamed(MembersState &state, const GatewayMemberReport &named, TimePoint now)
 {
     const bool isNews = named.age_ >= Duration() && named.age_ < state.limits_.forgetAfter_;
-    if (isNews && named.address_ != state.self_)
-        noteAlive(state, named.address_, now - named.age_);
+    if (!isNews || named.address_ == state.self_)
+        return;
+    GatewayMember &member = noteAlive(state, named.address_, now - named.age_);
+    if (!member.digestAt_)
+        setDomain(member, named.address_, named.domain_);
+}
+
+bool isAlive(const MembersState &state, const GatewayMember &member, TimePoint now)
+{
+    if (member.stopping_)
+        return false;
+    if (member.domain_ == state.domain_)
+        return member.digestAt_ && now - *member.digestAt_ < state.limits_.silentAfter_;
+    return now - member.aliveAt_ < state.limits_.farSilentAfter_;
+}
+
+//! The gateways of each other domain that are alive, in their order.
+std::map<FailureDomainId, std::vector<Address>> otherDomains(const MembersState &state,
+                                                             TimePoint now)
+{
+    std::map<FailureDomainId, std::vector<Address>> domains;
+    for (const auto &[address, member] : state.members_) {
+        if (member.domain_ != state.domain_ && !member.domain_.value_.empty()
+            && isAlive(state, member, now))
+            domains[member.domain_].push_back(address);
+    }
+    const auto weight = [&](const Address &address) { return state.members_.at(address).weight_; };
+    for (auto &[domain, members] : domains)
+        std::stable_sort(members.begin(), members.end(),
+                         [&](const Address &left, const Address &right) {
+                             return weight(left) > weight(right);
+                         });
+    return domains;
+}
+
+bool isNeighbour(const MembersState &state, const GatewayMember &member, TimePoint now)
+{
+    return member.domain_ == state.domain_ && now - member.aliveAt_ < state.limits_.sendWithin_;
 }
 
-//! True if it is this gateway's turn to get the digest, if it is in another failure domain.
-bool isCrossDomainTurn(const Address &address, std::uint64_t sequence)
+std::vector<Address> neighbours(const MembersState &state, TimePoint now)
 {
-    return (hashText(address.host_) + address.port_ + sequence) % CrossDomainDigestPeriod == 0;
+    std::vector<Address> near;
+    for (const auto &[address, member] : state.members_) {
+        if (isNeighbour(state, member, now))
+            near.push_back(address);
+    }
+    return near;
+}
+
+//! Names the members after last that are heard and chosen, as many as one digest may name.
+template <typename Chosen>
+std::vector<GatewayMemberReport> nextToName(const MembersState &state, Address &last, TimePoint now,
+                                            const Chosen &isChosen)
+{
+    std::vector<GatewayMemberReport> named;
+    auto next = state.members_.upper_bound(last);
+    for (std::size_t visited = 0; visited < state.members_.size(); ++visited, ++next) {
+        if (named.size() == state.limits_.namedPerDigest_)
+            break;
+        if (next == state.members_.end())
+            next = state.members_.begin();
+        const GatewayMember &member = next->second;
+        if (member.digestAt_ && isChosen(member))
+            named.push_back({next->first, member.domain_, now - *member.digestAt_});
+        last = next->first;
+    }
+    return named;
+}
+
+bool searches(const MembersState &state, std::uint64_t sequence, TimePoint now)
+{
+    return !membersSettled(state, now)
+           || (sequence % RepairPeriod == 0 && domainRank(state, now) == 0);
 }
 
 //! The part of the list that is due when recipients take turns.
@@ -52,15 +135,19 @@
 
 void applyMemberDigest(MembersState &state, const GatewayDigestMessage &digest, TimePoint now)
 {
-    if (digest.gateway_ == state.self_)
+    for (const GatewayMemberReport &named : digest.members_)
+        detail::noteNamed(state, named, now);
+    // A relayed digest comes from another gateway than the one that it describes.
+    if (digest.gateway_ == state.self_ || digest.scope_ == DigestScope::RelayedDomain)
         return;
     GatewayMember &member = detail::noteAlive(state, digest.gateway_, now);
-    member.domain_ = digest.domain_;
+    detail::setDomain(member, digest.gateway_, digest.domain_);
     member.digestAt_ = now;
+    member.stopping_ = digest.stopping_;
+    if (!digest.settled_)
+        member.unsettledAt_ = now;
     if (!state.firstDigestAt_)
         state.firstDigestAt_ = now;
-    for (const GatewayMemberReport &named : digest.members_)
-        detail::noteNamed(state, named, now);
 }
 
 void applyListedMembers(MembersState &state, std::vector<Address> listed, std::uint32_t partitions)
@@ -89,47 +176,80 @@
 
 std::vector<GatewayMemberReport> takeMembersToName(MembersState &state, TimePoint now)
 {
-    std::vector<GatewayMemberReport> named;
-    auto next = state.members_.upper_bound(state.lastNamed_);
-    for (std::size_t visited = 0; visited < state.members_.size(); ++visited, ++next) {
-        if (named.size() == state.limits_.namedPerDigest_)
-            break;
-        if (next == state.members_.end())
-            next = state.members_.begin();
-        if (next->second.digestAt_)
-            named.push_back({next->first, now - *next->second.digestAt_});
-        state.lastNamed_ = next->first;
-    }
-    return named;
+    return detail::nextToName(state, state.lastNamed_, now,
+                              [](const GatewayMember &) { return true; });
+}
+
+std::vector<GatewayMemberReport> takeNeighboursToName(MembersState &state, TimePoint now)
+{
+    return detail::nextToName(
+            state, state.lastNamedToOthers_, now,
+            [&](const GatewayMember &member) { return member.domain_ == state.domain_; });
 }
 
 std::vector<Address> digestRecipients(const MembersState &state, std::uint64_t sequence,
                                       TimePoint now)
 {
-    std::set<Address> near;
-    std::set<Address> far;
+    const auto near = detail::neighbours(state, now);
+    std::set<Address> recipients(near.begin(), near.end());
     for (const auto &[address, member] : state.members_) {
-        if (now - member.aliveAt_ > state.limits_.sendWithin_)
-            continue;
-        if (member.domain_ == state.domain_)
-            near.insert(address);
-        else if (detail::isCrossDomainTurn(address, sequence))
-            far.insert(address);
-    }
-    for (const Address &address : state.listed_) {
-        if (!near.contains(address) && detail::isCrossDomainTurn(address, sequence))
-            far.insert(address);
+        if (member.unsettledAt_ && now - *member.unsettledAt_ < state.limits_.answerFor_)
+            recipients.insert(address);
     }
-    near.erase(state.self_);
-    far.erase(state.self_);
-    std::vector<Address> recipients
-            = detail::takeTurn(near, state.limits_.maxRecipients_, sequence);
-    const auto others
-            = detail::takeTurn(far, state.limits_.maxRecipients_ - recipients.size(), sequence);
-    recipients.insert(recipients.end(), others.begin(), others.end());
+    if (detail::searches(state, sequence, now))
+        recipients.insert(state.listed_.begin(), state.listed_.end());
+    recipients.erase(state.self_);
+    return detail::takeTurn(recipients, state.limits_.maxRecipients_, sequence);
+}
+
+std::vector<Address> domainDigestRecipients(const MembersState &state, TimePoint now)
+{
+    const std::size_t rank = domainRank(state, now);
+    std::vector<Address> recipients;
+    if (state.stopping_ || rank >= state.limits_.speakers_)
+        return recipients;
+    // Each speaker has its own counterpart, so that the loss of one on either side is covered.
+    for (const auto &[domain, members] : detail::otherDomains(state, now))
+        recipients.push_back(members[std::min(rank, members.size() - 1)]);
     return recipients;
 }
 
+std::vector<Address> relayRecipients(const MembersState &state, TimePoint now)
+{
+    std::vector<Address> near = detail::neighbours(state, now);
+    near.resize(std::min(near.size(), state.limits_.maxRecipients_));
+    return near;
+}
+
+std::size_t domainRank(const MembersState &state, TimePoint now)
+{
+    const std::uint64_t own = detail::weightOf(state.domain_, state.self_);
+    return static_cast<std::size_t>(
+            std::count_if(state.members_.begin(), state.members_.end(), [&](const auto &entry) {
+                const GatewayMember &member = entry.second;
+                const bool goesBefore
+                        = state.stopping_
+                          || std::pair(member.weight_, state.self_) > std::pair(own, entry.first);
+                return member.domain_ == state.domain_ && goesBefore
+                       && detail::isAlive(state, member, now);
+            }));
+}
+
+bool hasNeighbours(const MembersState &state, TimePoint now)
+{
+    return std::any_of(state.members_.begin(), state.members_.end(), [&](const auto &entry) {
+        return detail::isNeighbour(state, entry.second, now);
+    });
+}
+
+std::uint32_t aliveMembers(const MembersState &state, TimePoint now)
+{
+    return static_cast<std::uint32_t>(
+            std::count_if(state.members_.begin(), state.members_.end(), [&](const auto &entry) {
+                return detail::isAlive(state, entry.second, now);
+            }));
+}
+
 std::uint32_t knownGateways(const MembersState &state)
 {
     const auto heard = static_cast<std::uint32_t>(state.members_.size());
--- /dev/null
+++ b/src/controllers/internal/storerelay.cpp
@@ -0,0 +1,208 @@
+#include "controllers/storerelay.h"
+
+#include <algorithm>
+#include <string>
+
+#include "core/hash.h"
+
+namespace gypsumcroft {
+
+namespace detail {
+namespace {
+
+std::string textOf(const ListedEndpoint &endpoint)
+{
+    const LayerRange layers = endpoint.layers_.value_or(LayerRange {});
+    std::string text;
+    for (const std::string &part :
+         {endpoint.id_.value_, endpoint.target_.value_, endpoint.address_.host_,
+          endpoint.domain_.value_, endpoint.accelerator_.value_, endpoint.model_})
+        text.append(part).push_back('\n');
+    for (const std::uint64_t part :
+         {std::uint64_t {endpoint.address_.port_}, std::uint64_t {endpoint.slots_},
+          static_cast<std::uint64_t>(endpoint.state_),
+          static_cast<std::uint64_t>(endpoint.layers_.has_value()),
+          std::uint64_t {layers.first_.value_}, std::uint64_t {layers.end_.value_},
+          endpoint.modelVersion_, endpoint.incarnation_})
+        text.append(std::to_string(part)).push_back('\n');
+    return text;
+}
+
+EndpointListChanges changesBetween(const std::map<EndpointId, ListedEndpoint> &before,
+                                   const std::map<EndpointId, ListedEndpoint> &after)
+{
+    EndpointListChanges changes;
+    for (const auto &[id, endpoint] : after) {
+        const auto earlier = before.find(id);
+        if (earlier == before.end() || textOf(earlier->second) != textOf(endpoint))
+            changes.changed_.push_back(endpoint);
+    }
+    for (const auto &[id, endpoint] : before) {
+        if (!after.contains(id))
+            changes.removed_.push_back(id);
+    }
+    return changes;
+}
+
+//! Latest time of this process's clock at which the sender can have asked the store, if it asked
+//! that long before it sent its news.
+std::optional<TimePoint> askedAt(const StoreNews &news, std::optional<Duration> age,
+                                 const Address &self)
+{
+    const auto echo = std::find_if(news.echoes_.begin(), news.echoes_.end(),
+                                   [&](const DigestEcho &entry) { return entry.to_ == self; });
+    if (!age || echo == news.echoes_.end())
+        return std::nullopt;
+    // The echoed digest was sent before the sender of the news received it, so the time between
+    // its arrival and the question to the store may be added to its sending time.
+    return TimePoint(echo->sentAt_ + echo->heldFor_ - *age);
+}
+
+//! Brings the list to the newer one of the news. Returns false if that is impossible.
+bool takeList(StoreRelayState &state, const StoreNews &news)
+{
+    if (!news.listChanges_ || news.listChanges_->fromHash_ != state.listHash_)
+        return false;
+    auto listed = state.listed_;
+    for (const ListedEndpoint &endpoint : news.listChanges_->changed_)
+        listed[endpoint.id_] = endpoint;
+    for (const EndpointId &endpoint : news.listChanges_->removed_)
+        listed.erase(endpoint);
+    const std::uint64_t hash = listHash(listed);
+    if (hash != news.listHash_)
+        return false;
+    state.listed_ = std::move(listed);
+    state.listHash_ = hash;
+    state.listOffset_ = news.listOffset_;
+    return true;
+}
+
+Duration takeOverAge(const StoreRelayLimits &limits, std::size_t rank)
+{
+    const std::size_t before = rank == 0 ? 0 : rank - 1;
+    const std::size_t steps = std::min(before, limits.lastStep_);
+    return limits.takeOverAfter_ + limits.takeOverStep_ * static_cast<std::int64_t>(steps)
+           + limits.takeOverSpread_ * static_cast<std::int64_t>(before - steps);
+}
+
+} // namespace
+} // namespace detail
+
+bool takeDueRead(StoreRead &read, const StoreRelayLimits &limits, const ReaderRole &role,
+                 std::optional<Duration> age, TimePoint now)
+{
+    if (read.inFlight_ && now - read.sentAt_ < limits.lostAfter_)
+        return false;
+    if (now < read.nextAt_)
+        return false;
+    const bool isStale = !age || *age >= detail::takeOverAge(limits, role.rank_);
+    if (age && isStale && role.rank_ > 0)
+        read.readOnUntil_ = now + limits.readOnFor_;
+    if (role.rank_ > 0 && !isStale && !read.behind_ && now >= read.readOnUntil_)
+        return false;
+    read.inFlight_ = true;
+    read.sentAt_ = now;
+    return true;
+}
+
+void onReadAnswered(StoreRead &read, TimePoint requestedAt, Duration interval, TimePoint now)
+{
+    read.inFlight_ = false;
+    read.behind_ = false;
+    read.nextAt_ = now + interval;
+    read.confirmedAt_ = std::max(read.confirmedAt_.value_or(requestedAt), requestedAt);
+}
+
+void onReadFailed(StoreRead &read, const StoreRelayLimits &limits, TimePoint now)
+{
+    read.inFlight_ = false;
+    read.nextAt_ = now + limits.retryDelay_;
+}
+
+bool noteListRead(StoreRelayState &state, const std::vector<ListedEndpoint> &listed,
+                  LogOffset offset)
+{
+    if (offset < state.listOffset_)
+        return false;
+    state.listOffset_ = offset;
+    std::map<EndpointId, ListedEndpoint> after;
+    for (const ListedEndpoint &endpoint : listed)
+        after[endpoint.id_] = endpoint;
+    EndpointListChanges changes = detail::changesBetween(state.listed_, after);
+    if (changes.changed_.empty() && changes.removed_.empty())
+        return true;
+    changes.fromHash_ = state.listHash_;
+    state.listed_ = std::move(after);
+    state.listHash_ = changes.toHash_ = listHash(state.listed_);
+    state.listChanges_ = std::move(changes);
+    return true;
+}
+
+void noteClock(StoreRelayState &state, const GatewayDigestMessage &digest, TimePoint now)
+{
+    HeardClock &clock = state.clocks_[digest.gateway_];
+    // Late digests of an earlier time would only make the news look older.
+    clock = {digest.sentAt_, now};
+    std::erase_if(state.clocks_, [&](const auto &entry) {
+        return now - entry.second.receivedAt_ > state.limits_.newsFor_;
+    });
+}
+
+std::optional<StoreNews> storeNews(const StoreRelayState &state, ConfigVersion version,
+                                   TimePoint now)
+{
+    const auto age = [&](const StoreRead &read) -> std::optional<Duration> {
+        if (!read.confirmedAt_ || now - *read.confirmedAt_ > state.limits_.newsFor_)
+            return std::nullopt;
+        return now - *read.confirmedAt_;
+    };
+    StoreNews news;
+    news.configVersion_ = version;
+    news.configAge_ = age(state.config_);
+    news.listHash_ = state.listHash_;
+    news.listOffset_ = state.listOffset_;
+    news.listAge_ = age(state.list_);
+    if (!news.configAge_ && !news.listAge_)
+        return std::nullopt;
+    const EndpointListChanges &changes = state.listChanges_;
+    if (news.listAge_ && changes.toHash_ == state.listHash_
+        && changes.changed_.size() + changes.removed_.size() <= state.limits_.maxChanges_)
+        news.listChanges_ = changes;
+    for (const auto &[address, clock] : state.clocks_)
+        news.echoes_.push_back({address, clock.sentAt_, now - clock.receivedAt_});
+    return news;
+}
+
+RelayedNews applyStoreNews(StoreRelayState &state, const StoreNews &news, const Address &self,
+                           std::optional<ConfigVersion> version)
+{
+    RelayedNews relayed;
+    const auto configAsked = detail::askedAt(news, news.configAge_, self);
+    const auto listAsked = detail::askedAt(news, news.listAge_, self);
+    if (news.configAge_ && (!version || news.configVersion_ > *version))
+        state.config_.behind_ = true;
+    else if (version && news.configVersion_ == *version)
+        relayed.configConfirmedAt_ = configAsked;
+    if (!listAsked)
+        return relayed;
+    const bool isSame = state.listHash_ == news.listHash_;
+    if (isSame)
+        state.listOffset_ = std::max(state.listOffset_, news.listOffset_);
+    // An older list is no news. One that can't be derived from the own one is read.
+    const bool isNewer = news.listOffset_ > state.listOffset_;
+    if (isSame || (isNewer && detail::takeList(state, news)))
+        relayed.listConfirmedAt_ = listAsked;
+    else if (isNewer)
+        state.list_.behind_ = true;
+    return relayed;
+}
+
+std::uint64_t listHash(const std::map<EndpointId, ListedEndpoint> &listed)
+{
+    std::uint64_t hash = 0;
+    for (const auto &[id, endpoint] : listed)
+        hash = mixHash(hash, hashText(detail::textOf(endpoint)));
+    return hash;
+}
+
+} // namespace gypsumcroft
--- a/src/controllers/members.h
+++ b/src/controllers/members.h
@@ -20,6 +20,15 @@
     Duration forgetAfter_ = std::chrono::seconds(60);
     //! Time without news after which a gateway gets no more digests.
     Duration sendWithin_ = std::chrono::seconds(10);
+    //! Time without a digest after which a gateway of the own failure domain counts as silent and
+    //! does nothing on behalf of others.
+    Duration silentAfter_ = std::chrono::milliseconds(1300);
+    //! The same for gateways of other domains, which are heard of at second hand.
+    Duration farSilentAfter_ = std::chrono::seconds(3);
+    //! Time for which a gateway that isn't settled is answered, in whatever domain it is.
+    Duration answerFor_ = std::chrono::seconds(2);
+    //! Gateways of a domain that send and receive for it across domains.
+    std::size_t speakers_ = 2;
     //! Time from the first digest of another gateway until the known members count as complete.
     Duration settleTime_ = std::chrono::seconds(2);
     //! Members that one digest names.
@@ -36,6 +45,11 @@
     TimePoint aliveAt_;
     //! When its last own digest arrived.
     std::optional<TimePoint> digestAt_;
+    //! When its last digest arrived in which it said that it isn't settled.
+    std::optional<TimePoint> unsettledAt_;
+    bool stopping_ = false;
+    //! Of the gateways of a domain, the one with the highest weight goes first.
+    std::uint64_t weight_ = 0;
 };
 
 //! The platform's group as this process sees it.
@@ -58,8 +72,12 @@
     GroupSize group_;
     //! When the first digest of another gateway arrived.
     std::optional<TimePoint> firstDigestAt_;
-    //! Last member named in a digest; the next digest goes on after it.
+    //! This process is stopping.
+    bool stopping_ = false;
+    //! Last member named in an own digest and in a sum over the domain; the next one of the same
+    //! kind goes on after it.
     Address lastNamed_;
+    Address lastNamedToOthers_;
 };
 
 //! Notes a digest of the gateway itself.
@@ -78,12 +96,34 @@
 //! second-hand news passed on in circles would keep a dead gateway alive.
 std::vector<GatewayMemberReport> takeMembersToName(MembersState &state, TimePoint now);
 
-//! Recipients of the digest with the given sequence number. Gateways of the own failure domain get
-//! every digest. Traffic between domains is expensive and a gateway mostly uses endpoints of its
-//! own domain, so each of the others gets every third one.
+//! The same for a sum over the domain, which names gateways of this domain only.
+std::vector<GatewayMemberReport> takeNeighboursToName(MembersState &state, TimePoint now);
+
+//! Recipients of the own digest with the given sequence number: the gateways of the own failure
+//! domain. To find each other, gateways that aren't settled also send it to the listed members,
+//! whose answer they get; so does the first speaker of a domain from time to time, for domains
+//! that have lost sight of each other.
 std::vector<Address> digestRecipients(const MembersState &state, std::uint64_t sequence,
                                       TimePoint now);
 
+//! Recipients of the sum over this domain: one speaker of each other domain. Empty if this process
+//! is no speaker of its own.
+std::vector<Address> domainDigestRecipients(const MembersState &state, TimePoint now);
+
+//! Gateways of this domain, to which a sum that another domain sent here is passed on.
+std::vector<Address> relayRecipients(const MembersState &state, TimePoint now);
+
+//! Number of gateways of the own domain that go before this one in what one does for all. Each
+//! computes it from the members that it hears; while they disagree, two do the same or the next
+//! one takes over.
+std::size_t domainRank(const MembersState &state, TimePoint now);
+
+//! True if other gateways of the domain are heard.
+bool hasNeighbours(const MembersState &state, TimePoint now);
+
+//! Number of other gateways that are alive as far as is known.
+std::uint32_t aliveMembers(const MembersState &state, TimePoint now);
+
 //! Number of gateways including this one; never less than known.
 std::uint32_t knownGateways(const MembersState &state);
 
--- a/src/controllers/peers.h
+++ b/src/controllers/peers.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <memory>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "core/messages.h"
@@ -17,6 +18,8 @@
 {
     //! Time without a digest after which a peer is removed and its load no longer counts.
     Duration removeAfter_ = std::chrono::milliseconds(1500);
+    //! The same for a peer's part in the sum over the domain, which takes longer to arrive.
+    Duration leaveOutAfter_ = std::chrono::milliseconds(1000);
 };
 
 struct PeerGateway
@@ -25,18 +28,37 @@
     TimePoint receivedAt_;
 };
 
+//! Sum over another failure domain, from one of its gateways.
+struct PeerDomain
+{
+    GatewayDigestMessage digest_;
+    TimePoint receivedAt_;
+};
+
 struct PeersState
 {
     PeerLimits limits_;
+    //! Gateways of the own failure domain.
     std::map<InstanceId, PeerGateway> peers_;
+    std::map<FailureDomainId, PeerDomain> domains_;
+    //! Incarnation and sequence number of the newest sum of each sender.
+    std::map<InstanceId, std::pair<Incarnation, std::uint64_t>> newestSums_;
 };
 
 //! Stores a peer's digest if it is newer than the stored one. Returns true if it was stored.
 bool applyDigest(PeersState &state, GatewayDigestMessage digest, TimePoint now);
 
+//! Stores the sum over another domain unless this or a later one of its sender is known. Returns
+//! true if it was stored. Two senders of one domain replace each other's sums.
+bool applyDomainDigest(PeersState &state, GatewayDigestMessage digest, TimePoint now);
+
+//! Sum over the own domain: the given own digest and the peers' last ones.
+GatewayDigestMessage sumOfDomain(const PeersState &state, const GatewayDigestMessage &own,
+                                 TimePoint now);
+
 void removeSilentPeers(PeersState &state, TimePoint now);
 
-//! Load on each endpoint, summed over all peers.
+//! Load on each endpoint, summed over all peers and the other domains.
 std::shared_ptr<const EndpointLoads> totalPeerLoads(const PeersState &state);
 
 } // namespace gypsumcroft
--- /dev/null
+++ b/src/controllers/storerelay.h
@@ -0,0 +1,130 @@
+//! Controller of reading the platform's store on behalf of others. In each failure domain one
+//! gateway reads; the others take the desired state's confirmation and the endpoint list from its
+//! digests. Who reads follows from the members that each knows; when a reader falls silent or
+//! can't reach the store, the next ones in rank read for themselves.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "controllers/endpointlist.h"
+#include "core/messages.h"
+
+namespace gypsumcroft {
+
+struct StoreRelayLimits
+{
+    //! Age of what is known at which a gateway of the next rank asks the store itself. Leaves time
+    //! within the platform's shortest bound, two seconds, for its own request and for telling the
+    //! others.
+    Duration takeOverAfter_ = std::chrono::milliseconds(1400);
+    //! Additional age for each further rank up to lastStep_, longer than a control tick and a read:
+    //! the next one asks only if the one before it failed as well.
+    Duration takeOverStep_ = std::chrono::milliseconds(120);
+    std::size_t lastStep_ = 2;
+    //! Additional age for each rank after that, so that not all ask at the same moment.
+    Duration takeOverSpread_ = std::chrono::milliseconds(2);
+    //! Time for which a gateway goes on reading after it took over.
+    Duration readOnFor_ = std::chrono::seconds(5);
+    //! Interval of reads by a gateway that others listen to.
+    Duration sharedInterval_ = std::chrono::milliseconds(1000);
+    //! Interval of reads by a gateway that reads for itself only.
+    Duration ownInterval_ = std::chrono::milliseconds(1200);
+    //! The same for waiting reads of the desired state.
+    Duration ownConfigWait_ = std::chrono::milliseconds(1400);
+    //! Least interval of reads by a gateway that lacks something in the news of others.
+    Duration minInterval_ = std::chrono::milliseconds(300);
+    //! Time after which a read without any end is given up; longer than all its timeouts.
+    Duration lostAfter_ = std::chrono::seconds(5);
+    //! Pause after a failed read.
+    Duration retryDelay_ = std::chrono::milliseconds(150);
+    //! Time for which digests tell what was read.
+    Duration newsFor_ = std::chrono::seconds(3);
+    //! Largest change of the list that digests carry; recipients read a larger one for themselves.
+    std::size_t maxChanges_ = 128;
+};
+
+//! Read of one thing: the desired state or the endpoint list.
+struct StoreRead
+{
+    bool inFlight_ = false;
+    TimePoint sentAt_;
+    //! Earliest time of the next read.
+    TimePoint nextAt_;
+    //! When the newest successful read of this process was sent.
+    std::optional<TimePoint> confirmedAt_;
+    //! Another gateway has newer content than this process, which must read it.
+    bool behind_ = false;
+    //! Until then this process reads because it took over.
+    TimePoint readOnUntil_;
+};
+
+//! Clock reading in the newest digest of a gateway.
+struct HeardClock
+{
+    Duration sentAt_ {};
+    TimePoint receivedAt_;
+};
+
+struct StoreRelayState
+{
+    StoreRelayLimits limits_;
+    StoreRead config_;
+    StoreRead list_;
+    //! The newest list, read or relayed, as the platform shows it.
+    std::map<EndpointId, ListedEndpoint> listed_;
+    std::uint64_t listHash_ = 0;
+    LogOffset listOffset_;
+    //! How the last read changed the list.
+    EndpointListChanges listChanges_;
+    std::map<Address, HeardClock> clocks_;
+};
+
+//! Place of this process among the gateways that may read for each other.
+struct ReaderRole
+{
+    //! Number of gateways that go before this one.
+    std::size_t rank_ = 0;
+    //! Others may listen.
+    bool hasListeners_ = false;
+};
+
+//! True if this process should read now, given how old its knowledge is. Marks the read as sent.
+bool takeDueRead(StoreRead &read, const StoreRelayLimits &limits, const ReaderRole &role,
+                 std::optional<Duration> age, TimePoint now);
+
+//! Handles a successful read that was sent at the given time. The next one is due after the
+//! interval.
+void onReadAnswered(StoreRead &read, TimePoint requestedAt, Duration interval, TimePoint now);
+
+void onReadFailed(StoreRead &read, const StoreRelayLimits &limits, TimePoint now);
+
+//! Notes a list that this process read. Returns false if a newer one is known.
+bool noteListRead(StoreRelayState &state, const std::vector<ListedEndpoint> &listed,
+                  LogOffset offset);
+
+//! Notes the clock reading of a digest, for the echo to its sender.
+void noteClock(StoreRelayState &state, const GatewayDigestMessage &digest, TimePoint now);
+
+//! What this process has read lately, or nothing.
+std::optional<StoreNews> storeNews(const StoreRelayState &state, ConfigVersion version,
+                                   TimePoint now);
+
+//! What another gateway's news confirms, in terms of this process's clock.
+struct RelayedNews
+{
+    //! The desired state of this process was the newest one then.
+    std::optional<TimePoint> configConfirmedAt_;
+    //! The list in StoreRelayState::listed_ was the newest one then.
+    std::optional<TimePoint> listConfirmedAt_;
+};
+
+//! Applies news that another gateway read from the store. What this process lacks and can't take
+//! from the news is marked to be read.
+RelayedNews applyStoreNews(StoreRelayState &state, const StoreNews &news, const Address &self,
+                           std::optional<ConfigVersion> version);
+
+std::uint64_t listHash(const std::map<EndpointId, ListedEndpoint> &listed);
+
+} // namespace gypsumcroft
--- a/src/controllers/tests/tst_gatewaystate.cpp
+++ b/src/controllers/tests/tst_gatewaystate.cpp
@@ -535,6 +535,7 @@
 {
     const char *name_;
     std::uint64_t sequence_;
+    bool settled_;
     std::vector<const char *> to_;
 };
 
@@ -543,45 +544,45 @@
     return out << test.name_;
 }
 
-// near is in the same failure domain as the sender, the others are elsewhere. new is known from the
-// platform only, named from another gateway's digest only.
+// near is in the same failure domain as the sender, far in another one and settled, seeking in
+// another one and not settled; listed is known from the platform only.
 const RecipientCase RecipientCases[] = {
-        {"first digest", 1, {"near"}},
-        {"second digest", 2, {"near"}},
-        {"third digest", 3, {"near"}},
+        {"settled and first of its domain", 1, true, {"near", "seeking"}},
+        {"settled and first of its domain, at its repair", 10, true, {"listed", "near", "seeking"}},
+        {"not settled", 1, false, {"listed", "near", "seeking"}},
 };
 
 } // namespace
 
-// Each gateway of another domain gets one digest in three, and each of them at its own turn.
 BOOST_DATA_TEST_CASE(digestRecipientsByDomain, RecipientCases, test)
 {
     MembersState state;
     state.self_ = {"self", 7000};
     state.domain_ = {"a"};
-    state.listed_ = {{"new", 7000}, {"self", 7000}};
+    state.listed_ = {{"listed", 7000}, {"self", 7000}};
     GatewayDigestMessage near = digest("near", 1, 1, 0);
     near.domain_ = {"a"};
+    // It leaves what one does for all to the sender.
+    near.settled_ = near.stopping_ = true;
     GatewayDigestMessage far = digest("far", 1, 1, 0);
     far.domain_ = {"b"};
-    far.members_ = {{{"named", 7000}, milliseconds(100)},
-                    {{"self", 7000}, milliseconds(100)},
-                    {{"long silent", 7000}, seconds(30)},
-                    {{"never", 7000}, seconds(100)},
-                    {{"future", 7000}, -seconds(1)}};
-    applyMemberDigest(state, near, at(0));
-    applyMemberDigest(state, far, at(0));
-    std::map<std::string, int> sent;
-    for (std::uint64_t i = 0; i < 3; ++i) {
-        const auto recipients = digestRecipients(state, test.sequence_ + i, at(100));
-        BOOST_TEST(
-                std::count(recipients.begin(), recipients.end(), Address {test.to_.front(), 7000})
-                == 1);
-        for (const Address &to : recipients)
-            ++sent[to.host_];
-    }
-    const std::map<std::string, int> expected = {{"near", 3}, {"far", 1}, {"named", 1}, {"new", 1}};
-    BOOST_TEST((sent == expected));
+    far.settled_ = true;
+    GatewayDigestMessage seeking = digest("seeking", 1, 1, 0);
+    seeking.domain_ = {"c"};
+    far.members_ = {{{"named", 7000}, {"b"}, milliseconds(100)},
+                    {{"near by name", 7000}, {"a"}, seconds(20)},
+                    {{"never", 7000}, {"a"}, seconds(100)},
+                    {{"future", 7000}, {"a"}, -seconds(1)}};
+    state.limits_.settleTime_ = test.settled_ ? Duration() : seconds(2);
+    for (const GatewayDigestMessage &message : {near, far, seeking})
+        applyMemberDigest(state, message, at(0));
+    std::vector<std::string> recipients;
+    for (const Address &to : digestRecipients(state, test.sequence_, at(100)))
+        recipients.push_back(to.host_);
+    const std::vector<std::string> expected(test.to_.begin(), test.to_.end());
+    BOOST_TEST(recipients == expected, boost::test_tools::per_element());
+    // Named members count, except for those that were last heard of too long ago.
+    BOOST_TEST(knownGateways(state) == 6U);
 }
 
 namespace {
--- a/src/core/messages.h
+++ b/src/core/messages.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "core/ids.h"
+#include "core/routes.h"
 #include "core/template.h"
 #include "core/units.h"
 
@@ -343,13 +344,65 @@
 struct GatewayMemberReport
 {
     Address address_;
+    FailureDomainId domain_;
     //! Time since its last digest arrived at the sender.
     Duration age_ {};
 };
 
+//! Returns the recipient's own clock reading to it, so that it can tell how old the sender's news
+//! is at least, whatever the clocks and the delays on the way.
+struct DigestEcho
+{
+    Address to_;
+    //! sentAt_ of the recipient's newest digest at the sender.
+    Duration sentAt_ {};
+    //! Time since that digest arrived.
+    Duration heldFor_ {};
+};
+
+//! Difference between two endpoint lists, each named by its hash.
+struct EndpointListChanges
+{
+    std::uint64_t fromHash_ = 0;
+    std::uint64_t toHash_ = 0;
+    std::vector<ListedEndpoint> changed_;
+    std::vector<EndpointId> removed_;
+};
+
+//! What the sender itself has read from the platform's store lately. Times since the store was
+//! asked; empty for what it hasn't read lately.
+struct StoreNews
+{
+    ConfigVersion configVersion_;
+    std::optional<Duration> configAge_;
+    std::uint64_t listHash_ = 0;
+    //! End of the log of list records when the list was read: a list with a higher one is newer.
+    LogOffset listOffset_;
+    std::optional<Duration> listAge_;
+    //! Leads from the previous list to this one; empty if that is long ago or too large.
+    std::optional<EndpointListChanges> listChanges_;
+    std::vector<DigestEcho> echoes_;
+};
+
+enum class DigestScope : std::uint8_t {
+    //! State of the sender.
+    Gateway,
+    //! Sum over the sender's failure domain, for the other domains.
+    Domain,
+    //! Such a sum, passed on within the domain that received it.
+    RelayedDomain,
+};
+
 //! State that a gateway shares with the other gateways over UDP.
 struct GatewayDigestMessage
 {
+    DigestScope scope_ = DigestScope::Gateway;
+    //! Reading of the sender's clock.
+    Duration sentAt_ {};
+    //! The sender knows all other gateways that it can learn of soon.
+    bool settled_ = false;
+    //! The sender is stopping and does nothing on behalf of others any more.
+    bool stopping_ = false;
     InstanceId instance_;
     FailureDomainId domain_;
     Address gateway_;
@@ -363,6 +416,7 @@
     std::vector<LeavingEndpointReport> leavingEndpoints_;
     //! Some of the gateways that the sender hears; consecutive digests name different ones.
     std::vector<GatewayMemberReport> members_;
+    std::optional<StoreNews> storeNews_;
 };
 
 //! Messages sent over UDP between processes.
--- a/src/gateway/control.h
+++ b/src/gateway/control.h
@@ -14,6 +14,7 @@
 #include "controllers/placement.h"
 #include "controllers/probes.h"
 #include "controllers/routetable.h"
+#include "controllers/storerelay.h"
 #include "core/endpointnotice.h"
 #include "core/random.h"
 #include "policy/endpointpause.h"
@@ -34,6 +35,17 @@
 struct RequestPeerAddresses
 { };
 
+//! Effect: read the desired state from the store, the newest one at once or, with a wait, the next
+//! one after the last that was read.
+struct ReadDesiredState
+{
+    std::optional<Duration> wait_;
+};
+
+//! Effect: read the endpoint list from the store.
+struct ReadEndpointList
+{ };
+
 //! Effect: send the digest to these gateways.
 struct SendDigest
 {
@@ -45,9 +57,9 @@
 struct GatewayViewChanged
 { };
 
-using GatewayControlEffect
-        = std::variant<JoinGroup, LeaveGroup, RequestPeerAddresses, RequestStatusReport,
-                       SendLoadOrder, SendDigest, GatewayViewChanged, LogEvent>;
+using GatewayControlEffect = std::variant<JoinGroup, LeaveGroup, RequestPeerAddresses,
+                                          ReadDesiredState, ReadEndpointList, RequestStatusReport,
+                                          SendLoadOrder, SendDigest, GatewayViewChanged, LogEvent>;
 
 //! Limits that the platform sets for this installation.
 struct GatewayBounds
@@ -58,7 +70,7 @@
     Duration maxReadyAge_ = std::chrono::seconds(3);
     Duration digestInterval_ = std::chrono::milliseconds(200);
     //! Interval between requests for the peers' addresses.
-    Duration peersInterval_ = std::chrono::seconds(10);
+    Duration peersInterval_ = std::chrono::seconds(30);
     //! The same while no peer is known.
     Duration noPeersInterval_ = std::chrono::seconds(1);
     //! Minimum time between two log lines on the number of gateways.
@@ -83,6 +95,9 @@
     ProbeState probes_;
     MembersState members_;
     PeersState peers_;
+    StoreRelayState relay_;
+    //! This process reads the store regularly, for itself and others.
+    bool readsStore_ = false;
     std::vector<EndpointLoad> ownLoads_;
     std::shared_ptr<const EndpointLoads> reportedLoads_ = std::make_shared<EndpointLoads>();
     std::uint64_t digestSequence_ = 0;
@@ -109,10 +124,16 @@
 //! was requested.
 void onDesiredStateConfirmed(GatewayControl &state, TimePoint requestedAt, TimePoint now);
 
+//! Handles the end of a read of the desired state, after what it returned. It shows the newest
+//! state as of confirmedAt.
+void onDesiredStateRead(GatewayControl &state, TimePoint confirmedAt, TimePoint now);
+void onDesiredStateReadFailed(GatewayControl &state, const std::string &reason, TimePoint now);
+
+//! Handles the endpoint list and the end of its log when it was read.
 void onEndpointList(GatewayControl &state, const std::vector<ListedEndpoint> &listed,
-                    TimePoint requestedAt, TimePoint now);
+                    LogOffset offset, TimePoint requestedAt, TimePoint now);
 
-//! Handles a failed poll of the endpoint list.
+//! Handles a failed read of the endpoint list.
 void onEndpointListFailed(GatewayControl &state, const std::string &reason, TimePoint now);
 
 //! Handles a failed request to the platform. Only the first of consecutive failures is logged.
--- a/src/gateway/internal/control.cpp
+++ b/src/gateway/internal/control.cpp
@@ -90,24 +90,20 @@
     return reports;
 }
 
-void sendDigest(GatewayControl &state, TimePoint now)
+GatewayDigestMessage makeDigest(GatewayControl &state, TimePoint now)
 {
-    SendDigest send;
     const auto down = downEndpoints(state.probes_);
-    GatewayDigestMessage &digest = send.digest_;
+    GatewayDigestMessage digest;
+    digest.sentAt_ = now.time_since_epoch();
+    digest.settled_ = membersSettled(state.members_, now);
+    digest.stopping_ = state.members_.stopping_;
     digest.instance_ = state.self_;
     digest.gateway_ = state.members_.self_;
     digest.incarnation_ = state.incarnation_;
     digest.domain_ = state.members_.domain_;
     digest.sequence_ = ++state.digestSequence_;
     digest.members_ = takeMembersToName(state.members_, now);
-    send.to_ = digestRecipients(state.members_, digest.sequence_, now);
     digest.loads_ = state.ownLoads_;
-    auto reported = std::make_shared<EndpointLoads>();
-    for (const EndpointLoad &load : state.ownLoads_)
-        reported->emplace(load.endpoint_, load);
-    state.reportedLoads_ = std::move(reported);
-    state.viewStale_ = true;
     digest.loadedLayers_ = recentReports(state, now);
     digest.downEndpoints_ = {down.begin(), down.end()};
     digest.leavingEndpoints_ = leavingToReport(state.endpoints_, now);
@@ -115,7 +111,130 @@
         const auto moves = movesInProgress(placing, now);
         digest.layerMoves_.insert(digest.layerMoves_.end(), moves.begin(), moves.end());
     }
-    state.effects_.emplace_back(std::move(send));
+    if (state.routes_.table_ && !state.members_.stopping_)
+        digest.storeNews_ = storeNews(state.relay_, state.routes_.table_->state_.version_, now);
+    return digest;
+}
+
+void sendTo(GatewayControl &state, std::vector<Address> recipients, GatewayDigestMessage digest)
+{
+    if (!recipients.empty())
+        state.effects_.emplace_back(SendDigest {std::move(recipients), std::move(digest)});
+}
+
+//! Sends the own digest to the gateways of this domain and, as its speaker, every second time the
+//! sum over the domain to the others.
+void sendDigests(GatewayControl &state, TimePoint now)
+{
+    GatewayDigestMessage digest = makeDigest(state, now);
+    auto reported = std::make_shared<EndpointLoads>();
+    for (const EndpointLoad &load : state.ownLoads_)
+        reported->emplace(load.endpoint_, load);
+    state.reportedLoads_ = std::move(reported);
+    state.viewStale_ = true;
+    constexpr std::uint64_t DomainDigestPeriod = 2;
+    if (digest.sequence_ % DomainDigestPeriod == 0) {
+        GatewayDigestMessage sum = sumOfDomain(state.peers_, digest, now);
+        sum.members_ = takeNeighboursToName(state.members_, now);
+        sendTo(state, domainDigestRecipients(state.members_, now), std::move(sum));
+    }
+    auto recipients = digestRecipients(state.members_, digest.sequence_, now);
+    sendTo(state, std::move(recipients), std::move(digest));
+}
+
+//! Tells the other gateways of this domain at once what was read from the store.
+void sendStoreNews(GatewayControl &state, TimePoint now)
+{
+    sendTo(state, relayRecipients(state.members_, now), makeDigest(state, now));
+}
+
+ReaderRole readerRole(const GatewayControl &state, TimePoint now)
+{
+    return {domainRank(state.members_, now), hasNeighbours(state.members_, now)};
+}
+
+void logReading(GatewayControl &state, const ReaderRole &role, TimePoint now)
+{
+    const bool reads = role.rank_ == 0 || now < state.relay_.config_.readOnUntil_
+                       || now < state.relay_.list_.readOnUntil_;
+    if (std::exchange(state.readsStore_, reads) == reads)
+        return;
+    state.effects_.emplace_back(logEvent(
+            LogLevel::Info,
+            LogLine("store-reader")
+                    .add("reads", reads ? "yes" : "no")
+                    .add("rank", std::uint64_t {role.rank_})
+                    .add("config_age_ms", desiredStateAge(state.routes_, now).value_or(Duration()))
+                    .add("list_age_ms", now - state.endpoints_.confirmedAt_.value_or(now))));
+}
+
+//! Requests the reads from the store that are due.
+void readStore(GatewayControl &state, TimePoint now)
+{
+    const ReaderRole role = readerRole(state, now);
+    const StoreRelayLimits &limits = state.relay_.limits_;
+    StoreRead &config = state.relay_.config_;
+    // A waiting read confirms only at its end, too late for what is already old.
+    const bool isRecent = config.confirmedAt_ && !config.behind_
+                          && now - *config.confirmedAt_ < limits.takeOverAfter_;
+    if (takeDueRead(config, limits, role, desiredStateAge(state.routes_, now), now)) {
+        ReadDesiredState read;
+        if (isRecent)
+            read.wait_ = role.hasListeners_ ? limits.sharedInterval_ : limits.ownConfigWait_;
+        state.effects_.emplace_back(read);
+    }
+    const auto listedAt = state.endpoints_.confirmedAt_;
+    const auto listAge = listedAt ? std::optional(now - *listedAt) : std::nullopt;
+    if (takeDueRead(state.relay_.list_, limits, role, listAge, now))
+        state.effects_.emplace_back(ReadEndpointList {});
+    logReading(state, role, now);
+}
+
+//! Interval until the next read by this process.
+Duration readInterval(const GatewayControl &state, const StoreRead &read, TimePoint now)
+{
+    const StoreRelayLimits &limits = state.relay_.limits_;
+    const ReaderRole role = readerRole(state, now);
+    if (role.rank_ > 0 && now >= read.readOnUntil_)
+        return limits.minInterval_;
+    return role.hasListeners_ ? limits.sharedInterval_ : limits.ownInterval_;
+}
+
+std::vector<ListedEndpoint> listOf(const StoreRelayState &relay)
+{
+    std::vector<ListedEndpoint> listed;
+    for (const auto &[id, endpoint] : relay.listed_)
+        listed.push_back(endpoint);
+    return listed;
+}
+
+void applyList(GatewayControl &state, TimePoint requestedAt, TimePoint now)
+{
+    const bool changed
+            = applyEndpointList(state.endpoints_, listOf(state.relay_), requestedAt, now);
+    emitLog(state, state.endpoints_.log_);
+    state.viewStale_ = true;
+    if (changed)
+        rebuildEndpointIndex(state);
+}
+
+//! Takes what another gateway of this domain read from the store.
+void takeStoreNews(GatewayControl &state, const StoreNews &news, TimePoint now)
+{
+    const auto version = state.routes_.table_ ? std::optional(state.routes_.table_->state_.version_)
+                                              : std::nullopt;
+    const RelayedNews relayed = applyStoreNews(state.relay_, news, state.members_.self_, version);
+    if (relayed.configConfirmedAt_ && *relayed.configConfirmedAt_ <= now) {
+        confirmDesiredState(state.routes_, *relayed.configConfirmedAt_);
+        state.viewStale_ = true;
+    }
+    const auto known = state.endpoints_.confirmedAt_;
+    const bool isNewer = relayed.listConfirmedAt_ && *relayed.listConfirmedAt_ <= now
+                         && (!known || *relayed.listConfirmedAt_ > *known);
+    if (isNewer)
+        applyList(state, *relayed.listConfirmedAt_, now);
+    if (state.relay_.config_.behind_ || state.relay_.list_.behind_)
+        readStore(state, now);
 }
 
 void logGatewayCount(GatewayControl &state, TimePoint now)
@@ -130,7 +249,7 @@
             logEvent(LogLevel::Info,
                      LogLine("entries")
                              .add("count", std::uint64_t {count})
-                             .add("heard", std::uint64_t {state.peers_.peers_.size()})
+                             .add("alive", std::uint64_t {aliveMembers(state.members_, now)})
                              .add("settled", membersSettled(state.members_, now) ? "yes" : "no")));
 }
 
@@ -143,16 +262,35 @@
     state.viewStale_ = state.viewStale_ || state.peers_.peers_.size() != before;
     if (now - state.lastDigestAt_ >= state.bounds_.digestInterval_) {
         state.lastDigestAt_ = now;
-        sendDigest(state, now);
+        sendDigests(state, now);
     }
-    const Duration interval = state.peers_.peers_.empty() ? state.bounds_.noPeersInterval_
-                                                          : state.bounds_.peersInterval_;
+    const Duration interval = membersSettled(state.members_, now) ? state.bounds_.peersInterval_
+                                                                  : state.bounds_.noPeersInterval_;
     if (now - state.peersRequestedAt_ < interval)
         return;
     state.peersRequestedAt_ = now;
     state.effects_.emplace_back(RequestPeerAddresses {});
 }
 
+//! Takes the loads of a digest. Returns false if the digest is no news.
+bool takeLoads(GatewayControl &state, GatewayDigestMessage digest, TimePoint now)
+{
+    const bool isNear = digest.domain_ == state.members_.domain_;
+    if (digest.scope_ == DigestScope::Gateway)
+        // A gateway of another domain is part of that domain's sum.
+        return !isNear || applyDigest(state.peers_, std::move(digest), now);
+    if (isNear)
+        return false;
+    GatewayDigestMessage relayed = digest;
+    const bool isDirect = digest.scope_ == DigestScope::Domain;
+    if (!applyDomainDigest(state.peers_, std::move(digest), now))
+        return false;
+    relayed.scope_ = DigestScope::RelayedDomain;
+    if (isDirect)
+        sendTo(state, relayRecipients(state.members_, now), std::move(relayed));
+    return true;
+}
+
 void tickTargets(GatewayControl &state, TimePoint now)
 {
     const auto lost = lostEndpoints(state.probes_, state.endpoints_);
@@ -192,20 +330,39 @@
     detail::publishView(state);
 }
 
+void onDesiredStateRead(GatewayControl &state, TimePoint confirmedAt, TimePoint now)
+{
+    StoreRead &read = state.relay_.config_;
+    const bool isOwnTask = detail::readerRole(state, now).rank_ == 0 || now < read.readOnUntil_;
+    onReadAnswered(read, confirmedAt, isOwnTask ? Duration() : state.relay_.limits_.minInterval_,
+                   now);
+    detail::sendStoreNews(state, now);
+    detail::readStore(state, now);
+}
+
+void onDesiredStateReadFailed(GatewayControl &state, const std::string &reason, TimePoint now)
+{
+    onPlatformRequestFailed(state, "config", reason, now);
+    onReadFailed(state.relay_.config_, state.relay_.limits_, now);
+}
+
 void onEndpointList(GatewayControl &state, const std::vector<ListedEndpoint> &listed,
-                    TimePoint requestedAt, TimePoint now)
+                    LogOffset offset, TimePoint requestedAt, TimePoint now)
 {
     detail::onPlatformResponse(state, now);
-    const bool changed = applyEndpointList(state.endpoints_, listed, requestedAt, now);
-    detail::emitLog(state, state.endpoints_.log_);
-    state.viewStale_ = true;
-    if (changed)
-        detail::rebuildEndpointIndex(state);
+    StoreRead &read = state.relay_.list_;
+    onReadAnswered(read, requestedAt, detail::readInterval(state, read, now), now);
+    if (!noteListRead(state.relay_, listed, offset))
+        return;
+    detail::applyList(state, requestedAt, now);
+    read.nextAt_ = std::min(read.nextAt_, nextListPoll(state.endpoints_, now));
+    detail::sendStoreNews(state, now);
 }
 
 void onEndpointListFailed(GatewayControl &state, const std::string &reason, TimePoint now)
 {
     onPlatformRequestFailed(state, "endpoints", reason, now);
+    onReadFailed(state.relay_.list_, state.relay_.limits_, now);
     onListPollFailed(state.endpoints_, reason, now);
     detail::emitLog(state, state.endpoints_.log_);
 }
@@ -259,6 +416,7 @@
     for (auto &[target, placing] : state.placement_)
         stopPlacement(placing);
     state.bounds_.retry_.slack_ = 0;
+    state.members_.stopping_ = true;
     state.effects_.emplace_back(LeaveGroup {});
     detail::publishView(state);
 }
@@ -352,7 +510,10 @@
     const std::vector<LayerMoveReport> moves = digest.layerMoves_;
     const std::vector<LeavingEndpointReport> leavingEndpoints = digest.leavingEndpoints_;
     applyMemberDigest(state.members_, digest, now);
-    if (!applyDigest(state.peers_, std::move(digest), now))
+    noteClock(state.relay_, digest, now);
+    const bool isNear = digest.domain_ == state.members_.domain_;
+    const auto news = isNear ? digest.storeNews_ : std::nullopt;
+    if (!detail::takeLoads(state, std::move(digest), now))
         return;
     state.viewStale_ = true;
     bool changed = false;
@@ -374,6 +535,8 @@
     detail::emitLog(state, state.endpoints_.log_);
     if (changed)
         detail::rebuildEndpointIndex(state);
+    if (news)
+        detail::takeStoreNews(state, *news, now);
 }
 
 void onPeersListed(GatewayControl &state, std::vector<Address> peers, std::uint32_t partitions)
@@ -387,6 +550,7 @@
     if (takeDueJoin(state.lease_, now))
         state.effects_.emplace_back(JoinGroup {state.lease_.generation_});
     detail::tickPeers(state, now);
+    detail::readStore(state, now);
     tickProbes(state.probes_, state.endpoints_, now);
     detail::emitProbeEffects(state);
     if (std::exchange(state.viewStale_, false))
@@ -412,7 +576,7 @@
     view.freshness_ = state.bounds_.freshness_;
     view.domain_ = state.members_.domain_;
     view.gatewayCount_ = knownGateways(state.members_);
-    view.peerCount_ = static_cast<std::uint32_t>(state.peers_.peers_.size());
+    view.peerCount_ = aliveMembers(state.members_, now);
     view.retry_ = state.bounds_.retry_;
     // A share of an unknown number of gateways could be too large.
     if (!membersSettled(state.members_, now))
--- a/src/gateway/tests/tst_members.cpp
+++ b/src/gateway/tests/tst_members.cpp
@@ -29,7 +29,7 @@
     std::uint32_t partitions_;
     double loss_;
     Trouble trouble_;
-    //! Each gateway must hear at least this part of the others in the end.
+    //! Each gateway must know the load of at least this part of the others in the end.
     double heard_;
 };
 
@@ -94,6 +94,7 @@
     gateway.members_.self_ = addressOf(index);
     gateway.members_.domain_ = {"domain-" + std::to_string(domainOf(fleet, index))};
     gateway.bounds_.retry_.slack_ = Slack;
+    gateway.ownLoads_ = {{{"x"}, 0, {}, 1, 0}};
 }
 
 Fleet makeFleet(const FleetCase &test)
@@ -206,8 +207,13 @@
     BOOST_TEST(mostSlack <= Slack);
     BOOST_TEST(slackInUse(fleet, at(endMs)) >= 0.7 * Slack);
     for (const GatewayControl &gateway : fleet.gateways_) {
-        BOOST_TEST(static_cast<double>(gateway.peers_.peers_.size())
-                   >= test.heard_ * static_cast<double>(test.gateways_ - 1));
-        BOOST_TEST(gatewayViewOf(gateway, at(endMs)).gatewayCount_ >= test.gateways_);
+        const GatewayView view = gatewayViewOf(gateway, at(endMs));
+        const auto load = view.peerLoads_->find({"x"});
+        const std::uint32_t streams = load == view.peerLoads_->end() ? 0 : load->second.streams_;
+        // Each gateway has one stream: none may be missing, and none counted twice.
+        BOOST_TEST(streams >= test.heard_ * static_cast<double>(test.gateways_ - 1));
+        BOOST_TEST(streams <= test.gateways_ - 1);
+        BOOST_TEST(view.peerCount_ >= test.heard_ * static_cast<double>(test.gateways_ - 1));
+        BOOST_TEST(view.gatewayCount_ >= test.gateways_);
     }
 }
--- a/src/gateway/tests/tst_notices.cpp
+++ b/src/gateway/tests/tst_notices.cpp
@@ -340,7 +340,7 @@
     GatewayControl control;
     control.members_.self_ = {"10.0.0.1", 7000};
     onDesiredState(control, desired(), at(0), at(0));
-    onEndpointList(control, {endpoint("m1", "model", 3, incarnation)}, at(0), at(0));
+    onEndpointList(control, {endpoint("m1", "model", 3, incarnation)}, {}, at(0), at(0));
     return control;
 }
 
@@ -374,18 +374,23 @@
     GatewayControl control = controlWith(5);
     onEndpointNotice(control, {{"m1"}, test.noticedIncarnation_, true, {}}, at(10));
     if (test.listedIncarnation_ == 0)
-        onEndpointList(control, {}, at(20), at(20));
+        onEndpointList(control, {}, {}, at(20), at(20));
     const std::uint64_t last = test.listedIncarnation_ == 0 ? 5 : test.listedIncarnation_;
-    onEndpointList(control, {endpoint("m1", "model", 3, last)}, at(30), at(30));
+    onEndpointList(control, {endpoint("m1", "model", 3, last)}, {}, at(30), at(30));
     const auto state = [](const GatewayControl &of) {
         return gatewayViewOf(of, at(40)).endpoints_->endpoints_.at(0).state_;
     };
     const ListedState expected = test.leaving_ ? ListedState::Draining : ListedState::Ready;
     BOOST_TEST((state(control) == expected));
 
-    onGatewayControlTick(control, at(300));
     GatewayControl peer = controlWith(last);
     peer.members_.self_ = {"10.0.0.2", 7000};
+    GatewayDigestMessage hello;
+    hello.instance_ = {"peer"};
+    hello.gateway_ = peer.members_.self_;
+    hello.sequence_ = 1;
+    onGatewayDigest(control, hello, at(290));
+    onGatewayControlTick(control, at(300));
     for (const GatewayControlEffect &effect : control.effects_) {
         if (const auto *send = std::get_if<SendDigest>(&effect))
             onGatewayDigest(peer, send->digest_, at(301));
--- a/src/wire/internal/codec.cpp
+++ b/src/wire/internal/codec.cpp
@@ -177,12 +177,40 @@
 template <typename Archive>
 void serialize(Archive &archive, GatewayMemberReport &member)
 {
-    archive(member.address_, member.age_);
+    archive(member.address_, member.domain_, member.age_);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, ListedEndpoint &endpoint)
+{
+    archive(endpoint.id_, endpoint.target_, endpoint.address_, endpoint.domain_, endpoint.state_,
+            endpoint.slots_, endpoint.accelerator_, endpoint.layers_, endpoint.model_,
+            endpoint.modelVersion_, endpoint.incarnation_);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, EndpointListChanges &changes)
+{
+    archive(changes.fromHash_, changes.toHash_, changes.changed_, changes.removed_);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, DigestEcho &echo)
+{
+    archive(echo.to_, echo.sentAt_, echo.heldFor_);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, StoreNews &news)
+{
+    archive(news.configVersion_, news.configAge_, news.listHash_, news.listOffset_, news.listAge_,
+            news.listChanges_, news.echoes_);
 }
 
 template <typename Archive>
 void serialize(Archive &archive, GatewayDigestMessage &digest)
 {
+    archive(digest.scope_, digest.sentAt_, digest.settled_, digest.stopping_, digest.storeNews_);
     archive(digest.instance_, digest.domain_, digest.gateway_, digest.incarnation_,
             digest.sequence_, digest.loads_, digest.loadedLayers_, digest.layerMoves_,
             digest.downEndpoints_, digest.leavingEndpoints_, digest.members_);
--- a/src/wire/internal/mesh.cpp
+++ b/src/wire/internal/mesh.cpp
@@ -320,13 +320,20 @@
 
 void DatagramSocket::send(const Address &to, const Datagram &datagram)
 {
-    boost::system::error_code error;
-    const auto host = asio::ip::make_address(to.host_, error);
-    if (error)
-        return;
-    auto bytes = std::make_shared<std::string>(encodeDatagram(datagram));
-    impl_->socket_.async_send_to(asio::buffer(*bytes), {host, to.port_},
-                                 [bytes](boost::system::error_code, std::size_t) {});
+    send(std::vector<Address> {to}, datagram);
+}
+
+void DatagramSocket::send(const std::vector<Address> &to, const Datagram &datagram)
+{
+    const auto bytes = std::make_shared<std::string>(encodeDatagram(datagram));
+    for (const Address &address : to) {
+        boost::system::error_code error;
+        const auto host = asio::ip::make_address(address.host_, error);
+        if (error)
+            continue;
+        impl_->socket_.async_send_to(asio::buffer(*bytes), {host, address.port_},
+                                     [bytes](boost::system::error_code, std::size_t) {});
+    }
 }
 
 } // namespace gypsumcroft
--- a/src/wire/mesh.h
+++ b/src/wire/mesh.h
@@ -62,6 +62,8 @@
     Result<Address> bind(const Address &address);
     //! Call on the io_context's thread only. Errors are ignored: a datagram may be lost.
     void send(const Address &to, const Datagram &datagram);
+    //! Sends the same datagram to several addresses.
+    void send(const std::vector<Address> &to, const Datagram &datagram);
 
 private:
     struct Impl;
