Relay: changes wait for news before a read, searches carry names only; slots of the first endpoint

By reading: news a second old plus a slow process is close to the age of 1.4 s at which the next in rank reads; two readers tell of one change from different lists, which others can't derive; gateways that search for others after a restart sent them whole digests. Change: readers read every 0.8 s, others take over at 1.5 s; a list that can't be derived is read only if no other news brings it within 0.5 s; searches and their answers carry names of members only. Paths know the slots of the first endpoint (the load of each gateway's begun streams is in digests): what finds no free slot waits in the gateway. Streams wait in the queue for 0.8 of their caller's patience instead of 3.2 latency targets. Run: unit tests of policy, controllers, platform, gateway without the case of 350 gateways: no error.

--- a/src/controllers/internal/members.cpp
+++ b/src/controllers/internal/members.cpp
@@ -191,7 +191,13 @@
                                       TimePoint now)
 {
     const auto near = detail::neighbours(state, now);
-    std::set<Address> recipients(near.begin(), near.end());
+    return detail::takeTurn({near.begin(), near.end()}, state.limits_.maxRecipients_, sequence);
+}
+
+std::vector<Address> searchRecipients(const MembersState &state, std::uint64_t sequence,
+                                      TimePoint now)
+{
+    std::set<Address> recipients;
     for (const auto &[address, member] : state.members_) {
         if (member.unsettledAt_ && now - *member.unsettledAt_ < state.limits_.answerFor_)
             recipients.insert(address);
@@ -199,6 +205,8 @@
     if (detail::searches(state, sequence, now))
         recipients.insert(state.listed_.begin(), state.listed_.end());
     recipients.erase(state.self_);
+    for (const Address &address : detail::neighbours(state, now))
+        recipients.erase(address);
     return detail::takeTurn(recipients, state.limits_.maxRecipients_, sequence);
 }
 
--- a/src/controllers/internal/peers.cpp
+++ b/src/controllers/internal/peers.cpp
@@ -17,6 +17,7 @@
         sum.kvUsed_ += load.kvUsed_;
         sum.pendingPrefill_ += load.pendingPrefill_;
         sum.streams_ += load.streams_;
+        sum.begun_ += load.begun_;
         sum.calls_ += load.calls_;
     }
 }
--- a/src/controllers/internal/storerelay.cpp
+++ b/src/controllers/internal/storerelay.cpp
@@ -98,7 +98,8 @@
     const bool isStale = !age || *age >= detail::takeOverAge(limits, role.rank_);
     if (age && isStale && role.rank_ > 0)
         read.readOnUntil_ = now + limits.readOnFor_;
-    if (role.rank_ > 0 && !isStale && !read.behind_ && now >= read.readOnUntil_)
+    const bool isBehind = read.behindUntil_ && now >= *read.behindUntil_;
+    if (role.rank_ > 0 && !isStale && !isBehind && now >= read.readOnUntil_)
         return false;
     read.inFlight_ = true;
     read.sentAt_ = now;
@@ -108,7 +109,7 @@
 void onReadAnswered(StoreRead &read, TimePoint requestedAt, Duration interval, TimePoint now)
 {
     read.inFlight_ = false;
-    read.behind_ = false;
+    read.behindUntil_.reset();
     read.nextAt_ = now + interval;
     read.confirmedAt_ = std::max(read.confirmedAt_.value_or(requestedAt), requestedAt);
 }
@@ -174,13 +175,13 @@
 }
 
 RelayedNews applyStoreNews(StoreRelayState &state, const StoreNews &news, const Address &self,
-                           std::optional<ConfigVersion> version)
+                           std::optional<ConfigVersion> version, TimePoint now)
 {
     RelayedNews relayed;
     const auto configAsked = detail::askedAt(news, news.configAge_, self);
     const auto listAsked = detail::askedAt(news, news.listAge_, self);
     if (news.configAge_ && (!version || news.configVersion_ > *version))
-        state.config_.behind_ = true;
+        state.config_.behindUntil_ = now;
     else if (version && news.configVersion_ == *version)
         relayed.configConfirmedAt_ = configAsked;
     if (!listAsked)
@@ -190,10 +191,12 @@
         state.listOffset_ = std::max(state.listOffset_, news.listOffset_);
     // An older list is no news. One that can't be derived from the own one is read.
     const bool isNewer = news.listOffset_ > state.listOffset_;
-    if (isSame || (isNewer && detail::takeList(state, news)))
+    if (isSame || (isNewer && detail::takeList(state, news))) {
         relayed.listConfirmedAt_ = listAsked;
-    else if (isNewer)
-        state.list_.behind_ = true;
+        state.list_.behindUntil_.reset();
+    } else if (isNewer && !state.list_.behindUntil_) {
+        state.list_.behindUntil_ = now + state.limits_.listBehindWait_;
+    }
     return relayed;
 }
 
--- a/src/controllers/members.h
+++ b/src/controllers/members.h
@@ -100,12 +100,16 @@
 std::vector<GatewayMemberReport> takeNeighboursToName(MembersState &state, TimePoint now);
 
 //! Recipients of the own digest with the given sequence number: the gateways of the own failure
-//! domain. To find each other, gateways that aren't settled also send it to the listed members,
-//! whose answer they get; so does the first speaker of a domain from time to time, for domains
-//! that have lost sight of each other.
+//! domain.
 std::vector<Address> digestRecipients(const MembersState &state, std::uint64_t sequence,
                                       TimePoint now);
 
+//! Other gateways that get the names of members, so that all find each other. A gateway that isn't
+//! settled sends them to the listed members, whose answer it gets; so does the first speaker of a
+//! domain from time to time, for domains that have lost sight of each other.
+std::vector<Address> searchRecipients(const MembersState &state, std::uint64_t sequence,
+                                      TimePoint now);
+
 //! Recipients of the sum over this domain: one speaker of each other domain. Empty if this process
 //! is no speaker of its own.
 std::vector<Address> domainDigestRecipients(const MembersState &state, TimePoint now);
--- a/src/controllers/storerelay.h
+++ b/src/controllers/storerelay.h
@@ -18,7 +18,7 @@
     //! Age of what is known at which a gateway of the next rank asks the store itself. Leaves time
     //! within the platform's shortest bound, two seconds, for its own request and for telling the
     //! others.
-    Duration takeOverAfter_ = std::chrono::milliseconds(1400);
+    Duration takeOverAfter_ = std::chrono::milliseconds(1500);
     //! Additional age for each further rank up to lastStep_, longer than a control tick and a read:
     //! the next one asks only if the one before it failed as well.
     Duration takeOverStep_ = std::chrono::milliseconds(120);
@@ -28,7 +28,7 @@
     //! Time for which a gateway goes on reading after it took over.
     Duration readOnFor_ = std::chrono::seconds(5);
     //! Interval of reads by a gateway that others listen to.
-    Duration sharedInterval_ = std::chrono::milliseconds(1000);
+    Duration sharedInterval_ = std::chrono::milliseconds(800);
     //! Interval of reads by a gateway that reads for itself only.
     Duration ownInterval_ = std::chrono::milliseconds(1200);
     //! The same for waiting reads of the desired state.
@@ -37,6 +37,9 @@
     Duration minInterval_ = std::chrono::milliseconds(300);
     //! Time after which a read without any end is given up; longer than all its timeouts.
     Duration lostAfter_ = std::chrono::seconds(5);
+    //! Time for which a gateway that can't derive a newer list waits for other news before it reads
+    //! the list itself: two readers tell of the same change from different lists.
+    Duration listBehindWait_ = std::chrono::milliseconds(500);
     //! Pause after a failed read.
     Duration retryDelay_ = std::chrono::milliseconds(150);
     //! Time for which digests tell what was read.
@@ -54,8 +57,9 @@
     TimePoint nextAt_;
     //! When the newest successful read of this process was sent.
     std::optional<TimePoint> confirmedAt_;
-    //! Another gateway has newer content than this process, which must read it.
-    bool behind_ = false;
+    //! Another gateway has newer content than this process, which reads it at that time unless
+    //! news brings it before.
+    std::optional<TimePoint> behindUntil_;
     //! Until then this process reads because it took over.
     TimePoint readOnUntil_;
 };
@@ -123,7 +127,7 @@
 //! Applies news that another gateway read from the store. What this process lacks and can't take
 //! from the news is marked to be read.
 RelayedNews applyStoreNews(StoreRelayState &state, const StoreNews &news, const Address &self,
-                           std::optional<ConfigVersion> version);
+                           std::optional<ConfigVersion> version, TimePoint now);
 
 std::uint64_t listHash(const std::map<EndpointId, ListedEndpoint> &listed);
 
--- a/src/core/messages.h
+++ b/src/core/messages.h
@@ -308,6 +308,8 @@
     //! Prefill time of requests that have not produced a first token yet.
     Duration pendingPrefill_ {};
     std::uint32_t streams_ = 0;
+    //! Those of the streams whose path begins here; each takes a slot.
+    std::uint32_t begun_ = 0;
     std::uint32_t calls_ = 0;
 };
 
--- a/src/filters/gatewaystate.h
+++ b/src/filters/gatewaystate.h
@@ -270,8 +270,9 @@
 {
     //! Time limit of a request for which the caller set none.
     Duration defaultTimeout_ = std::chrono::seconds(30);
-    //! Time since arrival after which a queued request is refused, as a multiple of the latency
-    //! target. Callers give up on a stream without an event after four times the latency target.
+    //! Time since arrival after which a queued request is refused: for a stream as a part of its
+    //! caller's patience, else as a multiple of the latency target.
+    double queueTimeoutPart_ = 0.8;
     double queueTimeoutFactor_ = 3.2;
     //! Time since arrival after which a queued request counts as overdue, as a multiple of the
     //! latency target.
--- a/src/filters/internal/gatewayfilters.cpp
+++ b/src/filters/internal/gatewayfilters.cpp
@@ -126,14 +126,18 @@
     return found == view.peerLoads_->end() ? EndpointLoad {} : found->second;
 }
 
-//! Estimated KV load that the other gateways added since their last report. Each is assumed to have
+//! Estimated load that the other gateways added since their last report. Each is assumed to have
 //! added as much as this gateway did, because all see the same free capacity at the same time.
-double estimatedPeerGrowth(const GatewayView &view, const EndpointId &endpoint,
-                           const EndpointLoad &own)
+EndpointLoad estimatedPeerGrowth(const GatewayView &view, const EndpointId &endpoint,
+                                 const EndpointLoad &own)
 {
     const auto reported = view.lastDigestLoads_->find(endpoint);
-    const double before = reported == view.lastDigestLoads_->end() ? 0 : reported->second.kvUsed_;
-    return std::max(0.0, own.kvUsed_ - before) * view.peerCount_;
+    const EndpointLoad before
+            = reported == view.lastDigestLoads_->end() ? EndpointLoad {} : reported->second;
+    EndpointLoad growth;
+    growth.kvUsed_ = std::max(0.0, own.kvUsed_ - before.kvUsed_) * view.peerCount_;
+    growth.begun_ = (std::max(own.begun_, before.begun_) - before.begun_) * view.peerCount_;
+    return growth;
 }
 
 bool hasAskedForPause(const GatewayView &view, const EndpointUsage &usage,
@@ -177,8 +181,10 @@
         node.streams_ = usage.load_.streams_ + peers.streams_;
         node.kvCapacity_ = kvCapacity(engine, kind->second,
                                       listed.layers_->end_.value_ - listed.layers_->first_.value_);
-        node.kvUsed_ = usage.load_.kvUsed_ + peers.kvUsed_
-                       + estimatedPeerGrowth(view, listed.id_, usage.load_);
+        const EndpointLoad growth = estimatedPeerGrowth(view, listed.id_, usage.load_);
+        node.kvUsed_ = usage.load_.kvUsed_ + peers.kvUsed_ + growth.kvUsed_;
+        node.slots_ = engine.slots_;
+        node.begun_ = usage.load_.begun_ + peers.begun_ + growth.begun_;
         node.penalty_ = penaltyOf(context, listed.id_, usage, now);
         nodes.push_back(std::move(node));
     }
@@ -250,6 +256,7 @@
         usage.kvUsed_ += sign * count * static_cast<double>(active.reservedTokens_.value_);
         usage.streams_ += static_cast<std::uint32_t>(sign);
     }
+    state.endpointUsage_[active.endpoint_].load_.begun_ += static_cast<std::uint32_t>(sign);
 }
 
 //! Adds the prefill time of the prompt to the pending prefill of each endpoint of the path.
--- a/src/gateway/internal/control.cpp
+++ b/src/gateway/internal/control.cpp
@@ -116,6 +116,18 @@
     return digest;
 }
 
+//! The part of a digest that gateways of other domains use directly.
+GatewayDigestMessage membersOnly(const GatewayDigestMessage &digest)
+{
+    GatewayDigestMessage part = digest;
+    part.loads_.clear();
+    part.loadedLayers_.clear();
+    part.layerMoves_.clear();
+    part.downEndpoints_.clear();
+    part.storeNews_.reset();
+    return part;
+}
+
 void sendTo(GatewayControl &state, std::vector<Address> recipients, GatewayDigestMessage digest)
 {
     if (!recipients.empty())
@@ -138,6 +150,7 @@
         sum.members_ = takeNeighboursToName(state.members_, now);
         sendTo(state, domainDigestRecipients(state.members_, now), std::move(sum));
     }
+    sendTo(state, searchRecipients(state.members_, digest.sequence_, now), membersOnly(digest));
     auto recipients = digestRecipients(state.members_, digest.sequence_, now);
     sendTo(state, std::move(recipients), std::move(digest));
 }
@@ -175,7 +188,7 @@
     const StoreRelayLimits &limits = state.relay_.limits_;
     StoreRead &config = state.relay_.config_;
     // A waiting read confirms only at its end, too late for what is already old.
-    const bool isRecent = config.confirmedAt_ && !config.behind_
+    const bool isRecent = config.confirmedAt_ && !config.behindUntil_
                           && now - *config.confirmedAt_ < limits.takeOverAfter_;
     if (takeDueRead(config, limits, role, desiredStateAge(state.routes_, now), now)) {
         ReadDesiredState read;
@@ -223,7 +236,8 @@
 {
     const auto version = state.routes_.table_ ? std::optional(state.routes_.table_->state_.version_)
                                               : std::nullopt;
-    const RelayedNews relayed = applyStoreNews(state.relay_, news, state.members_.self_, version);
+    const RelayedNews relayed
+            = applyStoreNews(state.relay_, news, state.members_.self_, version, now);
     if (relayed.configConfirmedAt_ && *relayed.configConfirmedAt_ <= now) {
         confirmDesiredState(state.routes_, *relayed.configConfirmedAt_);
         state.viewStale_ = true;
@@ -233,7 +247,7 @@
                          && (!known || *relayed.listConfirmedAt_ > *known);
     if (isNewer)
         applyList(state, *relayed.listConfirmedAt_, now);
-    if (state.relay_.config_.behind_ || state.relay_.list_.behind_)
+    if (state.relay_.config_.behindUntil_)
         readStore(state, now);
 }
 
--- a/src/gateway/internal/traffic.cpp
+++ b/src/gateway/internal/traffic.cpp
@@ -324,14 +324,25 @@
     refuse(state, context, mayHaveRun ? unknown : notRun, reason, now);
 }
 
-//! True for a queued request that arrived longer ago than the given multiple of its latency target
-//! and whose stream has not started.
-bool hasWaitedLongerThan(const Context &context, double targets, TimePoint now)
+Duration scaled(Duration duration, double factor)
 {
-    if (!context.queued_ || context.streamStarted_)
-        return false;
-    const double limit = targets * static_cast<double>(context.route_.latencyTarget_.count());
-    return now - context.arrivedAt_ > Duration(static_cast<std::int64_t>(limit));
+    return Duration(static_cast<std::int64_t>(factor * static_cast<double>(duration.count())));
+}
+
+//! True for a queued request that arrived longer ago than the limit and whose stream has not
+//! started.
+bool hasWaitedLongerThan(const Context &context, Duration limit, TimePoint now)
+{
+    return context.queued_ && !context.streamStarted_ && now - context.arrivedAt_ > limit;
+}
+
+//! Time for which a request may wait in the queue.
+Duration queueTimeout(const RouteRule &route, const GatewayLimits &limits)
+{
+    if (!route.isStream_)
+        return scaled(route.latencyTarget_, limits.queueTimeoutFactor_);
+    return scaled(streamPatience(route.latencyTarget_, route.eventGapTarget_),
+                  limits.queueTimeoutPart_);
 }
 
 void onQueueTimeout(GatewayTraffic &state, Context &context, TimePoint now)
@@ -380,9 +391,8 @@
 
 Duration failoverAfter(const RouteRule &route, const GatewayLimits &limits)
 {
-    const Duration patience = streamPatience(route.latencyTarget_, route.eventGapTarget_);
-    return Duration(static_cast<std::int64_t>(limits.failoverPart_
-                                              * static_cast<double>(patience.count())));
+    return scaled(streamPatience(route.latencyTarget_, route.eventGapTarget_),
+                  limits.failoverPart_);
 }
 
 //! Doesn't count time in which this process was held up as silence of its dispatches' endpoints.
@@ -558,10 +568,14 @@
         if (now >= context.deadline_)
             detail::endRequest(state, context, GatewayRefusal::Overloaded, GatewayRefusal::TimedOut,
                                "deadline", now);
-        else if (detail::hasWaitedLongerThan(context, state.limits_.queueTimeoutFactor_, now))
+        else if (detail::hasWaitedLongerThan(
+                         context, detail::queueTimeout(context.route_, state.limits_), now))
             detail::onQueueTimeout(state, context, now);
         else if (!context.overdue_
-                 && detail::hasWaitedLongerThan(context, state.limits_.overdueFactor_, now))
+                 && detail::hasWaitedLongerThan(context,
+                                                detail::scaled(context.route_.latencyTarget_,
+                                                               state.limits_.overdueFactor_),
+                                                now))
             detail::markOverdue(state, context);
         else if (context.dispatch_ && context.route_.isStream_)
             detail::checkStream(state, view, context, now);
--- a/src/gateway/tests/tst_traffic.cpp
+++ b/src/gateway/tests/tst_traffic.cpp
@@ -648,3 +648,55 @@
     tickUntil(state, view, at(thawedMs + test.silentMs_));
     BOOST_TEST((takeText(state).find("cancel") != std::string::npos) == test.failsOver_);
 }
+
+namespace {
+
+//! Streams that begin at the two model endpoints for other gateways, of four slots each, and where
+//! a burst of five streams that all arrive here at once begins.
+struct SlotCase
+{
+    const char *name_;
+    std::uint32_t begunAtFirst_;
+    std::uint32_t begunAtSecond_;
+    const char *sends_;
+};
+
+std::ostream &operator<<(std::ostream &out, const SlotCase &test)
+{
+    return out << test.name_;
+}
+
+const SlotCase SlotCases[] = {
+        {"all slots free", 0, 0, "send m1, send m2, send m1, send m2, send m1"},
+        {"the first endpoint is full", 4, 0, "send m2, send m2, send m2, send m2"},
+        {"the second endpoint is nearly full", 0, 3, "send m1, send m1, send m1, send m2, send m1"},
+        {"both are full", 4, 4, ""},
+        {"both are over-full", 9, 9, ""},
+};
+
+} // namespace
+
+// What finds no free slot waits here, where ranks and deadlines decide, and not at the endpoint.
+BOOST_DATA_TEST_CASE(streamsTakeFreeSlots, SlotCases, test)
+{
+    GatewayTraffic state;
+    GatewayView view = viewAt(0);
+    DesiredState rules = desired();
+    rules.targets_[1].engine_->slots_ = 4;
+    rules.targets_[1].engine_->prefillTokensPerSecond_ = 1e9;
+    rules.targets_[1].engine_->accelerators_[{"k"}].memory_ = {40'000'000};
+    view.table_ = buildRouteTable(rules);
+    EndpointLoads peers;
+    peers[{"m1"}] = {{"m1"}, 0, {}, 0, test.begunAtFirst_, 0};
+    peers[{"m2"}] = {{"m2"}, 0, {}, 0, test.begunAtSecond_, 0};
+    view.peerLoads_ = std::make_shared<const EndpointLoads>(peers);
+    for (std::uint64_t i = 1; i <= 5; ++i)
+        onGatewayRequest(state, view, request(i, "/quote/x"), at(0));
+    BOOST_TEST(takeText(state) == test.sends_);
+    // The rest follows as soon as slots are free.
+    const std::size_t sent = state.exchangesByDispatch_.size();
+    view.peerLoads_ = std::make_shared<const EndpointLoads>();
+    onGatewayTick(state, view, at(25));
+    BOOST_TEST(state.exchangesByDispatch_.size() == 5U);
+    BOOST_TEST(sent <= 5U);
+}
--- a/src/policy/internal/pathplan.cpp
+++ b/src/policy/internal/pathplan.cpp
@@ -18,8 +18,8 @@
 //! Extra cost of a cross-domain hop in ms: the links between failure domains are shared and charged
 //! for.
 constexpr double CrossDomainHopMs = 200;
-//! Cost of a full endpoint in ms. It grows with the square of the KV utilisation, and above 1
-//! additionally with the excess.
+//! Cost of a full endpoint in ms. It grows with the square of the utilisation of its KV capacity or
+//! its slots, and above 1 additionally with the excess.
 constexpr double FullEndpointMs = 60;
 constexpr double OverloadMs = 2000;
 constexpr double MsPerSecond = 1000;
@@ -58,6 +58,18 @@
     return (node.kvUsed_ + need) / node.kvCapacity_;
 }
 
+//! Utilisation of the slots of a path's first endpoint.
+double slotUtilisationWith(const PathNode &node)
+{
+    return node.slots_ == 0 ? 0 : (node.begun_ + 1) / node.slots_;
+}
+
+double utilisationMs(double utilisation)
+{
+    return FullEndpointMs * utilisation * utilisation
+           + (utilisation > 1 ? OverloadMs * (utilisation - 1) : 0);
+}
+
 //! Cost in ms of running count layers on a node with the given KV utilisation. It only grows with
 //! count.
 double segmentMs(const EngineSpec &engine, const PathNode &node, std::uint32_t count,
@@ -69,10 +81,8 @@
     const double step = (toMilliseconds(engine.decodeStepTime_)
                          + toMilliseconds(engine.decodeStepTimePerSequence_) * node.streams_)
                         * node.decodeFactor_ * share;
-    const double utilisationCost = FullEndpointMs * utilisation * utilisation
-                                   + (utilisation > 1 ? OverloadMs * (utilisation - 1) : 0);
     return read + toMilliseconds(node.pendingPrefill_) + step * WeightedDecodeSteps
-           + utilisationCost + toMilliseconds(node.penalty_);
+           + utilisationMs(utilisation) + toMilliseconds(node.penalty_);
 }
 
 double hopMs(const EngineSpec &engine, const FailureDomainId &from, const FailureDomainId &to,
@@ -138,8 +148,10 @@
             continue;
         if (before != nullptr && (before->segments_ >= MaxSegments || contains(*before, n)))
             continue;
+        const double slots = before == nullptr ? slotUtilisationWith(node) : 0;
         const double hop = before == nullptr
                                    ? delayMs(search.engine_, search.demand_.from_, node.domain_)
+                                             + utilisationMs(slots)
                                    : hopMs(search.engine_, search.nodes_[before->node_].domain_,
                                            node.domain_, search.demand_);
         for (std::size_t to = at + 1;
@@ -147,13 +159,14 @@
              ++to) {
             const std::uint32_t count = search.boundaries_[to] - layer;
             const double utilisation = utilisationWith(node, count, search.demand_);
+            const double highest = std::max({highestUtilisation, utilisation, slots});
             const double total
                     = cost + hop
                       + segmentMs(search.engine_, node, count, utilisation, search.demand_);
             PartialPath &best = search.cheapest_[to][node.domain_];
             if (total < best.cost_)
-                best = {total,  std::max(highestUtilisation, utilisation),    n, layer,
-                        before, before == nullptr ? 1 : before->segments_ + 1};
+                best = {total, highest, n,
+                        layer, before,  before == nullptr ? 1 : before->segments_ + 1};
         }
     }
 }
--- a/src/policy/pathplan.h
+++ b/src/policy/pathplan.h
@@ -24,6 +24,10 @@
     //! KV capacity in tokens times layers, and the part of it in use.
     double kvCapacity_ = 0;
     double kvUsed_ = 0;
+    //! Requests that may begin here at once, and that do; 0 slots if there is no limit. A request
+    //! takes a slot at the first endpoint of its path only.
+    std::uint32_t slots_ = 0;
+    double begun_ = 0;
     //! Extra cost of an endpoint that failed recently.
     Duration penalty_ {};
 };
@@ -44,7 +48,8 @@
 {
     LayerPath path_;
     Duration cost_ {};
-    //! Highest KV utilisation of an endpoint on the path, including this request. 1 is full.
+    //! Highest utilisation of the first endpoint's slots and of the path's KV capacity, including
+    //! this request. 1 is full.
     double utilisation_ = 0;
     //! Number of hops from one failure domain to another.
     std::uint32_t crossDomainHops_ = 0;
--- a/src/policy/tests/tst_pathplan.cpp
+++ b/src/policy/tests/tst_pathplan.cpp
@@ -76,6 +76,13 @@
     return base;
 }
 
+PathNode withSlots(PathNode base, std::uint32_t slots, double begun)
+{
+    base.slots_ = slots;
+    base.begun_ = begun;
+    return base;
+}
+
 const PathCase PathCases[] = {
         {"no nodes", {}, "none"},
         {"one node has all layers", {node("x", "a", 0, 10)}, "x=0-10"},
@@ -105,6 +112,16 @@
         {"full node is avoided",
          {withTaken(node("x", "a", 0, 10), 1.5e9), node("y", "a", 0, 10, 3)},
          "y=0-10"},
+        {"first node without a free slot is avoided",
+         {withSlots(node("x", "a", 0, 10), 192, 200), withSlots(node("y", "a", 0, 10, 3), 192, 10)},
+         "y=0-10"},
+        {"slots count at the first node only",
+         {withSlots(node("x", "a", 0, 5), 192, 10), withSlots(node("y", "a", 5, 10), 192, 400),
+          withSlots(node("z", "a", 5, 10, 3), 192, 10)},
+         "x=0-5 y=5-10"},
+        {"no limit of slots",
+         {withSlots(node("x", "a", 0, 10), 0, 400), node("y", "a", 0, 10, 3)},
+         "x=0-10"},
         {"node with a long pending prefill is avoided",
          {withReading(node("x", "a", 0, 10), 300), node("y", "a", 0, 10, 2)},
          "y=0-10"},
@@ -135,6 +152,39 @@
     BOOST_TEST(textOf(planPath(engineOf(10), test.nodes_, demand)) == test.path_);
 }
 
+namespace {
+
+struct UtilisationCase
+{
+    const char *name_;
+    std::vector<PathNode> nodes_;
+    double utilisation_;
+};
+
+std::ostream &operator<<(std::ostream &out, const UtilisationCase &test)
+{
+    return out << test.name_;
+}
+
+// 1000 tokens take 1e-6 of the KV capacity for each layer.
+const UtilisationCase UtilisationCases[] = {
+        {"KV capacity", {withTaken(node("x", "a", 0, 10), 4.9999e8)}, 0.5},
+        {"slots of the first node", {withSlots(node("x", "a", 0, 10), 4, 2)}, 0.75},
+        {"no free slot", {withSlots(node("x", "a", 0, 10), 4, 4)}, 1.25},
+        {"slots of a later node",
+         {withSlots(node("x", "a", 0, 5), 4, 0), withSlots(node("y", "a", 5, 10), 4, 9)},
+         0.25},
+};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(utilisationOfThePath, UtilisationCases, test)
+{
+    const auto plan = planPath(engineOf(10), test.nodes_, {{"a"}, {800}, {200}});
+    BOOST_REQUIRE(plan.has_value());
+    BOOST_TEST(plan->utilisation_ == test.utilisation_, boost::test_tools::tolerance(1e-6));
+}
+
 BOOST_AUTO_TEST_CASE(everyPathRunsEachLayerOnceInOrder)
 {
     BOOST_TEST(rc::check(
--- a/src/wire/internal/codec.cpp
+++ b/src/wire/internal/codec.cpp
@@ -153,7 +153,8 @@
 template <typename Archive>
 void serialize(Archive &archive, EndpointLoad &share)
 {
-    archive(share.endpoint_, share.kvUsed_, share.pendingPrefill_, share.streams_, share.calls_);
+    archive(share.endpoint_, share.kvUsed_, share.pendingPrefill_, share.streams_, share.begun_,
+            share.calls_);
 }
 
 template <typename Archive>
