--- a/src/gateway/internal/control.cpp
+++ b/src/gateway/internal/control.cpp
@@ -145,10 +145,11 @@
     state.reportedLoads_ = std::move(reported);
     state.viewStale_ = true;
     constexpr std::uint64_t DomainDigestPeriod = 2;
-    if (digest.sequence_ % DomainDigestPeriod == 0) {
+    auto others = domainDigestRecipients(state.members_, now);
+    if (digest.sequence_ % DomainDigestPeriod == 0 && !others.empty()) {
         GatewayDigestMessage sum = sumOfDomain(state.peers_, digest, now);
         sum.members_ = takeNeighboursToName(state.members_, now);
-        sendTo(state, domainDigestRecipients(state.members_, now), std::move(sum));
+        sendTo(state, std::move(others), std::move(sum));
     }
     sendTo(state, searchRecipients(state.members_, digest.sequence_, now), membersOnly(digest));
     auto recipients = digestRecipients(state.members_, digest.sequence_, now);
