--- a/src/controllers/members.h
+++ b/src/controllers/members.h
@@ -39,7 +39,7 @@
 
 struct GatewayMember
 {
-    //! Empty until the first digest of the gateway itself.
+    //! As its own digests say, before the first of them as others name it.
     FailureDomainId domain_;
     //! When it is known to have been alive last.
     TimePoint aliveAt_;
@@ -111,7 +111,7 @@
                                       TimePoint now);
 
 //! Recipients of the sum over this domain: one speaker of each other domain. Empty if this process
-//! is no speaker of its own.
+//! is no speaker of this one.
 std::vector<Address> domainDigestRecipients(const MembersState &state, TimePoint now);
 
 //! Gateways of this domain, to which a sum that another domain sent here is passed on.
