Log what a request's content is, and whether a lost dispatch had been answered

Change: a hash of method, URL and body in the lines routed and send-ended, and whether the dispatch had been answered in send-ended.

--- a/src/core/ids.h
+++ b/src/core/ids.h
@@ -67,6 +67,9 @@
 //! 64-bit hash of a request's organisation, template and body; see fingerprintOf().
 using Fingerprint = StrongType<struct FingerprintTag, std::uint64_t>;
 
+//! 64-bit hash of what a caller sent: method, URL and body.
+using ContentHash = StrongType<struct ContentHashTag, std::uint64_t>;
+
 //! IP address and port.
 struct Address
 {
--- a/src/filters/gatewaystate.h
+++ b/src/filters/gatewaystate.h
@@ -54,6 +54,7 @@
     Tokens expectedOutput_;
     //! Last event of the stream that the caller already has.
     std::optional<EventId> resumeAfter_;
+    ContentHash content_;
 };
 
 //! Why this process refused a request. After TimedOut and Failed an endpoint may have run it; all
@@ -181,6 +182,8 @@
     LayerPath path_;
     TimePoint sentAt_;
     TimePoint lastProgressAt_;
+    //! The response, or the stream's first event, has arrived.
+    bool hasAnswered_ = false;
     //! Probes of the path's endpoints were requested since the last event.
     bool probeRequested_ = false;
     //! Prefill time of the prompt at each endpoint of the path; empty after the first event.
--- a/src/filters/internal/gatewayfilters.cpp
+++ b/src/filters/internal/gatewayfilters.cpp
@@ -299,6 +299,7 @@
                              .add("target", context.target_)
                              .add("organisation",
                                   context.organisation_ ? context.organisation_->value_ : "-")
+                             .add("content", context.request_.content_)
                              .add("attempt", std::uint64_t {context.dispatchCount_})
                              .add("path", pathText(context.plan_->path_))
                              .add("cost_ms", context.plan_->cost_)
--- a/src/gateway/internal/traffic.cpp
+++ b/src/gateway/internal/traffic.cpp
@@ -210,6 +210,8 @@
     line.add("send", dispatch)
             .add("endpoint", context.dispatch_ ? context.dispatch_->endpoint_.value_ : "-")
             .add("reason", reason)
+            .add("content", context.request_.content_)
+            .add("answered", context.dispatch_ && context.dispatch_->hasAnswered_ ? "yes" : "no")
             .add("runs", std::uint64_t {context.possibleRuns_})
             .add("budget", facts.hasRetryBudget_ ? "left" : "spent")
             .add("next", static_cast<std::uint64_t>(next));
@@ -492,6 +494,7 @@
         context->longestPause_ = std::max(context->longestPause_, now - context->lastEventAt_);
     context->lastEventAt_ = now;
     context->dispatch_->lastProgressAt_ = now;
+    context->dispatch_->hasAnswered_ = true;
     context->dispatch_->probeRequested_ = false;
     if (!context->dispatch_->prefillTimes_.empty()) {
         releasePendingPrefill(*context, state);
--- a/src/platform/internal/forwarding.cpp
+++ b/src/platform/internal/forwarding.cpp
@@ -5,6 +5,7 @@
 #include <cmath>
 #include <cstdio>
 
+#include "core/hash.h"
 #include "documents/settings.h"
 
 namespace gypsumcroft::platform {
@@ -95,6 +96,12 @@
     return std::string(value->substr(Scheme.size()));
 }
 
+ContentHash hashContent(const http::RelayRequest &request)
+{
+    const std::uint64_t url = mixHash(hashText(request.method_), hashText(request.target_));
+    return {mixHash(url, hashText(request.body_))};
+}
+
 std::string hostName(std::string_view host)
 {
     return std::string(host.substr(0, host.find(':')));
@@ -157,6 +164,7 @@
                 = {std::min(decoded.expectedOutput_.value_, static_cast<std::int64_t>(*hint))};
     if (const auto last = detail::parseNumber(http::findHeader(headers, detail::LastEventHeader)))
         decoded.resumeAfter_ = EventId {*last};
+    decoded.content_ = detail::hashContent(request);
     return decoded;
 }
 
