Reproduce: a repeated request crashes endpoint after endpoint behind gateways

Change: servers of the stand-in can crash on a request and come back as a new process without layers; two real gateways get copies of such a request, in turn, for 9 s. The bound is the rule's: no more than three reach an endpoint later than 3 s after the third crash. Programs that a test starts no longer inherit the listening sockets of the stand-ins; before, a crashed server still took connections.

--- a/lab/processfleet.cpp
+++ b/lab/processfleet.cpp
@@ -72,6 +72,8 @@
     posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, output.c_str(),
                                      O_WRONLY | O_CREAT | O_APPEND, 0600);
     posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+    // A child must not keep listening sockets of a stand-in open.
+    posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
     pid_t pid = 0;
     const int failed
             = posix_spawn(&pid, arguments[0], &actions, nullptr, arguments.data(), environ);
--- a/lab/tests/tst_gatewayprocess.cpp
+++ b/lab/tests/tst_gatewayprocess.cpp
@@ -51,7 +51,7 @@
 
 struct Fixture
 {
-    Fixture()
+    explicit Fixture(std::size_t plainServers = 1) : platform_(3, plainServers)
     {
         const auto &suite = boost::unit_test::framework::master_test_suite();
         BOOST_REQUIRE(suite.argc > 1);
@@ -86,7 +86,7 @@
                 runs.begin(), runs.end(), [&](const auto &run) { return run.request_ == id; }));
     }
 
-    standins::PlatformStandin platform_ {3};
+    standins::PlatformStandin platform_;
     std::string folder_;
     std::vector<std::unique_ptr<GatewayProgram>> gateways_;
 };
@@ -376,3 +376,61 @@
     BOOST_TEST(quote("afterwards").whole_);
     BOOST_TEST(!gateway.hasEnded());
 }
+
+namespace {
+
+struct CrashCase
+{
+    const char *path_;
+    const char *soundPath_;
+};
+
+const CrashCase CrashCases[] = {
+        {"/look/deadly", "/look/sound"},
+        {"/book/deadly", "/book/sound"},
+        {"/quote/deadly", "/quote/sound"},
+};
+
+//! Requests that reached an endpoint later than the given time.
+std::size_t arrivalsAfter(const std::vector<standins::ServerRun> &arrivals, const std::string &path,
+                          std::chrono::steady_clock::time_point time)
+{
+    return static_cast<std::size_t>(
+            std::count_if(arrivals.begin(), arrivals.end(),
+                          [&](const auto &run) { return run.target_ == path && run.at_ > time; }));
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(repeatedRequestStopsCrashingEndpoints)
+{
+    constexpr std::size_t PlainServers = 5;
+    constexpr std::chrono::milliseconds DownFor {1500};
+    constexpr std::chrono::milliseconds Pause {150};
+    constexpr std::chrono::seconds SendFor {9};
+    constexpr std::chrono::seconds Window {3};
+    constexpr std::size_t MaxLateArrivals = 3;
+    for (const CrashCase &test : CrashCases) {
+        Fixture fixture(PlainServers);
+        fixture.platform_.crashOn("deadly", DownFor);
+        const auto end = std::chrono::steady_clock::now() + SendFor;
+        for (int i = 0; std::chrono::steady_clock::now() < end; ++i) {
+            const Address &gateway = fixture.gateways_[static_cast<std::size_t>(i % 2)]->callers_;
+            const auto start = std::chrono::steady_clock::now();
+            ask(gateway, "POST", test.path_, "deadly-" + std::to_string(i), "key");
+            std::this_thread::sleep_until(start + Pause);
+        }
+        const auto crashes = fixture.platform_.crashes();
+        BOOST_TEST_MESSAGE(test.path_ << ": " << crashes.size() << " crashes");
+        BOOST_REQUIRE(crashes.size() >= 3);
+        BOOST_TEST(arrivalsAfter(fixture.platform_.arrivals(), test.path_, crashes[2] + Window)
+                           <= MaxLateArrivals,
+                   test.path_);
+        const auto isServed = [&] {
+            return ask(fixture.gateways_[1]->callers_, "POST", test.soundPath_, "sound", "key")
+                           .status_
+                   == "HTTP/1.1 200";
+        };
+        BOOST_TEST(waitFor(isServed), test.soundPath_);
+    }
+}
--- a/standins/platform/platformstandin.cpp
+++ b/standins/platform/platformstandin.cpp
@@ -61,6 +61,9 @@
     Address entryAddress_;
     std::optional<std::pair<std::uint32_t, std::uint32_t>> layers_;
     std::uint64_t orders_ = 0;
+    std::uint64_t born_ = 1;
+    //! Requests that may still run.
+    std::vector<std::weak_ptr<http::RelayExchange>> open_;
     bool loading_ = false;
     bool model_ = true;
     bool draining_ = false;
@@ -103,6 +106,8 @@
     void turnAway(const Server &server, const http::RelayRequest &request,
                   const ExchangePtr &exchange) const;
     Server &addServer(const std::string &id, bool model);
+    void listen(Server &server, const Address &address);
+    void crash(Server &server, const ExchangePtr &cause);
 
     asio::io_context context_;
     std::mutex mutex_;
@@ -115,6 +120,9 @@
     std::vector<ServerRun> arrivals_;
     std::map<std::string, std::string> oddEntries_ {{"i-odd", "no entry"}};
     bool storeDown_ = false;
+    std::string deadlyText_;
+    std::chrono::milliseconds downFor_ {0};
+    std::vector<std::chrono::steady_clock::time_point> crashes_;
     int breakAfter_ = -1;
     StreamBreak breakHow_ = StreamBreak::Closed;
     std::chrono::milliseconds longestWork_ {0};
@@ -157,7 +165,7 @@
                         {"Version", "v1"},
                         {"Slots", 4},
                         {"State", server.draining_ ? "draining" : "ready"},
-                        {"born", 1}};
+                        {"born", server.born_}};
     if (server.model_)
         entry["Kind"] = "half";
     if (server.layers_)
@@ -167,7 +175,8 @@
 
 std::string PlatformStandin::Impl::report(const Server &server)
 {
-    json::object report {{"Busy", server.loading_}, {"Sequence", server.orders_}, {"born", 1}};
+    json::object report {
+            {"Busy", server.loading_}, {"Sequence", server.orders_}, {"born", server.born_}};
     if (server.layers_)
         report["Layers"] = {{"From", server.layers_->first}, {"Target", server.layers_->second}};
     return json::serialize(report);
@@ -322,6 +331,10 @@
         return exchange->respond({421, {head.headers_.front()}}, {});
     arrivals_.push_back(runOf(server, request));
     runs_.push_back(arrivals_.back());
+    std::erase_if(server.open_, [](const auto &other) { return other.expired(); });
+    server.open_.push_back(exchange);
+    if (!deadlyText_.empty() && request.target_.find(deadlyText_) != std::string::npos)
+        return crash(server, exchange);
     if (!server.model_)
         return work(exchange, head, id);
     const std::string last = header(request, "Last-Event-Id");
@@ -337,14 +350,44 @@
     Server &server = *servers_.back();
     server.id_ = id;
     server.model_ = model;
+    listen(server, {"127.0.0.1", 0});
+    server.entryAddress_ = server.address_;
+    return server;
+}
+
+void PlatformStandin::Impl::listen(Server &server, const Address &address)
+{
     server.http_ = std::make_unique<http::RelayServer>(
             context_,
             [this, &server](const http::RelayRequest &request, const ExchangePtr &exchange) {
                 onModel(server, request, exchange);
             });
-    server.address_ = *server.http_->listen({"127.0.0.1", 0});
-    server.entryAddress_ = server.address_;
-    return server;
+    server.address_ = *server.http_->listen(address);
+}
+
+//! Closes all connections of a server and starts it again later.
+void PlatformStandin::Impl::crash(Server &server, const ExchangePtr &cause)
+{
+    crashes_.push_back(std::chrono::steady_clock::now());
+    // Not from within a handler of the server that goes.
+    asio::post(context_, [this, &server, cause] {
+        const std::lock_guard lock(mutex_);
+        cause->abort();
+        for (const auto &open : server.open_) {
+            if (const auto exchange = open.lock())
+                exchange->abort();
+        }
+        server.open_.clear();
+        server.http_.reset();
+        server.layers_.reset();
+        server.loading_ = false;
+        server.orders_ = 0;
+    });
+    after(downFor_, [this, &server] {
+        const std::lock_guard lock(mutex_);
+        ++server.born_;
+        listen(server, server.address_);
+    });
 }
 
 std::string stampOf(const std::string &request)
@@ -426,6 +469,19 @@
     });
 }
 
+void PlatformStandin::crashOn(const std::string &text, std::chrono::milliseconds downFor)
+{
+    impl_->locked([&] {
+        impl_->deadlyText_ = text;
+        impl_->downFor_ = downFor;
+    });
+}
+
+std::vector<std::chrono::steady_clock::time_point> PlatformStandin::crashes()
+{
+    return impl_->locked([&] { return impl_->crashes_; });
+}
+
 void PlatformStandin::setDraining(const std::string &server)
 {
     impl_->locked([&] {
--- a/standins/platform/platformstandin.h
+++ b/standins/platform/platformstandin.h
@@ -54,6 +54,11 @@
     void setStoreDown(bool down);
     //! The next stream breaks off after so many events, or ends in the middle of the next one.
     void breakNextStream(int afterEvents, StreamBreak how = StreamBreak::Closed);
+    //! From now on a server crashes when it begins to run a request with the text in its URL, and
+    //! is back after the given time, without layers.
+    void crashOn(const std::string &text, std::chrono::milliseconds downFor);
+    //! Times of the crashes so far.
+    std::vector<std::chrono::steady_clock::time_point> crashes();
     void setDraining(const std::string &server);
     //! The server says in all its answers that it leaves; its entry in the store stays as it is.
     void setLeaving(const std::string &server);
