Gateways quarantine a request under which endpoints crash one after the other

Class of fault: a guard that was built for one front of the system and not for the other. Ruled out: the retry budget (the copies are new requests, budget=left) and too many dispatches of one request (one each, or MaxAttempts). Change: traffic reports dispatches that lose their endpoint before it began to answer; control asks the endpoint whether it still runs (models by their report, plain services by their health path) and blames the content of the requests if it doesn't. A suspect runs once at a time at each gateway; three crashes in succession put it in quarantine at all gateways, which digests tell of, a crash at once; an answer clears it; after 60 to 120 s, doubling, a gateway lets one through. The refusal is 503, not run, at once, with the rest of the quarantine as Retry-After. The table is bounded. Conclusion: fixed for requests that come again with the same content; a restart of all gateways at once forgets it (docs/DESIGN.md).

--- a/src/app/internal/gatewaycontrol.cpp
+++ b/src/app/internal/gatewaycontrol.cpp
@@ -76,6 +76,10 @@
         onOwnLoads(control_, std::move(*shares));
     else if (const auto *notice = std::get_if<EndpointNoticeSeen>(&note))
         onEndpointNotice(control_, *notice, monotonicNow());
+    else if (auto *loss = std::get_if<DispatchLost>(&note))
+        onDispatchLost(control_, std::move(*loss), monotonicNow());
+    else if (const auto *answered = std::get_if<TraitAnswered>(&note))
+        onTraitAnswered(control_, *answered, monotonicNow());
     perform();
 }
 
@@ -236,6 +240,8 @@
         ask(*question);
     else if (const auto *layers = std::get_if<SendLoadOrder>(&effect))
         order(*layers);
+    else if (const auto *check = std::get_if<CheckEndpoint>(&effect))
+        this->check(*check);
     else if (const auto *event = std::get_if<LogEvent>(&effect))
         writeLog(event->level_, event->text_);
 }
@@ -295,6 +301,20 @@
     });
 }
 
+void GatewayControlLoop::check(const CheckEndpoint &check)
+{
+    const TimePoint sent = monotonicNow();
+    const auto onChecked = [this, sent, endpoint = check.endpoint_](
+                                   const std::optional<EndpointSighting> &sighting) {
+        onEndpointChecked(control_, endpoint, sighting, sent, monotonicNow());
+        perform();
+    };
+    const auto &table = control_.routes_.table_;
+    const TargetSpec *target = table ? findTarget(*table, check.target_) : nullptr;
+    endpoints_.sight(check, target != nullptr && !target->engine_ ? target->healthPath_ : "",
+                     onChecked);
+}
+
 void GatewayControlLoop::order(const SendLoadOrder &order)
 {
     endpoints_.sendLoadOrder(order, [this, endpoint = order.endpoint_](OrderOutcome outcome) {
--- a/src/app/internal/gatewaycontrol.h
+++ b/src/app/internal/gatewaycontrol.h
@@ -53,6 +53,7 @@
     void onDatagram(Datagram datagram);
     void ask(const RequestStatusReport &ask);
     void order(const SendLoadOrder &order);
+    void check(const CheckEndpoint &check);
 
     asio::io_context &context_;
     GatewayControl control_;
--- a/src/app/internal/gatewayprocess.cpp
+++ b/src/app/internal/gatewayprocess.cpp
@@ -72,6 +72,8 @@
     auto &received = metrics_.gauge("requests_received", "Requests that callers sent");
     auto &answered = metrics_.gauge("requests_answered", "Requests answered by an endpoint");
     auto &refused = metrics_.gauge("requests_refused_not_run", "Requests refused, not run");
+    auto &quarantined = metrics_.gauge("requests_quarantined",
+                                       "Refused, as endpoints crashed under such requests");
     auto &failed = metrics_.gauge("requests_failed", "Requests that ended without a whole answer");
     auto &gone = metrics_.gauge("callers_gone", "Requests whose caller left");
     auto &sends = metrics_.gauge("sends", "Requests sent to endpoints, repeats included");
@@ -89,6 +91,7 @@
         received.Set(static_cast<double>(counters->received_));
         answered.Set(static_cast<double>(counters->answered_));
         refused.Set(static_cast<double>(counters->refused_));
+        quarantined.Set(static_cast<double>(counters->quarantined_));
         failed.Set(static_cast<double>(counters->failed_));
         gone.Set(static_cast<double>(counters->callersDisconnected_));
         sends.Set(static_cast<double>(counters->dispatches_));
--- a/src/app/internal/gatewaytraffic.cpp
+++ b/src/app/internal/gatewaytraffic.cpp
@@ -199,6 +199,10 @@
         note_(*note);
     } else if (const auto *notice = std::get_if<EndpointNoticeSeen>(&effect)) {
         note_(*notice);
+    } else if (auto *loss = std::get_if<DispatchLost>(&effect)) {
+        note_(std::move(*loss));
+    } else if (const auto *answered = std::get_if<TraitAnswered>(&effect)) {
+        note_(*answered);
     } else if (const auto *event = std::get_if<LogEvent>(&effect)) {
         writeLog(event->level_, event->text_);
     }
--- a/src/app/internal/gatewaytraffic.h
+++ b/src/app/internal/gatewaytraffic.h
@@ -16,8 +16,8 @@
 namespace gypsumcroft::detail {
 
 //! What traffic learns for control.
-using TrafficNote
-        = std::variant<std::monostate, RequestProbe, OwnEndpointLoads, EndpointNoticeSeen>;
+using TrafficNote = std::variant<std::monostate, RequestProbe, OwnEndpointLoads, EndpointNoticeSeen,
+                                 DispatchLost, TraitAnswered>;
 
 //! Everything but publish() and counters() is used on the traffic thread.
 class GatewayTrafficLoop
--- a/src/controllers/gatewayview.h
+++ b/src/controllers/gatewayview.h
@@ -8,6 +8,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "controllers/crashes.h"
 #include "controllers/endpointlist.h"
 #include "controllers/peers.h"
 #include "controllers/routetable.h"
@@ -48,6 +49,8 @@
     std::set<EndpointId> downEndpoints_;
     //! Endpoints that asked for no requests until the given time.
     std::unordered_map<EndpointId, TimePoint> pausedUntil_;
+    //! What requests are suspected of crashing endpoints.
+    std::shared_ptr<const CrashBlame> blame_ = std::make_shared<CrashBlame>();
     //! When the desired state was last confirmed to be the newest one.
     std::optional<TimePoint> stateConfirmedAt_;
     //! When the last successful poll of the endpoint list was sent.
--- /dev/null
+++ b/src/controllers/internal/crashes.cpp
@@ -0,0 +1,169 @@
+#include "controllers/crashes.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace gypsumcroft {
+
+namespace detail {
+namespace {
+
+void publish(CrashesState &state)
+{
+    state.published_ = std::make_shared<const CrashBlame>(state.blame_);
+}
+
+void sendCheck(CrashesState &state, const EndpointListState &list, const EndpointId &endpoint,
+               UnconfirmedLosses &unconfirmed)
+{
+    const auto known = list.endpoints_.find(endpoint);
+    if (known == list.endpoints_.end() || std::exchange(unconfirmed.checking_, true))
+        return;
+    const ListedEndpoint &listed = known->second.listed_;
+    state.checks_.push_back({endpoint, listed.address_, listed.target_});
+}
+
+//! Takes the losses that the end of the endpoint explains.
+std::vector<DispatchLost> takeCrashed(UnconfirmedLosses &unconfirmed,
+                                      const std::optional<EndpointSighting> &sighting)
+{
+    const auto isCrashed = [&](const DispatchLost &loss) {
+        return !sighting || (loss.incarnation_ != 0 && sighting->incarnation_ > loss.incarnation_);
+    };
+    std::vector<DispatchLost> crashed;
+    std::copy_if(unconfirmed.losses_.begin(), unconfirmed.losses_.end(),
+                 std::back_inserter(crashed), isCrashed);
+    std::erase_if(unconfirmed.losses_, isCrashed);
+    return crashed;
+}
+
+//! Blames the traits of a dispatch for the end of its endpoint. Returns true if that is news.
+bool blameTraits(CrashesState &state, const DispatchLost &loss)
+{
+    const EndpointCrash crash {loss.endpoint_, loss.incarnation_, loss.sentAt_, loss.lostAt_};
+    bool changed = false;
+    for (const RequestTrait trait : loss.traits_)
+        changed = recordCrash(state.blame_, trait, crash) || changed;
+    return changed;
+}
+
+void logCrash(CrashesState &state, const EndpointId &endpoint,
+              const std::vector<DispatchLost> &losses, TimePoint now)
+{
+    state.log_.push_back(
+            logEvent(LogLevel::Warning, LogLine("endpoint-crashed")
+                                                .add("endpoint", endpoint)
+                                                .add("incarnation", losses.front().incarnation_)
+                                                .add("unanswered", std::uint64_t {losses.size()})
+                                                .add("ms_ago", now - losses.front().lostAt_)));
+}
+
+//! Logs the traits that have come into quarantine, or out of it by an answer.
+void logStatusChanges(CrashesState &state, TimePoint now)
+{
+    for (const auto &[trait, suspect] : state.blame_.traits_) {
+        const bool was
+                = blameOf(*state.published_, {trait}, now).status_ == BlameStatus::Quarantined;
+        const RequestBlame blame = blameOf(state.blame_, {trait}, now);
+        if (was == (blame.status_ == BlameStatus::Quarantined))
+            continue;
+        LogLine line(was ? "quarantine-ended" : "quarantine-began");
+        line.add("trait", trait);
+        if (!was)
+            line.add("crashes", std::uint64_t {crashesInSuccession(suspect)})
+                    .add("for_ms", blame.until_ - now);
+        state.log_.push_back(logEvent(LogLevel::Warning, line));
+    }
+}
+
+void applyNews(CrashesState &state, TimePoint now)
+{
+    logStatusChanges(state, now);
+    publish(state);
+}
+
+} // namespace
+} // namespace detail
+
+void onDispatchLost(CrashesState &state, const EndpointListState &list, DispatchLost loss,
+                    TimePoint now)
+{
+    const auto known = list.endpoints_.find(loss.endpoint_);
+    if (known == list.endpoints_.end() || known->second.listed_.state_ != ListedState::Ready
+        || now - loss.lostAt_ > state.limits_.forgetLossAfter_)
+        return;
+    const EndpointId endpoint = loss.endpoint_;
+    UnconfirmedLosses &unconfirmed = state.unconfirmed_[endpoint];
+    unconfirmed.losses_.push_back(std::move(loss));
+    detail::sendCheck(state, list, endpoint, unconfirmed);
+}
+
+bool onEndpointChecked(CrashesState &state, const EndpointListState &list,
+                       const EndpointId &endpoint, const std::optional<EndpointSighting> &sighting,
+                       TimePoint sentAt, TimePoint now)
+{
+    const auto found = state.unconfirmed_.find(endpoint);
+    if (found == state.unconfirmed_.end())
+        return false;
+    UnconfirmedLosses &unconfirmed = found->second;
+    unconfirmed.checking_ = false;
+    if (!sighting && now - sentAt > state.limits_.maxCheckTime_)
+        return false;
+    const auto crashed = detail::takeCrashed(unconfirmed, sighting);
+    // A loss after the check was sent is not explained by it.
+    std::erase_if(unconfirmed.losses_,
+                  [&](const DispatchLost &loss) { return loss.lostAt_ <= sentAt; });
+    if (unconfirmed.losses_.empty())
+        state.unconfirmed_.erase(found);
+    else
+        detail::sendCheck(state, list, endpoint, unconfirmed);
+    if (crashed.empty())
+        return false;
+    detail::logCrash(state, endpoint, crashed, now);
+    bool changed = false;
+    for (const DispatchLost &loss : crashed)
+        changed = detail::blameTraits(state, loss) || changed;
+    if (changed)
+        detail::applyNews(state, now);
+    return changed;
+}
+
+bool onTraitAnswered(CrashesState &state, const TraitAnswered &answered, TimePoint now)
+{
+    if (!recordAnswer(state.blame_, answered.trait_, answered.at_))
+        return false;
+    detail::applyNews(state, now);
+    return true;
+}
+
+bool onTraitReports(CrashesState &state, const std::vector<TraitReport> &reports, TimePoint now)
+{
+    if (!mergeTraitReports(state.blame_, reports, now))
+        return false;
+    detail::applyNews(state, now);
+    return true;
+}
+
+void tickCrashes(CrashesState &state, const EndpointListState &list, TimePoint now)
+{
+    for (auto &[endpoint, unconfirmed] : state.unconfirmed_) {
+        if (unconfirmed.checking_)
+            continue;
+        std::erase_if(unconfirmed.losses_, [&](const DispatchLost &loss) {
+            return now - loss.lostAt_ > state.limits_.forgetLossAfter_;
+        });
+        if (!unconfirmed.losses_.empty())
+            detail::sendCheck(state, list, endpoint, unconfirmed);
+    }
+    std::erase_if(state.unconfirmed_, [&](const auto &entry) {
+        return !entry.second.checking_
+               && (entry.second.losses_.empty() || !list.endpoints_.contains(entry.first));
+    });
+    const std::size_t before = state.blame_.traits_.size();
+    forgetTraits(state.blame_, now);
+    if (state.blame_.traits_.size() != before)
+        detail::publish(state);
+}
+
+} // namespace gypsumcroft
--- a/src/core/ids.h
+++ b/src/core/ids.h
@@ -70,6 +70,9 @@
 //! 64-bit hash of what a caller sent: method, URL and body.
 using ContentHash = StrongType<struct ContentHashTag, std::uint64_t>;
 
+//! Hash of something that requests have in common and that may crash the endpoints that run them.
+using RequestTrait = StrongType<struct RequestTraitTag, std::uint64_t>;
+
 //! IP address and port.
 struct Address
 {
--- a/src/core/messages.h
+++ b/src/core/messages.h
@@ -386,6 +386,26 @@
     std::vector<DigestEcho> echoes_;
 };
 
+//! The crash of an endpoint while a request with a certain trait ran there.
+struct CrashReport
+{
+    EndpointId endpoint_;
+    std::uint64_t incarnation_ = 0;
+    //! Time since the crash.
+    Duration age_ {};
+    //! Time from the dispatch of the request to the crash.
+    Duration ranFor_ {};
+};
+
+//! A trait of requests under which endpoints crashed.
+struct TraitReport
+{
+    RequestTrait trait_;
+    std::vector<CrashReport> crashes_;
+    //! Time since an endpoint began to answer a request with the trait; empty if none is known to.
+    std::optional<Duration> answerAge_;
+};
+
 enum class DigestScope : std::uint8_t {
     //! State of the sender.
     Gateway,
@@ -418,6 +438,7 @@
     std::vector<LeavingEndpointReport> leavingEndpoints_;
     //! Some of the gateways that the sender hears; consecutive digests name different ones.
     std::vector<GatewayMemberReport> members_;
+    std::vector<TraitReport> traits_;
     std::optional<StoreNews> storeNews_;
 };
 
--- a/src/filters/gatewayfilters.h
+++ b/src/filters/gatewayfilters.h
@@ -16,7 +16,7 @@
 
 using GatewayFilter = Filter<GatewayContext, GatewayView, GatewayTraffic, GatewayFilterResult>;
 
-//! state, route, authorise, target, queue, endpoint, dispatch, in this order.
+//! state, route, authorise, target, quarantine, queue, endpoint, dispatch, in this order.
 std::span<const GatewayFilter> gatewayChain();
 
 //! Index of the filter at which the chain continues with a request that left the queue.
@@ -30,6 +30,12 @@
 //! Releases the endpoint load of the dispatch in progress, and removes the dispatch.
 void releaseDispatch(GatewayContext &context, GatewayTraffic &state);
 
+//! Notes that an endpoint began to answer the dispatch in progress.
+void noteDispatchAnswered(GatewayContext &context, GatewayTraffic &state, TimePoint now);
+
+//! What the request is suspected of; nothing once its response has begun.
+RequestBlame blameOfRequest(const GatewayContext &context, const GatewayView &view, TimePoint now);
+
 //! Subtracts the dispatch's remaining prefill time from the endpoints of its path.
 void releasePendingPrefill(GatewayContext &context, GatewayTraffic &state);
 
--- a/src/filters/gatewaystate.h
+++ b/src/filters/gatewaystate.h
@@ -25,6 +25,7 @@
 #include "policy/retry.h"
 #include "policy/retrydecision.h"
 #include "policy/retryshare.h"
+#include "policy/traithistory.h"
 
 namespace gypsumcroft {
 
@@ -69,6 +70,8 @@
     Overloaded,
     //! No endpoint can serve the request.
     NoEndpoint,
+    //! Endpoints crashed that ran requests like this one.
+    Quarantined,
     //! The process is stopping, and no dispatch of the request may have run.
     Stopping,
     //! No response before the deadline, or no retry before the queue timeout.
@@ -142,9 +145,10 @@
     Duration retryAfter_ {};
 };
 
-using GatewayEffect = std::variant<DispatchRequest, CancelDispatch, DeliverResponse, BeginStream,
-                                   ForwardEvents, FinishStream, AbortResponse, RefuseRequest,
-                                   RequestProbe, EndpointNoticeSeen, LogEvent>;
+using GatewayEffect
+        = std::variant<DispatchRequest, CancelDispatch, DeliverResponse, BeginStream, ForwardEvents,
+                       FinishStream, AbortResponse, RefuseRequest, RequestProbe, EndpointNoticeSeen,
+                       DispatchLost, TraitAnswered, LogEvent>;
 
 //! Status and headers of an endpoint's response, decoded.
 struct EndpointResponseHead
@@ -223,6 +227,10 @@
     std::unordered_set<EndpointId> failedEndpoints_;
     std::optional<PlannedPath> plan_;
     TimePoint plannedAt_;
+    std::vector<RequestTrait> traits_;
+    //! One of the traits was suspect when the request was last queued.
+    bool suspect_ = false;
+    TimePoint quarantinedUntil_;
     //! The request can no longer begin within its latency target, and waits in the queue of overdue
     //! requests.
     bool overdue_ = false;
@@ -259,6 +267,8 @@
     std::uint64_t refused_ = 0;
     std::uint64_t failed_ = 0;
     std::uint64_t callersDisconnected_ = 0;
+    //! Refused because endpoints crashed that ran requests like them.
+    std::uint64_t quarantined_ = 0;
     //! Dispatches of all requests, retries included.
     std::uint64_t dispatches_ = 0;
     std::uint64_t retries_ = 0;
@@ -317,6 +327,7 @@
     std::unordered_map<EndpointId, EndpointUsage> endpointUsage_;
     std::map<TargetName, RetryShare> retryShares_;
     std::map<TargetName, CrossDomainBudget> crossDomainBudgets_;
+    TraitHistory traitHistory_;
     std::uint64_t nextDispatch_ = 1;
     TimePoint lastTickAt_;
     GatewayCounters counters_;
--- a/src/filters/internal/gatewayfilters.cpp
+++ b/src/filters/internal/gatewayfilters.cpp
@@ -98,6 +98,25 @@
     return proceedGateway();
 }
 
+//! Traits by which the request is recognised: its content and caller, whatever its id.
+std::vector<RequestTrait> traitsOf(const GatewayRequest &request)
+{
+    const std::uint64_t caller
+            = mixHash(hashText(request.host_), hashText(request.apiKey_.value_or("")));
+    return {{mixHash(caller, request.content_.value_)}};
+}
+
+GatewayFilterResult quarantineRequest(GatewayContext &context, const GatewayView &view,
+                                      GatewayTraffic &, TimePoint now)
+{
+    context.traits_ = traitsOf(context.request_);
+    const RequestBlame blame = blameOfRequest(context, view, now);
+    context.suspect_ = blame.status_ == BlameStatus::Suspected;
+    context.quarantinedUntil_ = blame.until_;
+    return blame.status_ == BlameStatus::Quarantined ? refuseGateway(GatewayRefusal::Quarantined)
+                                                     : proceedGateway();
+}
+
 GatewayFilterResult queueRequest(GatewayContext &context, const GatewayView &,
                                  GatewayTraffic &state, TimePoint)
 {
@@ -328,6 +347,7 @@
     active.reservedTokens_
             = {context.request_.promptTokens_.value_ + context.request_.expectedOutput_.value_ / 2};
     addEndpointLoad(active, state, 1);
+    noteDispatched(state.traitHistory_, context.traits_);
     if (engine != nullptr) {
         addPendingPrefill(context, active, view, *engine, state);
         chargeCrossDomainHops(
@@ -357,16 +377,17 @@
     return {FilterAction::Done, {}};
 }
 
-constexpr std::array<GatewayFilter, 7> Chain = {{
+constexpr std::array<GatewayFilter, 8> Chain = {{
         {"state", checkState},
         {"route", identifyRoute},
         {"authorise", authorise},
         {"target", chooseTarget},
+        {"quarantine", quarantineRequest},
         {"queue", queueRequest},
         {"endpoint", choosePath},
         {"dispatch", dispatch},
 }};
-constexpr std::size_t EndpointFilter = 5;
+constexpr std::size_t EndpointFilter = 6;
 
 Rank rankOf(Priority priority)
 {
@@ -378,7 +399,8 @@
     QueuedRequest queued;
     queued.request_ = queueId(context.request_.exchange_);
     queued.organisation_ = context.organisation_.value_or(OrganisationId {});
-    queued.caller_ = {queued.organisation_.value_};
+    // A suspect request that has to wait must not hold up the others of its organisation.
+    queued.caller_ = {queued.organisation_.value_ + (context.suspect_ ? "/suspect" : "")};
     queued.rank_ = rankOf(context.priority_);
     queued.work_ = {std::max<std::int64_t>(1, context.request_.promptTokens_.value_
                                                       + context.request_.expectedOutput_.value_)};
@@ -410,9 +432,9 @@
 
 std::string_view gatewayRefusalName(GatewayRefusal refusal)
 {
-    static constexpr std::array<std::string_view, 8> Names
-            = {"unready",     "unknown-route", "unauthorised", "overloaded",
-               "no-endpoint", "stopping",      "timed-out",    "failed"};
+    static constexpr std::array<std::string_view, 9> Names
+            = {"unready",     "unknown-route", "unauthorised", "overloaded", "no-endpoint",
+               "quarantined", "stopping",      "timed-out",    "failed"};
     return Names.at(static_cast<std::size_t>(refusal));
 }
 
@@ -431,6 +453,8 @@
 {
     if (!view.table_ || now < context.retryAt_)
         return false;
+    if (!context.streamStarted_ && !mayRun(*view.blame_, state.traitHistory_, context.traits_, now))
+        return false;
     if (const EngineSpec *engine = detail::engineOf(context, view)) {
         context.plan_ = detail::planFor(context, view, *engine, state, now);
         context.plannedAt_ = now;
@@ -451,11 +475,26 @@
     active.prefillTimes_.clear();
 }
 
+void noteDispatchAnswered(GatewayContext &context, GatewayTraffic &state, TimePoint now)
+{
+    if (!context.dispatch_ || std::exchange(context.dispatch_->hasAnswered_, true))
+        return;
+    noteNotUnanswered(state.traitHistory_, context.traits_);
+    noteAnswered(state.traitHistory_, context.traits_, now);
+}
+
+RequestBlame blameOfRequest(const GatewayContext &context, const GatewayView &view, TimePoint now)
+{
+    return context.streamStarted_ ? RequestBlame {} : blameOf(*view.blame_, context.traits_, now);
+}
+
 void releaseDispatch(GatewayContext &context, GatewayTraffic &state)
 {
     if (!context.dispatch_)
         return;
     releasePendingPrefill(context, state);
+    if (!context.dispatch_->hasAnswered_)
+        noteNotUnanswered(state.traitHistory_, context.traits_);
     detail::addEndpointLoad(*context.dispatch_, state, -1);
     state.exchangesByDispatch_.erase(context.dispatch_->id_);
     context.dispatch_.reset();
--- a/src/gateway/control.h
+++ b/src/gateway/control.h
@@ -6,6 +6,7 @@
 #include <variant>
 #include <vector>
 
+#include "controllers/crashes.h"
 #include "controllers/endpointlist.h"
 #include "controllers/gatewayview.h"
 #include "controllers/lease.h"
@@ -57,9 +58,10 @@
 struct GatewayViewChanged
 { };
 
-using GatewayControlEffect = std::variant<JoinGroup, LeaveGroup, RequestPeerAddresses,
-                                          ReadDesiredState, ReadEndpointList, RequestStatusReport,
-                                          SendLoadOrder, SendDigest, GatewayViewChanged, LogEvent>;
+using GatewayControlEffect
+        = std::variant<JoinGroup, LeaveGroup, RequestPeerAddresses, ReadDesiredState,
+                       ReadEndpointList, RequestStatusReport, SendLoadOrder, SendDigest,
+                       CheckEndpoint, GatewayViewChanged, LogEvent>;
 
 //! Limits that the platform sets for this installation.
 struct GatewayBounds
@@ -93,6 +95,7 @@
     LeaseState lease_;
     std::map<TargetName, PlacementState> placement_;
     ProbeState probes_;
+    CrashesState crashes_;
     MembersState members_;
     PeersState peers_;
     StoreRelayState relay_;
@@ -174,6 +177,17 @@
 //! Probes an endpoint at the request of the traffic threads or a peer.
 void onProbeRequested(GatewayControl &state, const EndpointId &endpoint, TimePoint now);
 
+//! Handles the loss of a dispatch's connection before the endpoint began to answer.
+void onDispatchLost(GatewayControl &state, DispatchLost loss, TimePoint now);
+
+//! Handles an answer to a request with a suspect trait.
+void onTraitAnswered(GatewayControl &state, const TraitAnswered &answered, TimePoint now);
+
+//! Handles the result of a check; without a sighting the endpoint did not respond.
+void onEndpointChecked(GatewayControl &state, const EndpointId &endpoint,
+                       const std::optional<EndpointSighting> &sighting, TimePoint sentAt,
+                       TimePoint now);
+
 //! Stores the load of this gateway's requests on the endpoints, for the next digest.
 void onOwnLoads(GatewayControl &state, OwnEndpointLoads loads);
 
--- a/src/gateway/internal/control.cpp
+++ b/src/gateway/internal/control.cpp
@@ -33,6 +33,14 @@
     emitLog(state, state.probes_.log_);
 }
 
+void emitCrashEffects(GatewayControl &state)
+{
+    for (CheckEndpoint &check : state.crashes_.checks_)
+        state.effects_.emplace_back(std::move(check));
+    state.crashes_.checks_.clear();
+    emitLog(state, state.crashes_.log_);
+}
+
 void onPlatformResponse(GatewayControl &state, TimePoint now)
 {
     if (state.platformReachable_)
@@ -103,6 +111,8 @@
     digest.domain_ = state.members_.domain_;
     digest.sequence_ = ++state.digestSequence_;
     digest.members_ = takeMembersToName(state.members_, now);
+    digest.traits_
+            = reportTraits(state.crashes_.blame_, state.crashes_.limits_.maxTraitsInDigest_, now);
     digest.loads_ = state.ownLoads_;
     digest.loadedLayers_ = recentReports(state, now);
     digest.downEndpoints_ = {down.begin(), down.end()};
@@ -134,8 +144,19 @@
         state.effects_.emplace_back(SendDigest {std::move(recipients), std::move(digest)});
 }
 
-//! Sends the own digest to the gateways of this domain and, as its speaker, every second time the
-//! sum over the domain to the others.
+//! Sends the sum over this domain to the other domains, if this process speaks for it.
+void sendDomainDigest(GatewayControl &state, const GatewayDigestMessage &own, TimePoint now)
+{
+    auto others = domainDigestRecipients(state.members_, now);
+    if (others.empty())
+        return;
+    GatewayDigestMessage sum = sumOfDomain(state.peers_, own, now);
+    sum.members_ = takeNeighboursToName(state.members_, now);
+    sendTo(state, std::move(others), std::move(sum));
+}
+
+//! Sends the own digest to the gateways of this domain, and every second time the sum over the
+//! domain to the others.
 void sendDigests(GatewayControl &state, TimePoint now)
 {
     GatewayDigestMessage digest = makeDigest(state, now);
@@ -145,12 +166,8 @@
     state.reportedLoads_ = std::move(reported);
     state.viewStale_ = true;
     constexpr std::uint64_t DomainDigestPeriod = 2;
-    auto others = domainDigestRecipients(state.members_, now);
-    if (digest.sequence_ % DomainDigestPeriod == 0 && !others.empty()) {
-        GatewayDigestMessage sum = sumOfDomain(state.peers_, digest, now);
-        sum.members_ = takeNeighboursToName(state.members_, now);
-        sendTo(state, std::move(others), std::move(sum));
-    }
+    if (digest.sequence_ % DomainDigestPeriod == 0)
+        sendDomainDigest(state, digest, now);
     sendTo(state, searchRecipients(state.members_, digest.sequence_, now), membersOnly(digest));
     auto recipients = digestRecipients(state.members_, digest.sequence_, now);
     sendTo(state, std::move(recipients), std::move(digest));
@@ -162,6 +179,26 @@
     sendTo(state, relayRecipients(state.members_, now), makeDigest(state, now));
 }
 
+//! Tells the other gateways at once of a crash that this process saw.
+void sendCrashNews(GatewayControl &state, TimePoint now)
+{
+    GatewayDigestMessage digest = makeDigest(state, now);
+    sendDomainDigest(state, digest, now);
+    sendTo(state, relayRecipients(state.members_, now), std::move(digest));
+}
+
+//! Takes what a digest suspects, and passes it on at once from a gateway of this domain to the
+//! other domains.
+void takeTraitReports(GatewayControl &state, const GatewayDigestMessage &digest, TimePoint now)
+{
+    if (!onTraitReports(state.crashes_, digest.traits_, now))
+        return;
+    publishView(state);
+    emitCrashEffects(state);
+    if (digest.domain_ == state.members_.domain_)
+        sendDomainDigest(state, makeDigest(state, now), now);
+}
+
 ReaderRole readerRole(const GatewayControl &state, TimePoint now)
 {
     return {domainRank(state.members_, now), hasNeighbours(state.members_, now)};
@@ -513,6 +550,32 @@
     detail::emitProbeEffects(state);
 }
 
+void onDispatchLost(GatewayControl &state, DispatchLost loss, TimePoint now)
+{
+    onDispatchLost(state.crashes_, state.endpoints_, std::move(loss), now);
+    detail::emitCrashEffects(state);
+}
+
+void onTraitAnswered(GatewayControl &state, const TraitAnswered &answered, TimePoint now)
+{
+    if (onTraitAnswered(state.crashes_, answered, now))
+        detail::publishView(state);
+    detail::emitCrashEffects(state);
+}
+
+void onEndpointChecked(GatewayControl &state, const EndpointId &endpoint,
+                       const std::optional<EndpointSighting> &sighting, TimePoint sentAt,
+                       TimePoint now)
+{
+    const bool isNews
+            = onEndpointChecked(state.crashes_, state.endpoints_, endpoint, sighting, sentAt, now);
+    detail::emitCrashEffects(state);
+    if (!isNews)
+        return;
+    detail::publishView(state);
+    detail::sendCrashNews(state, now);
+}
+
 void onOwnLoads(GatewayControl &state, OwnEndpointLoads loads)
 {
     state.ownLoads_ = std::move(loads.loads_);
@@ -526,6 +589,7 @@
     const std::vector<LeavingEndpointReport> leavingEndpoints = digest.leavingEndpoints_;
     applyMemberDigest(state.members_, digest, now);
     noteClock(state.relay_, digest, now);
+    detail::takeTraitReports(state, digest, now);
     const bool isNear = digest.domain_ == state.members_.domain_;
     const auto news = isNear ? digest.storeNews_ : std::nullopt;
     if (!detail::takeLoads(state, std::move(digest), now))
@@ -567,6 +631,8 @@
     detail::tickPeers(state, now);
     detail::readStore(state, now);
     tickProbes(state.probes_, state.endpoints_, now);
+    tickCrashes(state.crashes_, state.endpoints_, now);
+    detail::emitCrashEffects(state);
     detail::emitProbeEffects(state);
     if (std::exchange(state.viewStale_, false))
         detail::publishView(state);
@@ -579,6 +645,7 @@
     GatewayView view;
     view.table_ = state.routes_.table_;
     view.endpoints_ = state.endpointIndex_;
+    view.blame_ = state.crashes_.published_;
     view.peerLoads_ = totalPeerLoads(state.peers_);
     view.lastDigestLoads_ = state.reportedLoads_;
     view.downEndpoints_ = downEndpoints(state.probes_);
--- a/src/gateway/internal/traffic.cpp
+++ b/src/gateway/internal/traffic.cpp
@@ -87,6 +87,21 @@
     releaseDispatch(context, state);
 }
 
+//! Delay before a retry that the caller of a refused request is told.
+Duration retryAfter(const GatewayTraffic &state, const Context &context, GatewayRefusal refusal,
+                    TimePoint now)
+{
+    switch (refusal) {
+    case GatewayRefusal::UnknownRoute:
+    case GatewayRefusal::Unauthorised:
+        return {};
+    case GatewayRefusal::Quarantined:
+        return std::max(Duration(), context.quarantinedUntil_ - now);
+    default:
+        return state.limits_.retryAfter_;
+    }
+}
+
 void refuse(GatewayTraffic &state, Context &context, GatewayRefusal refusal,
             const std::string &reason, TimePoint now)
 {
@@ -96,10 +111,10 @@
                                                  .add("refusal", gatewayRefusalName(refusal))
                                                  .add("run", unknown ? "unknown" : "not-run")
                                                  .add("reason", reason)));
-    const bool retryable
-            = refusal != GatewayRefusal::UnknownRoute && refusal != GatewayRefusal::Unauthorised;
+    if (refusal == GatewayRefusal::Quarantined)
+        ++state.counters_.quarantined_;
     emit(state, RefuseRequest {context.request_.exchange_, refusal,
-                               retryable ? state.limits_.retryAfter_ : Duration()});
+                               retryAfter(state, context, refusal, now)});
     removeRequest(state, context);
 }
 
@@ -362,6 +377,47 @@
     enqueue(context, state, false);
 }
 
+//! Refuses a queued request that has come into quarantine since it arrived, and moves one that has
+//! become suspect out of the way of the others. Returns true if the request ended.
+bool checkBlame(GatewayTraffic &state, const GatewayView &view, Context &context, TimePoint now)
+{
+    const RequestBlame blame = blameOfRequest(context, view, now);
+    if (blame.status_ == BlameStatus::Quarantined) {
+        context.quarantinedUntil_ = blame.until_;
+        refuse(state, context,
+               context.mayHaveRun_ ? GatewayRefusal::Failed : GatewayRefusal::Quarantined,
+               "quarantine", now);
+        return true;
+    }
+    if (blame.status_ == BlameStatus::Suspected && !context.suspect_) {
+        dequeue(context, state);
+        context.suspect_ = true;
+        enqueue(context, state, false);
+    }
+    return false;
+}
+
+//! Tells control when requests with suspect traits were answered last.
+void reportAnswers(GatewayTraffic &state, const GatewayView &view)
+{
+    for (const auto &[trait, suspect] : view.blame_->traits_) {
+        if (suspect.crashes_.empty())
+            continue;
+        const auto answered = lastAnswer(state.traitHistory_, trait);
+        if (answered && (!suspect.answeredAt_ || *answered > *suspect.answeredAt_))
+            emit(state, TraitAnswered {trait, *answered});
+    }
+}
+
+//! Tells control that a dispatch lost its endpoint before that began to answer.
+void reportLoss(GatewayTraffic &state, const Context &context, TimePoint now)
+{
+    const ActiveDispatch &dispatch = *context.dispatch_;
+    if (!dispatch.hasAnswered_)
+        emit(state, DispatchLost {dispatch.endpoint_, dispatch.incarnation_, dispatch.sentAt_, now,
+                                  context.traits_});
+}
+
 //! True for a stream that may fail over to another endpoint.
 bool mayFailOver(const Context &context)
 {
@@ -387,6 +443,8 @@
         return;
     for (const PathSegment &part : context.dispatch_->path_)
         context.failedEndpoints_.insert(part.endpoint_);
+    if (view.downEndpoints_.contains(context.dispatch_->endpoint_))
+        reportLoss(state, context, now);
     emit(state, CancelDispatch {context.dispatch_->id_});
     onDispatchEnded(state, view, context, AttemptOutcome::Unknown, reason, now);
 }
@@ -429,6 +487,24 @@
         failOver(state, view, context, "silent", now);
 }
 
+//! Checks the time limits of a request, what it is suspected of, and its stream.
+void checkRequest(GatewayTraffic &state, const GatewayView &view, Context &context, TimePoint now)
+{
+    const Duration overdueAfter
+            = scaled(context.route_.latencyTarget_, state.limits_.overdueFactor_);
+    if (now >= context.deadline_)
+        return endRequest(state, context, GatewayRefusal::Overloaded, GatewayRefusal::TimedOut,
+                          "deadline", now);
+    if (context.queued_ && checkBlame(state, view, context, now))
+        return;
+    if (hasWaitedLongerThan(context, queueTimeout(context.route_, state.limits_), now))
+        onQueueTimeout(state, context, now);
+    else if (!context.overdue_ && hasWaitedLongerThan(context, overdueAfter, now))
+        markOverdue(state, context);
+    else if (context.dispatch_ && context.route_.isStream_)
+        checkStream(state, view, context, now);
+}
+
 } // namespace
 } // namespace detail
 
@@ -494,7 +570,7 @@
         context->longestPause_ = std::max(context->longestPause_, now - context->lastEventAt_);
     context->lastEventAt_ = now;
     context->dispatch_->lastProgressAt_ = now;
-    context->dispatch_->hasAnswered_ = true;
+    noteDispatchAnswered(*context, state, now);
     context->dispatch_->probeRequested_ = false;
     if (!context->dispatch_->prefillTimes_.empty()) {
         releasePendingPrefill(*context, state);
@@ -526,10 +602,12 @@
                                 "status " + std::to_string(head.status_) + " of " + faulty.value_,
                                 now);
     } else if (!head.success_) {
+        noteDispatchAnswered(*context, state, now);
         context->failedEndpoints_.insert(context->dispatch_->endpoint_);
         detail::onDispatchEnded(state, view, *context, AttemptOutcome::ErrorResponse,
                                 "status " + std::to_string(head.status_), now);
     } else {
+        noteDispatchAnswered(*context, state, now);
         detail::recordSuccess(state, *context);
         ++state.counters_.answered_;
         detail::logAnswered(state, *context, now);
@@ -549,6 +627,8 @@
     if (context == nullptr)
         return;
     detail::recordFailure(state, *context, context->dispatch_->endpoint_, now);
+    if (failure != DispatchFailure::NotSent)
+        detail::reportLoss(state, *context, now);
     detail::onDispatchEnded(state, view, *context,
                             failure == DispatchFailure::NotSent ? AttemptOutcome::NotRun
                                                                 : AttemptOutcome::Unknown,
@@ -559,29 +639,15 @@
 void onGatewayTick(GatewayTraffic &state, const GatewayView &view, TimePoint now)
 {
     detail::creditHeldUpTime(state, now);
+    detail::reportAnswers(state, view);
     std::vector<ExchangeId> ids;
     ids.reserve(state.requests_.size());
     for (const auto &[id, context] : state.requests_)
         ids.push_back(id);
     for (const ExchangeId id : ids) {
         const auto found = state.requests_.find(id);
-        if (found == state.requests_.end())
-            continue;
-        GatewayContext &context = found->second;
-        if (now >= context.deadline_)
-            detail::endRequest(state, context, GatewayRefusal::Overloaded, GatewayRefusal::TimedOut,
-                               "deadline", now);
-        else if (detail::hasWaitedLongerThan(
-                         context, detail::queueTimeout(context.route_, state.limits_), now))
-            detail::onQueueTimeout(state, context, now);
-        else if (!context.overdue_
-                 && detail::hasWaitedLongerThan(context,
-                                                detail::scaled(context.route_.latencyTarget_,
-                                                               state.limits_.overdueFactor_),
-                                                now))
-            detail::markOverdue(state, context);
-        else if (context.dispatch_ && context.route_.isStream_)
-            detail::checkStream(state, view, context, now);
+        if (found != state.requests_.end())
+            detail::checkRequest(state, view, found->second, now);
     }
     detail::dispatchQueued(state, view, now);
 }
--- a/src/platform/endpointclient.h
+++ b/src/platform/endpointclient.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <optional>
 
+#include "controllers/crashes.h"
 #include "controllers/placement.h"
 #include "core/endpointnotice.h"
 #include "http/client.h"
@@ -26,6 +27,13 @@
     //! the server may still carry the order out.
     void sendLoadOrder(const SendLoadOrder &order, std::function<void(OrderOutcome)> callback);
 
+    //! Finds out whether a server runs: requests the health path or, if that is empty, the server's
+    //! report. Any response of the server itself is a sighting, also one that turns the request
+    //! away. The callback gets nullopt on a connection failure, a timeout, or a response that names
+    //! another server.
+    void sight(const CheckEndpoint &target, const std::string &healthPath,
+               std::function<void(std::optional<EndpointSighting>)> callback);
+
 private:
     void takeNotice(const EndpointId &endpoint, const http::ClientResult &result) const;
 
--- a/src/platform/internal/endpointclient.cpp
+++ b/src/platform/internal/endpointclient.cpp
@@ -16,6 +16,20 @@
 constexpr std::uint64_t MaxResponseBytes = 256UL * 1024;
 constexpr std::uint16_t StatusOk = 200;
 
+constexpr std::string_view InstanceHeader = "X-Instance-Id";
+
+std::optional<EndpointSighting> sightingIn(const EndpointId &endpoint,
+                                           const http::ClientResult &result)
+{
+    if (!result.response_)
+        return std::nullopt;
+    const auto instance = http::findHeader(result.response_->headers_, InstanceHeader);
+    if (instance && *instance != endpoint.value_)
+        return std::nullopt;
+    const auto report = decodeServerReport(result.response_->body_);
+    return EndpointSighting {report.value_ ? report.value_->incarnation_ : 0};
+}
+
 } // namespace
 } // namespace detail
 
@@ -50,6 +64,20 @@
                  });
 }
 
+void EndpointClient::sight(const CheckEndpoint &target, const std::string &healthPath,
+                           std::function<void(std::optional<EndpointSighting>)> callback)
+{
+    http::HttpRequest request;
+    request.path_ = healthPath.empty() ? "/report" : healthPath;
+    client_.send(target.address_, std::move(request),
+                 {detail::ResponseTimeout, detail::NewConnection, detail::MaxResponseBytes},
+                 [this, endpoint = target.endpoint_,
+                  callback = std::move(callback)](const http::ClientResult &result) {
+                     takeNotice(endpoint, result);
+                     callback(detail::sightingIn(endpoint, result));
+                 });
+}
+
 void EndpointClient::sendLoadOrder(const SendLoadOrder &order,
                                    std::function<void(OrderOutcome)> callback)
 {
--- a/src/platform/internal/forwarding.cpp
+++ b/src/platform/internal/forwarding.cpp
@@ -127,6 +127,7 @@
     case GatewayRefusal::Unready:
     case GatewayRefusal::Overloaded:
     case GatewayRefusal::NoEndpoint:
+    case GatewayRefusal::Quarantined:
     case GatewayRefusal::Stopping:
         return 503;
     case GatewayRefusal::TimedOut:
--- a/src/wire/internal/codec.cpp
+++ b/src/wire/internal/codec.cpp
@@ -208,13 +208,25 @@
             news.listChanges_, news.echoes_);
 }
 
+template <typename Archive>
+void serialize(Archive &archive, CrashReport &crash)
+{
+    archive(crash.endpoint_, crash.incarnation_, crash.age_, crash.ranFor_);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, TraitReport &report)
+{
+    archive(report.trait_, report.crashes_, report.answerAge_);
+}
+
 template <typename Archive>
 void serialize(Archive &archive, GatewayDigestMessage &digest)
 {
     archive(digest.scope_, digest.sentAt_, digest.settled_, digest.stopping_, digest.storeNews_);
     archive(digest.instance_, digest.domain_, digest.gateway_, digest.incarnation_,
             digest.sequence_, digest.loads_, digest.loadedLayers_, digest.layerMoves_,
-            digest.downEndpoints_, digest.leavingEndpoints_, digest.members_);
+            digest.downEndpoints_, digest.leavingEndpoints_, digest.members_, digest.traits_);
 }
 
 template <typename Archive>
