--- a/src/core/ids.h
+++ b/src/core/ids.h
@@ -70,6 +70,8 @@
 //! 64-bit hash of what a caller sent: method, URL and body.
 using ContentHash = StrongType<struct ContentHashTag, std::uint64_t>;
 
+//! Id of a part of a prompt; requests with the same part have it in common.
+using PromptPartId = StrongType<struct PromptPartTag, std::string>;
 //! Hash of something that requests have in common and that may crash the endpoints that run them.
 using RequestTrait = StrongType<struct RequestTraitTag, std::uint64_t>;
 
--- a/src/filters/gatewaystate.h
+++ b/src/filters/gatewaystate.h
@@ -56,6 +56,8 @@
     //! Last event of the stream that the caller already has.
     std::optional<EventId> resumeAfter_;
     ContentHash content_;
+    //! Parts of the prompt in order. The last one belongs to this request or its session.
+    std::vector<PromptPartId> promptParts_;
 };
 
 //! Why this process refused a request. After TimedOut and Failed an endpoint may have run it; all
--- a/src/filters/internal/gatewayfilters.cpp
+++ b/src/filters/internal/gatewayfilters.cpp
@@ -305,6 +305,15 @@
     return text;
 }
 
+std::string promptPartsText(const std::vector<PromptPartId> &parts)
+{
+    constexpr std::size_t MaxLoggedParts = 8;
+    std::string text;
+    for (std::size_t i = 0; i < std::min(parts.size(), MaxLoggedParts); ++i)
+        text += (text.empty() ? "" : ",") + parts[i].value_;
+    return text.empty() ? "-" : text;
+}
+
 void logRouted(const GatewayContext &context, const GatewayView &view, GatewayTraffic &state,
                TimePoint now)
 {
@@ -319,6 +328,7 @@
                              .add("organisation",
                                   context.organisation_ ? context.organisation_->value_ : "-")
                              .add("content", context.request_.content_)
+                             .add("parts", promptPartsText(context.request_.promptParts_))
                              .add("attempt", std::uint64_t {context.dispatchCount_})
                              .add("path", pathText(context.plan_->path_))
                              .add("cost_ms", context.plan_->cost_)
--- a/src/platform/internal/forwarding.cpp
+++ b/src/platform/internal/forwarding.cpp
@@ -19,6 +19,10 @@
 constexpr std::string_view TokenCountHeader = "X-Token-Count";
 //! The caller's estimate of the number of tokens in the output.
 constexpr std::string_view LengthHintHeader = "X-Length-Hint";
+//! Parts of the prompt in order, ID:TOKENS each, joined by commas.
+constexpr std::string_view PromptPartsHeader = "X-Prompt-Prefix";
+//! Further parts are left out.
+constexpr std::size_t MaxPromptParts = 64;
 constexpr std::string_view LastEventHeader = "Last-Event-Id";
 constexpr std::string_view TenantHeader = "X-Tenant";
 constexpr std::string_view ExpectInstanceHeader = "X-Expect-Instance";
@@ -96,6 +100,18 @@
     return std::string(value->substr(Scheme.size()));
 }
 
+std::vector<PromptPartId> parsePromptParts(std::string_view text)
+{
+    std::vector<PromptPartId> parts;
+    while (!text.empty() && parts.size() < MaxPromptParts) {
+        const std::string_view part = text.substr(0, text.find(','));
+        text.remove_prefix(std::min(text.size(), part.size() + 1));
+        const std::size_t begin = std::min(part.size(), part.find_first_not_of(" \t"));
+        parts.push_back({std::string(part.substr(begin, part.find(':') - begin))});
+    }
+    return parts;
+}
+
 ContentHash hashContent(const http::RelayRequest &request)
 {
     const std::uint64_t url = mixHash(hashText(request.method_), hashText(request.target_));
@@ -166,6 +182,8 @@
     if (const auto last = detail::parseNumber(http::findHeader(headers, detail::LastEventHeader)))
         decoded.resumeAfter_ = EventId {*last};
     decoded.content_ = detail::hashContent(request);
+    if (const auto parts = http::findHeader(headers, detail::PromptPartsHeader))
+        decoded.promptParts_ = detail::parsePromptParts(*parts);
     return decoded;
 }
 
--- a/src/platform/tests/tst_platform.cpp
+++ b/src/platform/tests/tst_platform.cpp
@@ -368,6 +368,50 @@
     BOOST_TEST(valueOf(head.headers_, "Retry-After") == (test.retryAfter_ ? "0.400" : "-"));
 }
 
+namespace {
+
+struct PromptPartsCase
+{
+    const char *name_;
+    std::string header_;
+    std::string parts_;
+};
+
+std::ostream &operator<<(std::ostream &out, const PromptPartsCase &test)
+{
+    return out << test.name_;
+}
+
+std::string repeated(const std::string &text, int count)
+{
+    std::string all;
+    for (int i = 0; i < count; ++i)
+        all += text;
+    return all;
+}
+
+const PromptPartsCase PromptPartsCases[] = {
+        {"one part", "5c1e07a2:800", "5c1e07a2;"},
+        {"three parts", "5c1e07a2:800,91bd3f06:410,e4402b7d:250", "5c1e07a2;91bd3f06;e4402b7d;"},
+        {"spaces", "a:1, b:2,  c:3", "a;b;c;"},
+        {"without token counts", "a,b", "a;b;"},
+        {"empty", "", ""},
+        {"empty parts", ",:1, ,", ";;;"},
+        {"more parts than are kept", repeated("a:1,", 5000), repeated("a;", 64)},
+};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(promptPartsAreDecoded, PromptPartsCases, test)
+{
+    http::RelayRequest request = callersRequest();
+    request.headers_.back() = {"X-Prompt-Prefix", test.header_};
+    std::string parts;
+    for (const PromptPartId &part : platform::decodeCallerRequest(request, {1}).promptParts_)
+        parts += part.value_ + ";";
+    BOOST_TEST(parts == test.parts_);
+}
+
 BOOST_AUTO_TEST_CASE(requestsAreForwarded)
 {
     const GatewayRequest decoded = platform::decodeCallerRequest(callersRequest(), {1});
