Reproduce: a prompt part crashes endpoints and takes sound quotes down with it

Change: two real gateways before eight model servers of the stand-in, which crash on a part of the prompt; sound quotes of the same caller and first part beside it, 10 a second.

--- a/lab/gatewayprogram.cpp
+++ b/lab/gatewayprogram.cpp
@@ -15,7 +15,7 @@
 using asio::ip::tcp;
 
 Answer ask(const Address &to, const std::string &method, const std::string &path,
-           const std::string &id, const std::string &key)
+           const std::string &id, const std::string &key, const std::string &promptParts)
 {
     asio::io_context context;
     tcp::socket socket(context);
@@ -24,6 +24,7 @@
     const std::string request
             = method + " " + path + " HTTP/1.1\r\nHost: desk\r\nX-Request-Id: " + id
               + "\r\nX-Deadline-Ms: 4000\r\nX-Token-Count: 100,20\r\nAuthorization: Bearer " + key
+              + (promptParts.empty() ? "" : "\r\nX-Prompt-Prefix: " + promptParts)
               + "\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
     asio::write(socket, asio::buffer(request), error);
     Answer answer;
--- a/lab/gatewayprogram.h
+++ b/lab/gatewayprogram.h
@@ -18,9 +18,10 @@
     bool whole_ = false;
 };
 
-//! Sends one request on a connection of its own and waits for the answer.
+//! Sends one request, with the given parts in its prompt, on a connection of its own and waits for
+//! the answer.
 Answer ask(const Address &to, const std::string &method, const std::string &path,
-           const std::string &id, const std::string &key);
+           const std::string &id, const std::string &key, const std::string &promptParts = {});
 
 class GatewayProgram
 {
--- a/lab/tests/tst_gatewayprocess.cpp
+++ b/lab/tests/tst_gatewayprocess.cpp
@@ -3,6 +3,8 @@
 
 #include <filesystem>
 #include <functional>
+#include <mutex>
+#include <thread>
 
 #include <boost/test/unit_test.hpp>
 
@@ -51,7 +53,8 @@
 
 struct Fixture
 {
-    explicit Fixture(std::size_t plainServers = 1) : platform_(3, plainServers)
+    explicit Fixture(std::size_t plainServers = 1, std::size_t modelServers = 3)
+        : platform_(modelServers, plainServers)
     {
         const auto &suite = boost::unit_test::framework::master_test_suite();
         BOOST_REQUIRE(suite.argc > 1);
@@ -434,3 +437,90 @@
         BOOST_TEST(waitFor(isServed), test.soundPath_);
     }
 }
+
+namespace {
+
+//! Quotes in the background: some with a part that crashes servers, the others with the same first
+//! part and caller.
+struct QuoteLoad
+{
+    struct Quote
+    {
+        std::chrono::steady_clock::time_point sentAt_;
+        bool served_ = false;
+    };
+
+    void send(const Address &gateway, const std::string &parts, bool sound)
+    {
+        threads_.emplace_back([this, gateway, parts, sound, id = std::to_string(++count_)] {
+            const auto sentAt = std::chrono::steady_clock::now();
+            const Answer answer = ask(gateway, "POST", "/quote/x", "quote-" + id, "key",
+                                      "first:40," + parts + "own" + id + ":60");
+            const std::lock_guard lock(mutex_);
+            if (sound)
+                sound_.push_back({sentAt, answer.whole_ && answer.status_ == "HTTP/1.1 200"});
+        });
+    }
+
+    //! Part of the sound quotes of a time that were served.
+    double servedPart(std::chrono::steady_clock::time_point begin,
+                      std::chrono::steady_clock::time_point end)
+    {
+        const std::lock_guard lock(mutex_);
+        double sent = 0;
+        double served = 0;
+        for (const Quote &quote : sound_) {
+            const bool isMeant = quote.sentAt_ >= begin && quote.sentAt_ < end;
+            sent += isMeant ? 1 : 0;
+            served += isMeant && quote.served_ ? 1 : 0;
+        }
+        return sent > 0 ? served / sent : 0;
+    }
+
+    std::mutex mutex_;
+    std::vector<Quote> sound_;
+    std::uint64_t count_ = 0;
+    std::vector<std::jthread> threads_;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(promptPartStopsCrashingEndpointsAndItsCompanionsAreServed)
+{
+    using Clock = std::chrono::steady_clock;
+    constexpr std::chrono::milliseconds DownFor {1500};
+    constexpr std::chrono::milliseconds Pause {100};
+    constexpr int SoundOnly = 20;
+    constexpr int Rounds = 160;
+    constexpr int DeadlyEvery = 3;
+    constexpr std::chrono::seconds Window {3};
+    constexpr std::size_t MaxLateArrivals = 3;
+    constexpr std::size_t CrashOfReference = 5;
+    Fixture fixture(1, 8);
+    fixture.platform_.crashOn("deadly", DownFor);
+    QuoteLoad load;
+    const auto begin = Clock::now();
+    for (int i = 0; i < Rounds; ++i) {
+        const Address gateway = fixture.gateways_[static_cast<std::size_t>(i % 2)]->callers_;
+        load.send(gateway, "", true);
+        if (i >= SoundOnly && i % DeadlyEvery == 0)
+            load.send(gateway, "deadly:100,", false);
+        std::this_thread::sleep_until(begin + (i + 1) * Pause);
+    }
+    const auto end = Clock::now();
+    load.threads_.clear();
+    const auto crashes = fixture.platform_.crashes();
+    BOOST_TEST_MESSAGE(crashes.size() << " crashes");
+    BOOST_REQUIRE(!crashes.empty());
+    std::size_t late = 0;
+    for (const standins::ServerRun &run : fixture.platform_.arrivals())
+        late += crashes.size() >= CrashOfReference
+                                && run.promptParts_.find("deadly") != std::string::npos
+                                && run.at_ > crashes[CrashOfReference - 1] + Window
+                        ? 1
+                        : 0;
+    BOOST_TEST(late <= MaxLateArrivals);
+    const auto reference = crashes[std::min(crashes.size(), CrashOfReference) - 1] + 2 * Window;
+    BOOST_TEST(load.servedPart(reference, end)
+               >= load.servedPart(begin, begin + SoundOnly * Pause) / 2);
+}
--- a/standins/platform/platformstandin.cpp
+++ b/standins/platform/platformstandin.cpp
@@ -139,6 +139,7 @@
             header(request, "Last-Event-Id"),
             request.target_,
             request.body_,
+            header(request, "X-Prompt-Prefix"),
             std::chrono::steady_clock::now()};
 }
 
@@ -333,7 +334,9 @@
     runs_.push_back(arrivals_.back());
     std::erase_if(server.open_, [](const auto &other) { return other.expired(); });
     server.open_.push_back(exchange);
-    if (!deadlyText_.empty() && request.target_.find(deadlyText_) != std::string::npos)
+    if (!deadlyText_.empty()
+        && (request.target_ + header(request, "X-Prompt-Prefix")).find(deadlyText_)
+                   != std::string::npos)
         return crash(server, exchange);
     if (!server.model_)
         return work(exchange, head, id);
--- a/standins/platform/platformstandin.h
+++ b/standins/platform/platformstandin.h
@@ -28,6 +28,7 @@
     std::string lastEvent_;
     std::string target_;
     std::string body_;
+    std::string promptParts_;
     std::chrono::steady_clock::time_point at_;
 };
 
