Find the part of a prompt that crashes endpoints, and refuse it alone

Cause: requests were recognised by their whole content, and no two were alike. Class of fault: a guard that goes by the identity of a request where the cause lies in what requests share. Change: the parts of a prompt but the last are traits beside the content. Verdicts are taken over all crashes together: a trait with more crashes, or as many and never an answer, explains the crashes of the others; traits that nothing tells apart are refused only together. What requests were answered earlier needs five crashes instead of three. A retry at the moment of a crash counts as sent after it. Gateways end their quarantines at different times.

--- a/src/app/internal/gatewaycontrol.cpp
+++ b/src/app/internal/gatewaycontrol.cpp
@@ -39,6 +39,7 @@
     control_.self_ = settings.instance_;
     control_.incarnation_ = {incarnation};
     control_.random_ = {incarnation};
+    control_.crashes_.blame_.seed_ = incarnation;
     control_.members_.domain_ = settings.domain_;
     control_.bounds_ = settings.bounds_;
     control_.lease_.limits_ = settings.lease_;
--- a/src/controllers/crashes.h
+++ b/src/controllers/crashes.h
@@ -70,8 +70,8 @@
     CrashesLimits limits_;
     CrashBlame blame_;
     std::map<EndpointId, UnconfirmedLosses> unconfirmed_;
-    //! Copy of blame_ for the traffic threads; replaced when it changes.
-    std::shared_ptr<const CrashBlame> published_ = std::make_shared<CrashBlame>();
+    //! Verdicts for the traffic threads; replaced when blame_ changes.
+    std::shared_ptr<const BlameVerdicts> verdicts_ = std::make_shared<BlameVerdicts>();
     std::vector<CheckEndpoint> checks_;
     std::vector<LogEvent> log_;
 };
--- a/src/controllers/gatewayview.h
+++ b/src/controllers/gatewayview.h
@@ -50,7 +50,7 @@
     //! Endpoints that asked for no requests until the given time.
     std::unordered_map<EndpointId, TimePoint> pausedUntil_;
     //! What requests are suspected of crashing endpoints.
-    std::shared_ptr<const CrashBlame> blame_ = std::make_shared<CrashBlame>();
+    std::shared_ptr<const BlameVerdicts> blame_ = std::make_shared<BlameVerdicts>();
     //! When the desired state was last confirmed to be the newest one.
     std::optional<TimePoint> stateConfirmedAt_;
     //! When the last successful poll of the endpoint list was sent.
--- a/src/controllers/internal/crashes.cpp
+++ b/src/controllers/internal/crashes.cpp
@@ -9,11 +9,6 @@
 namespace detail {
 namespace {
 
-void publish(CrashesState &state)
-{
-    state.published_ = std::make_shared<const CrashBlame>(state.blame_);
-}
-
 void sendCheck(CrashesState &state, const EndpointListState &list, const EndpointId &endpoint,
                UnconfirmedLosses &unconfirmed)
 {
@@ -59,28 +54,37 @@
                                                 .add("ms_ago", now - losses.front().lostAt_)));
 }
 
+bool isInQuarantine(const BlameVerdicts &verdicts, RequestTrait trait, TimePoint now)
+{
+    const auto found = verdicts.traits_.find(trait);
+    return found != verdicts.traits_.end() && now < found->second.quarantinedUntil_;
+}
+
 //! Logs the traits that have come into quarantine, or out of it by an answer.
-void logStatusChanges(CrashesState &state, TimePoint now)
+void logChanges(CrashesState &state, const BlameVerdicts &before, TimePoint now)
 {
-    for (const auto &[trait, suspect] : state.blame_.traits_) {
-        const bool was
-                = blameOf(*state.published_, {trait}, now).status_ == BlameStatus::Quarantined;
-        const RequestBlame blame = blameOf(state.blame_, {trait}, now);
-        if (was == (blame.status_ == BlameStatus::Quarantined))
+    for (const auto &[trait, verdict] : state.verdicts_->traits_) {
+        if (now >= verdict.quarantinedUntil_ || isInQuarantine(before, trait, now))
             continue;
-        LogLine line(was ? "quarantine-ended" : "quarantine-began");
-        line.add("trait", trait);
-        if (!was)
-            line.add("crashes", std::uint64_t {crashesInSuccession(suspect)})
-                    .add("for_ms", blame.until_ - now);
-        state.log_.push_back(logEvent(LogLevel::Warning, line));
+        state.log_.push_back(logEvent(LogLevel::Warning,
+                                      LogLine("quarantine-began")
+                                              .add("trait", trait)
+                                              .add("crashes", std::uint64_t {verdict.crashes_})
+                                              .add("rivals", std::uint64_t {verdict.rivals_.size()})
+                                              .add("for_ms", verdict.quarantinedUntil_ - now)));
+    }
+    for (const auto &[trait, verdict] : before.traits_) {
+        if (now < verdict.quarantinedUntil_ && !isInQuarantine(*state.verdicts_, trait, now))
+            state.log_.push_back(
+                    logEvent(LogLevel::Warning, LogLine("quarantine-ended").add("trait", trait)));
     }
 }
 
 void applyNews(CrashesState &state, TimePoint now)
 {
-    logStatusChanges(state, now);
-    publish(state);
+    const auto before = std::exchange(state.verdicts_,
+                                      std::make_shared<const BlameVerdicts>(judge(state.blame_)));
+    logChanges(state, *before, now);
 }
 
 } // namespace
@@ -163,7 +167,7 @@
     const std::size_t before = state.blame_.traits_.size();
     forgetTraits(state.blame_, now);
     if (state.blame_.traits_.size() != before)
-        detail::publish(state);
+        detail::applyNews(state, now);
 }
 
 } // namespace gypsumcroft
--- a/src/filters/internal/gatewayfilters.cpp
+++ b/src/filters/internal/gatewayfilters.cpp
@@ -16,6 +16,8 @@
 constexpr Duration AvoidedPenalty = std::chrono::milliseconds(400);
 //! Added to the path cost of an endpoint that already failed this request.
 constexpr Duration FailedPenalty = std::chrono::milliseconds(5000);
+//! Keeps traits of prompt parts apart from those of whole requests.
+constexpr std::uint64_t PromptPartSeed = 0x70617274;
 //! Requests that may wait at a plain service in addition to those in its slots.
 constexpr std::int64_t MaxWaitingAtService = 2;
 //! Minimum share of a target's work by rank: keeps the less urgent ranks served under overload.
@@ -98,12 +100,16 @@
     return proceedGateway();
 }
 
-//! Traits by which the request is recognised: its content and caller, whatever its id.
+//! Traits by which the request is recognised, whatever its id: its content and caller, and the
+//! parts of its prompt that other requests may share.
 std::vector<RequestTrait> traitsOf(const GatewayRequest &request)
 {
     const std::uint64_t caller
             = mixHash(hashText(request.host_), hashText(request.apiKey_.value_or("")));
-    return {{mixHash(caller, request.content_.value_)}};
+    std::vector<RequestTrait> traits {{mixHash(caller, request.content_.value_)}};
+    for (std::size_t i = 0; i + 1 < request.promptParts_.size(); ++i)
+        traits.push_back({mixHash(PromptPartSeed, hashText(request.promptParts_[i].value_))});
+    return traits;
 }
 
 GatewayFilterResult quarantineRequest(GatewayContext &context, const GatewayView &view,
--- a/src/gateway/internal/control.cpp
+++ b/src/gateway/internal/control.cpp
@@ -645,7 +645,7 @@
     GatewayView view;
     view.table_ = state.routes_.table_;
     view.endpoints_ = state.endpointIndex_;
-    view.blame_ = state.crashes_.published_;
+    view.blame_ = state.crashes_.verdicts_;
     view.peerLoads_ = totalPeerLoads(state.peers_);
     view.lastDigestLoads_ = state.reportedLoads_;
     view.downEndpoints_ = downEndpoints(state.probes_);
--- a/src/gateway/internal/traffic.cpp
+++ b/src/gateway/internal/traffic.cpp
@@ -400,11 +400,9 @@
 //! Tells control when requests with suspect traits were answered last.
 void reportAnswers(GatewayTraffic &state, const GatewayView &view)
 {
-    for (const auto &[trait, suspect] : view.blame_->traits_) {
-        if (suspect.crashes_.empty())
-            continue;
+    for (const auto &[trait, verdict] : view.blame_->traits_) {
         const auto answered = lastAnswer(state.traitHistory_, trait);
-        if (answered && (!suspect.answeredAt_ || *answered > *suspect.answeredAt_))
+        if (answered && (!verdict.answeredAt_ || *answered > *verdict.answeredAt_))
             emit(state, TraitAnswered {trait, *answered});
     }
 }
--- a/src/policy/crashblame.h
+++ b/src/policy/crashblame.h
@@ -14,9 +14,12 @@
 
 struct CrashBlameLimits
 {
-    //! Crashes in succession that put a trait in quarantine. A crash counts if the request was sent
-    //! after the crash before it, so that the common end of several endpoints counts once.
+    //! Crashes in succession that put a trait in quarantine. A crash counts if the request was not
+    //! sent before the crash that precedes it, so that the common end of several endpoints counts
+    //! once.
     std::size_t crashesForQuarantine_ = 3;
+    //! The same for a trait of requests that were answered earlier, which has probably not changed.
+    std::size_t crashesIfAnsweredEarlier_ = 5;
     //! Shortest quarantine; each further crash doubles it, up to the longest one.
     Duration minQuarantine_ = std::chrono::seconds(60);
     Duration maxQuarantine_ = std::chrono::minutes(10);
@@ -67,6 +70,26 @@
     Quarantined,
 };
 
+//! What a trait is blamed for beside the other traits.
+struct TraitVerdict
+{
+    //! Crashes in succession that no trait explains which is more suspect. A trait is more suspect
+    //! if more endpoints crashed under it or, at as many, if it never was in an answered request.
+    std::size_t crashes_ = 0;
+    //! End of the quarantine; unset for too few crashes.
+    TimePoint quarantinedUntil_;
+    //! Traits that are equally suspect of the same crashes. Only a request with all of them is
+    //! certain to have the one that is at fault.
+    std::vector<RequestTrait> rivals_;
+    std::optional<TimePoint> answeredAt_;
+};
+
+//! Verdicts on all traits under which an endpoint crashed since their last answer.
+struct BlameVerdicts
+{
+    std::unordered_map<RequestTrait, TraitVerdict> traits_;
+};
+
 struct RequestBlame
 {
     BlameStatus status_ = BlameStatus::None;
@@ -85,11 +108,10 @@
 //! Number of crashes in succession under a trait; see CrashBlameLimits::crashesForQuarantine_.
 std::size_t crashesInSuccession(const SuspectTrait &suspect);
 
-//! What requests with a trait are suspected of.
-RequestBlame blameOf(const CrashBlame &blame, RequestTrait trait, TimePoint now);
+BlameVerdicts judge(const CrashBlame &blame);
 
 //! What a request with these traits is suspected of.
-RequestBlame blameOf(const CrashBlame &blame, const std::vector<RequestTrait> &traits,
+RequestBlame blameOf(const BlameVerdicts &verdicts, const std::vector<RequestTrait> &traits,
                      TimePoint now);
 
 //! Adds the reports of another gateway. Returns true if they contain a crash or an answer that was
--- a/src/policy/internal/crashblame.cpp
+++ b/src/policy/internal/crashblame.cpp
@@ -1,6 +1,7 @@
 #include "policy/crashblame.h"
 
 #include <algorithm>
+#include <map>
 #include <tuple>
 #include <utility>
 
@@ -55,19 +56,86 @@
     return blame.traits_[trait];
 }
 
-//! End of the quarantine that the last of so many crashes in succession began.
-TimePoint quarantineEnd(const CrashBlame &blame, RequestTrait trait, const SuspectTrait &suspect,
-                        std::size_t crashes)
+struct TraitCrash
+{
+    RequestTrait trait_;
+    const EndpointCrash *crash_;
+};
+
+//! How suspect a trait is: crashes in succession, and whether it never was in an answered request.
+using Weight = std::pair<std::size_t, bool>;
+
+struct Evidence
+{
+    std::unordered_map<RequestTrait, Weight> weights_;
+    std::unordered_map<EndpointId, std::vector<TraitCrash>> byEndpoint_;
+};
+
+//! Traits with the given weight or a higher one at a crash, each with its weight.
+std::vector<std::pair<Weight, RequestTrait>> suspectsAt(const Evidence &evidence,
+                                                        const EndpointCrash &crash, Weight least)
+{
+    std::vector<std::pair<Weight, RequestTrait>> suspects;
+    for (const TraitCrash &other : evidence.byEndpoint_.at(crash.endpoint_)) {
+        const Weight weight = evidence.weights_.at(other.trait_);
+        if (weight >= least && isSameCrash(*other.crash_, crash))
+            suspects.emplace_back(weight, other.trait_);
+    }
+    return suspects;
+}
+
+//! End of the quarantine that began with the last crash; excess is the number of crashes beyond
+//! those that put the trait in quarantine.
+TimePoint quarantineEnd(const CrashBlame &blame, RequestTrait trait, std::size_t excess,
+                        TimePoint last)
 {
     const CrashBlameLimits &limits = blame.limits_;
     Duration length = limits.minQuarantine_;
-    for (std::size_t i = limits.crashesForQuarantine_;
-         i < crashes && length < limits.maxQuarantine_; ++i)
+    for (std::size_t i = 0; i < excess && length < limits.maxQuarantine_; ++i)
         length *= 2;
     length = std::min(length, limits.maxQuarantine_);
     const std::uint64_t spread
             = mixHash(blame.seed_, trait.value_) % static_cast<std::uint64_t>(length.count());
-    return suspect.crashes_.back().at_ + length + Duration(static_cast<std::int64_t>(spread));
+    return last + length + Duration(static_cast<std::int64_t>(spread));
+}
+
+TraitVerdict judgeTrait(const CrashBlame &blame, const Evidence &evidence, RequestTrait trait)
+{
+    const SuspectTrait &suspect = blame.traits_.at(trait);
+    const Weight own = evidence.weights_.at(trait);
+    SuspectTrait unexplained;
+    std::map<RequestTrait, std::size_t> shared;
+    for (const EndpointCrash &crash : suspect.crashes_) {
+        const auto others = suspectsAt(evidence, crash, own);
+        const bool isExplained = std::any_of(others.begin(), others.end(),
+                                             [&](const auto &other) { return other.first > own; });
+        if (isExplained)
+            continue;
+        unexplained.crashes_.push_back(crash);
+        for (const auto &[weight, other] : others)
+            ++shared[other];
+    }
+    TraitVerdict verdict;
+    verdict.answeredAt_ = suspect.answeredAt_;
+    verdict.crashes_ = crashesInSuccession(unexplained);
+    const std::size_t needed = suspect.answeredAt_ ? blame.limits_.crashesIfAnsweredEarlier_
+                                                   : blame.limits_.crashesForQuarantine_;
+    if (verdict.crashes_ < needed)
+        return verdict;
+    verdict.quarantinedUntil_ = quarantineEnd(blame, trait, verdict.crashes_ - needed,
+                                              unexplained.crashes_.back().at_);
+    for (const auto &[other, crashes] : shared) {
+        if (other != trait && crashes == unexplained.crashes_.size())
+            verdict.rivals_.push_back(other);
+    }
+    return verdict;
+}
+
+bool hasAll(const std::vector<RequestTrait> &traits, const std::vector<RequestTrait> &wanted)
+{
+    return std::all_of(wanted.begin(), wanted.end(), [&](RequestTrait trait) {
+        return std::find(traits.begin(), traits.end(), trait) != traits.end();
+    });
 }
 
 //! Reports arrive late, so that the time of an answer would grow each time that it is passed on.
@@ -120,7 +188,7 @@
     std::size_t count = 0;
     std::optional<TimePoint> last;
     for (const EndpointCrash &crash : suspect.crashes_) {
-        if (last && crash.sentAt_ <= *last)
+        if (last && crash.sentAt_ < *last)
             continue;
         ++count;
         last = crash.at_;
@@ -128,26 +196,35 @@
     return count;
 }
 
-RequestBlame blameOf(const CrashBlame &blame, RequestTrait trait, TimePoint now)
+BlameVerdicts judge(const CrashBlame &blame)
 {
-    const auto found = blame.traits_.find(trait);
-    if (found == blame.traits_.end() || found->second.crashes_.empty())
-        return {};
-    const std::size_t crashes = crashesInSuccession(found->second);
-    if (crashes < blame.limits_.crashesForQuarantine_)
-        return {BlameStatus::Suspected, {}};
-    const TimePoint until = detail::quarantineEnd(blame, trait, found->second, crashes);
-    return {now < until ? BlameStatus::Quarantined : BlameStatus::Suspected, until};
+    detail::Evidence evidence;
+    for (const auto &[trait, suspect] : blame.traits_) {
+        if (!suspect.crashes_.empty())
+            evidence.weights_[trait] = {crashesInSuccession(suspect), !suspect.answeredAt_};
+        for (const EndpointCrash &crash : suspect.crashes_)
+            evidence.byEndpoint_[crash.endpoint_].push_back({trait, &crash});
+    }
+    BlameVerdicts verdicts;
+    for (const auto &[trait, weight] : evidence.weights_)
+        verdicts.traits_[trait] = detail::judgeTrait(blame, evidence, trait);
+    return verdicts;
 }
 
-RequestBlame blameOf(const CrashBlame &blame, const std::vector<RequestTrait> &traits,
+RequestBlame blameOf(const BlameVerdicts &verdicts, const std::vector<RequestTrait> &traits,
                      TimePoint now)
 {
     RequestBlame worst;
-    if (blame.traits_.empty())
+    if (verdicts.traits_.empty())
         return worst;
     for (const RequestTrait trait : traits) {
-        const RequestBlame one = blameOf(blame, trait, now);
+        const auto found = verdicts.traits_.find(trait);
+        if (found == verdicts.traits_.end() || found->second.crashes_ == 0)
+            continue;
+        const TraitVerdict &verdict = found->second;
+        RequestBlame one {BlameStatus::Suspected, verdict.quarantinedUntil_};
+        if (now < verdict.quarantinedUntil_ && detail::hasAll(traits, verdict.rivals_))
+            one.status_ = BlameStatus::Quarantined;
         if (std::pair(one.status_, one.until_) > std::pair(worst.status_, worst.until_))
             worst = one;
     }
--- a/src/policy/internal/traithistory.cpp
+++ b/src/policy/internal/traithistory.cpp
@@ -28,13 +28,16 @@
         history.answeredAt_[trait] = now;
 }
 
-bool mayRun(const CrashBlame &blame, const TraitHistory &history,
+bool mayRun(const BlameVerdicts &verdicts, const TraitHistory &history,
             const std::vector<RequestTrait> &traits, TimePoint now)
 {
-    return std::all_of(traits.begin(), traits.end(), [&](RequestTrait trait) {
-        const BlameStatus status = blameOf(blame, trait, now).status_;
-        return status == BlameStatus::None
-               || (status == BlameStatus::Suspected && !history.unanswered_.contains(trait));
+    const BlameStatus status = blameOf(verdicts, traits, now).status_;
+    if (status != BlameStatus::Suspected)
+        return status == BlameStatus::None;
+    return std::none_of(traits.begin(), traits.end(), [&](RequestTrait trait) {
+        const auto found = verdicts.traits_.find(trait);
+        return found != verdicts.traits_.end() && found->second.crashes_ > 0
+               && history.unanswered_.contains(trait);
     });
 }
 
--- a/src/policy/tests/tst_crashblame.cpp
+++ b/src/policy/tests/tst_crashblame.cpp
@@ -69,6 +69,11 @@
          0,
          600,
          BlameStatus::Quarantined},
+        {"each retried at the moment of the crash",
+         {{"a", 1, 0, 100}, {"b", 1, 100, 300}, {"c", 1, 300, 500}},
+         0,
+         600,
+         BlameStatus::Quarantined},
         {"reported out of order",
          {{"c", 1, 400, 500}, {"a", 1, 0, 100}, {"b", 1, 200, 300}},
          0,
@@ -102,10 +107,10 @@
 {
     const CrashBlame blame = blameAfter(test);
     const auto status = [&](const CrashBlame &state) {
-        return static_cast<int>(blameOf(state, {Trait}, at(test.askedMs_)).status_);
+        return static_cast<int>(blameOf(judge(state), {Trait}, at(test.askedMs_)).status_);
     };
     BOOST_TEST(status(blame) == static_cast<int>(test.status_));
-    BOOST_TEST(static_cast<int>(blameOf(blame, RequestTrait {8}, at(600)).status_)
+    BOOST_TEST(static_cast<int>(blameOf(judge(blame), {{8}}, at(600)).status_)
                == static_cast<int>(BlameStatus::None));
 
     // Another gateway that hears of it late, twice and after an old report judges the same.
@@ -153,7 +158,7 @@
     BOOST_TEST(history.answeredAt_.size() + history.answeredBefore_.size()
                <= 2 * history.maxTraitsPerGeneration_);
     BOOST_TEST(history.unanswered_.empty());
-    BOOST_TEST(static_cast<int>(blameOf(blame, Trait, at(700)).status_)
+    BOOST_TEST(static_cast<int>(blameOf(judge(blame), {Trait}, at(700)).status_)
                == static_cast<int>(BlameStatus::Quarantined));
 }
 
@@ -161,12 +166,166 @@
 {
     CrashBlame blame;
     recordCrash(blame, Trait, {{"a"}, 1, at(0), at(100)});
+    const BlameVerdicts verdicts = judge(blame);
     TraitHistory history;
-    BOOST_TEST(mayRun(blame, history, {Trait}, at(200)));
+    BOOST_TEST(mayRun(verdicts, history, {Trait}, at(200)));
     noteDispatched(history, {Trait});
-    BOOST_TEST(!mayRun(blame, history, {Trait}, at(200)));
-    BOOST_TEST(!mayRun(blame, history, {{9}, Trait}, at(200)));
-    BOOST_TEST(mayRun(blame, history, {{9}}, at(200)));
+    BOOST_TEST(!mayRun(verdicts, history, {Trait}, at(200)));
+    BOOST_TEST(!mayRun(verdicts, history, {{9}, Trait}, at(200)));
+    BOOST_TEST(mayRun(verdicts, history, {{9}}, at(200)));
     noteNotUnanswered(history, {Trait});
-    BOOST_TEST(mayRun(blame, history, {Trait}, at(200)));
+    BOOST_TEST(mayRun(verdicts, history, {Trait}, at(200)));
+}
+
+namespace {
+
+constexpr RequestTrait Deadly {1};
+constexpr RequestTrait Opening {2};
+constexpr RequestTrait Bystander {3};
+
+struct SharedCrash
+{
+    const char *endpoint_;
+    int sentMs_;
+    int atMs_;
+    std::vector<RequestTrait> traits_;
+};
+
+struct Answered
+{
+    RequestTrait trait_;
+    int atMs_;
+};
+
+struct CulpritCase
+{
+    const char *name_;
+    std::vector<SharedCrash> crashes_;
+    std::vector<Answered> answers_;
+    std::vector<RequestTrait> request_;
+    BlameStatus status_;
+};
+
+std::ostream &operator<<(std::ostream &out, const CulpritCase &test)
+{
+    return out << test.name_;
+}
+
+const std::vector<RequestTrait> DeadlyRequest = {Opening, Deadly};
+const std::vector<SharedCrash> ThreeShared = {{"a", 0, 100, DeadlyRequest},
+                                              {"b", 200, 300, DeadlyRequest},
+                                              {"c", 400, 500, DeadlyRequest}};
+const std::vector<SharedCrash> ThreeWithBystander = {{"a", 0, 100, {Opening, Deadly, Bystander}},
+                                                     {"b", 200, 300, DeadlyRequest},
+                                                     {"c", 400, 500, {Deadly, Opening, Bystander}}};
+
+const CulpritCase CulpritCases[] = {
+        {"opening answered before: the deadly part is at fault",
+         ThreeShared,
+         {{Opening, 50}},
+         DeadlyRequest,
+         BlameStatus::Quarantined},
+        {"opening answered before: sound requests are free",
+         ThreeShared,
+         {{Opening, 50}},
+         {Opening},
+         BlameStatus::None},
+        {"opening answered between the crashes",
+         ThreeShared,
+         {{Opening, 350}},
+         {Opening},
+         BlameStatus::None},
+        {"opening never answered: requests with both are refused",
+         ThreeShared,
+         {},
+         DeadlyRequest,
+         BlameStatus::Quarantined},
+        {"opening never answered: a request with it alone is tried",
+         ThreeShared,
+         {},
+         {Opening},
+         BlameStatus::Suspected},
+        {"a crash under the opening alone: it is at fault",
+         {{"a", 0, 100, DeadlyRequest},
+          {"b", 200, 300, DeadlyRequest},
+          {"c", 400, 500, DeadlyRequest},
+          {"d", 600, 700, {Opening}}},
+         {},
+         {Opening},
+         BlameStatus::Quarantined},
+        {"a crash under the opening alone: the other is free",
+         {{"a", 0, 100, DeadlyRequest},
+          {"b", 200, 300, DeadlyRequest},
+          {"c", 400, 500, DeadlyRequest},
+          {"d", 600, 700, {Opening}}},
+         {},
+         {Deadly},
+         BlameStatus::None},
+        {"four crashes under what was answered earlier",
+         {{"a", 100, 200, {Opening}},
+          {"b", 300, 400, {Opening}},
+          {"c", 500, 600, {Opening}},
+          {"d", 700, 750, {Opening}}},
+         {{Opening, 50}},
+         {Opening},
+         BlameStatus::Suspected},
+        {"five crashes under what was answered earlier",
+         {{"a", 100, 200, {Opening}},
+          {"b", 300, 400, {Opening}},
+          {"c", 500, 600, {Opening}},
+          {"d", 650, 700, {Opening}},
+          {"e", 700, 750, {Opening}}},
+         {{Opening, 50}},
+         {Opening},
+         BlameStatus::Quarantined},
+        {"a bystander at two of three crashes",
+         ThreeWithBystander,
+         {{Opening, 50}},
+         {Bystander},
+         BlameStatus::None},
+        {"after the first crash what was answered before is free",
+         {{"a", 0, 100, DeadlyRequest}},
+         {{Opening, 50}},
+         {Opening},
+         BlameStatus::None},
+        {"after the first crash the rest is suspect",
+         {{"a", 0, 100, DeadlyRequest}},
+         {{Opening, 50}},
+         DeadlyRequest,
+         BlameStatus::Suspected},
+        {"two deadly parts at once: one",
+         {{"a", 0, 100, {Deadly}},
+          {"b", 0, 110, {Bystander}},
+          {"c", 200, 300, {Bystander}},
+          {"d", 210, 310, {Deadly}},
+          {"e", 400, 500, {Deadly, Opening}},
+          {"f", 410, 510, {Bystander}}},
+         {{Opening, 50}},
+         {Deadly},
+         BlameStatus::Quarantined},
+        {"two deadly parts at once: the other",
+         {{"a", 0, 100, {Deadly}},
+          {"b", 0, 110, {Bystander}},
+          {"c", 200, 300, {Bystander}},
+          {"d", 210, 310, {Deadly}},
+          {"e", 400, 500, {Deadly, Opening}},
+          {"f", 410, 510, {Bystander}}},
+         {{Opening, 50}},
+         {Bystander},
+         BlameStatus::Quarantined},
+};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(onlyWhatExplainsTheCrashesIsBlamed, CulpritCases, test)
+{
+    CrashBlame blame;
+    for (const SharedCrash &crash : test.crashes_) {
+        for (const RequestTrait trait : crash.traits_)
+            recordCrash(blame, trait, {{crash.endpoint_}, 1, at(crash.sentMs_), at(crash.atMs_)});
+    }
+    for (const Answered &answered : test.answers_)
+        recordAnswer(blame, answered.trait_, at(answered.atMs_));
+    BOOST_TEST(static_cast<int>(blameOf(judge(blame), test.request_, at(800)).status_)
+               == static_cast<int>(test.status_));
 }
--- a/src/policy/traithistory.h
+++ b/src/policy/traithistory.h
@@ -32,7 +32,7 @@
 
 //! True if a request with these traits may be dispatched: none of them is in quarantine, and of
 //! those suspected no other request runs without an answer.
-bool mayRun(const CrashBlame &blame, const TraitHistory &history,
+bool mayRun(const BlameVerdicts &verdicts, const TraitHistory &history,
             const std::vector<RequestTrait> &traits, TimePoint now);
 
 //! When a request with the trait was last answered, as far as is remembered.
