A stream's continuation that is no event stream breaks the stream off

Cause: the outcome of a dispatch went by its status; whether its body is the continuation of the stream was not asked. The body itself was held back. Ruled out, with rows that pass before and after: an error response or a rejection after a part of a stream is never forwarded (abort, or a retry), and a continuation without further events ends the stream whole. Change: such a dispatch counts as one with unknown outcome. Evidence: tst_traffic, "whose next endpoint responds with something else than events": before, "finish"; now "abort". cutResponseIsIncomplete holds.

--- a/src/gateway/internal/traffic.cpp
+++ b/src/gateway/internal/traffic.cpp
@@ -599,6 +599,10 @@
         detail::onDispatchEnded(state, view, *context, AttemptOutcome::NotRun,
                                 "status " + std::to_string(head.status_) + " of " + faulty.value_,
                                 now);
+    } else if (head.success_ && context->streamStarted_ && !head.eventStream_) {
+        detail::recordFailure(state, *context, context->dispatch_->endpoint_, now);
+        detail::onDispatchEnded(state, view, *context, AttemptOutcome::Unknown,
+                                "no events after a part of a stream", now);
     } else if (!head.success_) {
         noteDispatchAnswered(*context, state, now);
         context->failedEndpoints_.insert(context->dispatch_->endpoint_);
--- a/src/gateway/tests/tst_crashes.cpp
+++ b/src/gateway/tests/tst_crashes.cpp
@@ -266,6 +266,7 @@
     withTraffic(fleet, run.gateway_, incarnation, [&](Gateway &gateway, TimePoint now) {
         EndpointResponseHead head;
         head.success_ = true;
+        head.eventStream_ = true;
         onDispatchHead(gateway.traffic_, gateway.view_, run.dispatch_, head, now);
         onDispatchEvents(gateway.traffic_, gateway.view_, run.dispatch_, EventId {1}, now);
     });
--- a/src/gateway/tests/tst_traffic.cpp
+++ b/src/gateway/tests/tst_traffic.cpp
@@ -144,6 +144,8 @@
     Tick,
     Disconnected,
     Ok,
+    //! A successful head that begins no event stream.
+    OkWithoutEvents,
     Events,
     Done,
     NotRun,
@@ -352,6 +354,45 @@
          {}},
         {"a key that may have been revoked", "/book/x", "key", -4501, "refuse unready", {}},
         {"no key is needed", "/open/x", "", -60000, "send d1", {}},
+        {"a broken stream whose next endpoint responds with an error",
+         "/quote/x",
+         "key",
+         0,
+         "send m1",
+         {{50, Event::Ok, ""},
+          {51, Event::Events, "begin, forward"},
+          {70, Event::ConnectionLost, "probe m1, send m2 after 51"},
+          {90, Event::Status500, "abort"}}},
+        {"a broken stream whose next endpoint rejects it",
+         "/quote/x",
+         "key",
+         0,
+         "send m1",
+         {{50, Event::Ok, ""},
+          {51, Event::Events, "begin, forward"},
+          {70, Event::ConnectionLost, "probe m1, send m2 after 51"},
+          {90, Event::NotRun, "probe m2"},
+          {2000, Event::Tick, "send m1 after 51, probe m1, cancel, abort"}}},
+        {"a broken stream whose next endpoint responds with something else than events",
+         "/quote/x",
+         "key",
+         0,
+         "send m1",
+         {{50, Event::Ok, ""},
+          {51, Event::Events, "begin, forward"},
+          {70, Event::ConnectionLost, "probe m1, send m2 after 51"},
+          {90, Event::OkWithoutEvents, ""},
+          {91, Event::Done, "probe m2, abort"}}},
+        {"a broken stream whose next endpoint has no more events",
+         "/quote/x",
+         "key",
+         0,
+         "send m1",
+         {{50, Event::Ok, ""},
+          {51, Event::Events, "begin, forward"},
+          {70, Event::ConnectionLost, "probe m1, send m2 after 51"},
+          {90, Event::Ok, ""},
+          {91, Event::Done, "finish"}}},
         {"no endpoint", "/gone/x", "key", 0, "", {{1281, Event::Tick, "refuse overloaded"}}},
 };
 
@@ -379,6 +420,9 @@
     case Event::Disconnected:
         return onGatewayCallerDisconnected(state, view, {1}, now);
     case Event::Ok:
+        head.eventStream_ = true;
+        return onDispatchHead(state, view, dispatch, head, now);
+    case Event::OkWithoutEvents:
         return onDispatchHead(state, view, dispatch, head, now);
     case Event::Events:
         return onDispatchEvents(state, view, dispatch, EventId {static_cast<std::uint64_t>(ms)},
--- a/src/http/tests/tst_relayclient.cpp
+++ b/src/http/tests/tst_relayclient.cpp
@@ -436,3 +436,91 @@
     BOOST_TEST(record.size_ - before < 1024UL * 1024);
     call.cancel();
 }
+
+namespace {
+
+//! Server that writes some bytes in response to a request and closes the connection, or resets it.
+class ClosingServer
+{
+public:
+    ClosingServer(asio::io_context &context, std::string bytes, bool reset)
+        : acceptor_(context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)),
+          socket_(context)
+    {
+        acceptor_.async_accept(socket_, [this, bytes = std::move(bytes),
+                                         reset](boost::system::error_code) {
+            socket_.async_read_some(asio::buffer(request_),
+                                    [this, bytes, reset](boost::system::error_code, std::size_t) {
+                                        boost::system::error_code ignored;
+                                        asio::write(socket_, asio::buffer(bytes), ignored);
+                                        if (reset)
+                                            socket_.set_option(asio::socket_base::linger(true, 0),
+                                                               ignored);
+                                        socket_.close(ignored);
+                                    });
+        });
+    }
+    Address address() const { return {"127.0.0.1", acceptor_.local_endpoint().port()}; }
+
+private:
+    tcp::acceptor acceptor_;
+    tcp::socket socket_;
+    char request_[RequestBytes] = {};
+};
+
+struct CutCase
+{
+    const char *name_;
+    std::string head_;
+    std::string body_;
+    //! The response is complete when the server closes after all of it.
+    bool endsWithConnection_;
+};
+
+std::ostream &operator<<(std::ostream &out, const CutCase &test)
+{
+    return out << test.name_;
+}
+
+const CutCase CutCases[] = {
+        {"with a length", "HTTP/1.1 200 OK\r\nX-Id: me\r\nContent-Length: 4\r\n\r\n", "body",
+         false},
+        {"in chunks", "HTTP/1.1 200 OK\r\nX-Id: me\r\nTransfer-Encoding: chunked\r\n\r\n",
+         "4\r\nbody\r\n0\r\n\r\n", false},
+        {"that ends with its connection", "HTTP/1.1 200 OK\r\nX-Id: me\r\n\r\n", "body", true},
+        {"of an event stream that ends with its connection",
+         "HTTP/1.1 200 OK\r\nX-Id: me\r\nContent-Type: text/event-stream\r\n\r\n", "id: 1\n\n",
+         true},
+};
+
+std::string endOf(const std::string &bytes, bool reset)
+{
+    asio::io_context context;
+    ClosingServer server(context, bytes, reset);
+    http::RelayClient client(context);
+    CallRecord record;
+    auto call = client.send(requestOf(server.address(), "me"), recordInto(record));
+    runUntil(context, std::chrono::seconds(2), [&] { return !record.end_.empty(); });
+    call.cancel();
+    return record.end_;
+}
+
+} // namespace
+
+// A response whose server stops in the middle of the head must not look complete, nor one that is
+// cut in a body of known length or reset at any place.
+BOOST_DATA_TEST_CASE(cutResponseIsIncomplete, CutCases, test)
+{
+    const std::string whole = test.head_ + test.body_;
+    for (std::size_t size = 0; size < whole.size(); ++size) {
+        const bool mayEndHere = test.endsWithConnection_ && size >= test.head_.size();
+        BOOST_TEST((endOf(whole.substr(0, size), false) == "done") == mayEndHere,
+                   "closed after " << size);
+    }
+    BOOST_TEST(endOf(whole, false) == "done");
+    for (const std::size_t size :
+         {std::size_t {0}, test.head_.size() / 2, test.head_.size(), test.head_.size() + 2})
+        BOOST_TEST(endOf(whole.substr(0, size), true) != "done", "reset after " << size);
+    if (test.endsWithConnection_)
+        BOOST_TEST(endOf(whole, true) != "done");
+}
