A stopping gateway dispatches nothing new that it may have to cut off

Cause: the stop plan bounded connections; dispatches had no bound but the end. Class of fault: a limit that holds at the door only. Ruled out: new connections (refused from 2.8 s on) and idle kept ones (closed). Change: from the time at which no new connection is taken on, a request that was never dispatched is refused at once, 503 not run, so that its caller asks another gateway. What has been dispatched goes on, retries included. Evidence: lateRequestsOfAPlannedStopAreRefusedAsNotRun, four of five rows failed before ("send d1 fresh" at 2,801 ms and after queueing), all pass now.

--- a/src/app/internal/gatewayprocess.cpp
+++ b/src/app/internal/gatewayprocess.cpp
@@ -165,7 +165,7 @@
     stop_ = planStop(settings_.grace_, now);
     GC_LOG_INFO(LogLine("draining").add("instance", settings_.instance_));
     control_.beginStop();
-    onTraffic(Duration(), [this] { traffic_.beginStop(); });
+    onTraffic(Duration(), [this] { traffic_.beginStop(stop_.acceptUntil_); });
     onTraffic(stop_.acceptUntil_ - now, [this] {
         traffic_.stopAccepting();
         finishWhenIdle();
--- a/src/app/internal/gatewaytraffic.cpp
+++ b/src/app/internal/gatewaytraffic.cpp
@@ -57,8 +57,9 @@
     view_ = std::move(view);
 }
 
-void GatewayTrafficLoop::beginStop()
+void GatewayTrafficLoop::beginStop(TimePoint dispatchUntil)
 {
+    stopDispatching(traffic_, dispatchUntil);
     server_.closeAfterResponses();
 }
 
--- a/src/app/internal/gatewaytraffic.h
+++ b/src/app/internal/gatewaytraffic.h
@@ -29,8 +29,9 @@
     Result<Address> listen(const Address &callers);
     //! Replaces the view; safe from any thread.
     void publish(std::shared_ptr<const GatewayView> view);
-    //! Answers say that their connections close; new connections are still taken.
-    void beginStop();
+    //! Answers say that their connections close; new connections are still taken. Requests are
+    //! dispatched for the first time until the given time.
+    void beginStop(TimePoint dispatchUntil);
     //! Takes no connection any more.
     void stopAccepting();
     bool isIdle() const { return isGatewayIdle(traffic_) && exchanges_.empty(); }
--- a/src/filters/gatewayfilters.h
+++ b/src/filters/gatewayfilters.h
@@ -27,6 +27,9 @@
 bool hasCapacity(GatewayContext &context, const GatewayView &view, GatewayTraffic &state,
                  TimePoint now);
 
+//! True for a request that was never dispatched and no longer may be, because the process stops.
+bool isTooLateToDispatch(const GatewayContext &context, const GatewayTraffic &state, TimePoint now);
+
 //! Releases the endpoint load of the dispatch in progress, and removes the dispatch.
 void releaseDispatch(GatewayContext &context, GatewayTraffic &state);
 
--- a/src/filters/gatewaystate.h
+++ b/src/filters/gatewaystate.h
@@ -332,6 +332,8 @@
     TraitHistory traitHistory_;
     std::uint64_t nextDispatch_ = 1;
     TimePoint lastTickAt_;
+    //! Set in a planned stop: from then on no request is dispatched for the first time.
+    std::optional<TimePoint> dispatchUntil_;
     GatewayCounters counters_;
     std::vector<GatewayEffect> effects_;
 };
--- a/src/filters/internal/gatewayfilters.cpp
+++ b/src/filters/internal/gatewayfilters.cpp
@@ -34,9 +34,11 @@
     return {FilterAction::Refuse, refusal};
 }
 
-GatewayFilterResult checkState(GatewayContext &, const GatewayView &view, GatewayTraffic &,
-                               TimePoint)
+GatewayFilterResult checkState(GatewayContext &context, const GatewayView &view,
+                               GatewayTraffic &state, TimePoint now)
 {
+    if (isTooLateToDispatch(context, state, now))
+        return refuseGateway(GatewayRefusal::Stopping);
     return view.table_ ? proceedGateway() : refuseGateway(GatewayRefusal::Unready);
 }
 
@@ -467,7 +469,7 @@
 bool hasCapacity(GatewayContext &context, const GatewayView &view, GatewayTraffic &state,
                  TimePoint now)
 {
-    if (!view.table_ || now < context.retryAt_)
+    if (!view.table_ || now < context.retryAt_ || isTooLateToDispatch(context, state, now))
         return false;
     if (!context.streamStarted_ && !mayRun(*view.blame_, state.traitHistory_, context.traits_, now))
         return false;
@@ -480,6 +482,11 @@
     return choice && choice->freeSlots_ + detail::MaxWaitingAtService > 0;
 }
 
+bool isTooLateToDispatch(const GatewayContext &context, const GatewayTraffic &state, TimePoint now)
+{
+    return context.dispatchCount_ == 0 && state.dispatchUntil_ && now >= *state.dispatchUntil_;
+}
+
 void releasePendingPrefill(GatewayContext &context, GatewayTraffic &state)
 {
     if (!context.dispatch_)
--- a/src/gateway/internal/traffic.cpp
+++ b/src/gateway/internal/traffic.cpp
@@ -493,6 +493,9 @@
     if (now >= context.deadline_)
         return endRequest(state, context, GatewayRefusal::Overloaded, GatewayRefusal::TimedOut,
                           "deadline", now);
+    if (context.queued_ && isTooLateToDispatch(context, state, now))
+        return endRequest(state, context, GatewayRefusal::Stopping, GatewayRefusal::Failed, "stop",
+                          now);
     if (context.queued_ && checkBlame(state, view, context, now))
         return;
     if (hasWaitedLongerThan(context, queueTimeout(context.route_, state.limits_), now))
@@ -654,6 +657,11 @@
     detail::dispatchQueued(state, view, now);
 }
 
+void stopDispatching(GatewayTraffic &state, TimePoint from)
+{
+    state.dispatchUntil_ = from;
+}
+
 void onGatewayStop(GatewayTraffic &state, TimePoint now)
 {
     while (!state.requests_.empty())
--- a/src/gateway/tests/tst_traffic.cpp
+++ b/src/gateway/tests/tst_traffic.cpp
@@ -744,3 +744,44 @@
     BOOST_TEST(state.exchangesByDispatch_.size() == 5U);
     BOOST_TEST(sent <= 5U);
 }
+
+//! A request during a planned stop that dispatches nothing new from 2.8 s on.
+struct StoppingCase
+{
+    const char *name_;
+    const char *path_;
+    int arrivesMs_;
+    //! The service has room from then on.
+    int roomFromMs_;
+    const char *effects_;
+};
+
+std::ostream &operator<<(std::ostream &out, const StoppingCase &test)
+{
+    return out << test.name_;
+}
+
+const StoppingCase StoppingCases[] = {
+        {"before the last dispatch", "/book/x", 2700, 0, "send d1 fresh"},
+        {"after it", "/book/x", 2801, 0, "refuse stopping"},
+        {"after it, may be repeated", "/look/x", 2801, 0, "refuse stopping"},
+        {"a stream after it", "/quote/x", 5000, 0, "refuse stopping"},
+        {"queued until after it", "/book/x", 2700, 2900, "refuse stopping"},
+};
+
+BOOST_DATA_TEST_CASE(lateRequestsOfAPlannedStopAreRefusedAsNotRun, StoppingCases, test)
+{
+    GatewayTraffic state;
+    GatewayView view = viewAt(0);
+    GatewayView full = view;
+    full.downEndpoints_ = {{"d1"}, {"d2"}};
+    stopDispatching(state, at(2800));
+    const auto viewAtMs = [&](int ms) { return ms < test.roomFromMs_ ? full : view; };
+    onGatewayRequest(state, viewAtMs(test.arrivesMs_), request(1, test.path_), at(test.arrivesMs_));
+    std::string effects = takeText(state);
+    for (int ms = test.arrivesMs_ + 25; effects.empty() && ms < 4000; ms += 25) {
+        onGatewayTick(state, viewAtMs(ms), at(ms));
+        effects = takeText(state);
+    }
+    BOOST_TEST(effects == test.effects_);
+}
--- a/src/gateway/traffic.h
+++ b/src/gateway/traffic.h
@@ -38,6 +38,10 @@
 void onGatewayTick(GatewayTraffic &state, const GatewayView &view, TimePoint now);
 inline constexpr Duration GatewayTickInterval = std::chrono::milliseconds(25);
 
+//! From the given time on only requests that have been dispatched go on; all others are refused as
+//! not run, so that none is cut off when the process ends.
+void stopDispatching(GatewayTraffic &state, TimePoint from);
+
 //! Ends every request that is still in progress, because the process ends.
 void onGatewayStop(GatewayTraffic &state, TimePoint now);
 
