--- a/src/filters/internal/gatewayfilters.cpp
+++ b/src/filters/internal/gatewayfilters.cpp
@@ -502,7 +502,7 @@
 {
     if (!context.dispatch_ || std::exchange(context.dispatch_->hasAnswered_, true))
         return;
-    noteNotUnanswered(state.traitHistory_, context.traits_);
+    releaseUnanswered(state.traitHistory_, context.traits_);
     noteAnswered(state.traitHistory_, context.traits_, now);
 }
 
@@ -517,7 +517,7 @@
         return;
     releasePendingPrefill(context, state);
     if (!context.dispatch_->hasAnswered_)
-        noteNotUnanswered(state.traitHistory_, context.traits_);
+        releaseUnanswered(state.traitHistory_, context.traits_);
     detail::addEndpointLoad(*context.dispatch_, state, -1);
     state.exchangesByDispatch_.erase(context.dispatch_->id_);
     context.dispatch_.reset();
--- a/src/gateway/internal/traffic.cpp
+++ b/src/gateway/internal/traffic.cpp
@@ -6,6 +6,8 @@
 #include <utility>
 
 #include "filters/gatewayfilters.h"
+#include "gateway/internal/requestblame.h"
+#include "gateway/internal/requestend.h"
 
 namespace gypsumcroft {
 
@@ -14,32 +16,6 @@
 
 using Context = GatewayContext;
 
-void emit(GatewayTraffic &state, GatewayEffect effect)
-{
-    state.effects_.push_back(std::move(effect));
-}
-
-LogLine requestLine(const char *event, const Context &context, TimePoint now)
-{
-    LogLine line(event);
-    line.add("request", context.request_.id_)
-            .add("connection", context.request_.connection_)
-            .add("ordinal", context.request_.ordinal_)
-            .add("route", context.route_.name_)
-            .add("sends", std::uint64_t {context.dispatchCount_})
-            .add("ms", now - context.arrivedAt_);
-    return line;
-}
-
-void addEndpointConnection(LogLine &line, const Context &context)
-{
-    if (!context.dispatch_)
-        return;
-    const DispatchConnection &connection = context.dispatch_->connection_;
-    line.add("endpoint_connection", connection.reused_ ? "kept" : "fresh")
-            .add("strays", std::uint64_t {connection.unmatchedResponses_});
-}
-
 //! Warns of a request whose id another request in progress has too: callers use each id once, so
 //! requests may have been mixed up on a connection.
 void noteRequestId(GatewayTraffic &state, const Context &context)
@@ -62,72 +38,6 @@
     state.byRequestId_.emplace(request.id_, request.exchange_);
 }
 
-void forgetRequestId(GatewayTraffic &state, const GatewayRequest &request)
-{
-    const auto [begin, end] = state.byRequestId_.equal_range(request.id_);
-    const auto own = std::find_if(
-            begin, end, [&](const auto &entry) { return entry.second == request.exchange_; });
-    if (own != end)
-        state.byRequestId_.erase(own);
-}
-
-//! Removes a request from all queues and tables. References to its context become invalid.
-void removeRequest(GatewayTraffic &state, Context &context)
-{
-    dequeue(context, state);
-    releaseDispatch(context, state);
-    forgetRequestId(state, context.request_);
-    state.requests_.erase(context.request_.exchange_);
-}
-
-void cancelDispatch(GatewayTraffic &state, Context &context)
-{
-    if (context.dispatch_)
-        emit(state, CancelDispatch {context.dispatch_->id_});
-    releaseDispatch(context, state);
-}
-
-//! Delay before a retry that the caller of a refused request is told.
-Duration retryAfter(const GatewayTraffic &state, const Context &context, GatewayRefusal refusal,
-                    TimePoint now)
-{
-    switch (refusal) {
-    case GatewayRefusal::UnknownRoute:
-    case GatewayRefusal::Unauthorised:
-        return {};
-    case GatewayRefusal::Quarantined:
-        return std::max(Duration(), context.quarantinedUntil_ - now);
-    default:
-        return state.limits_.retryAfter_;
-    }
-}
-
-void refuse(GatewayTraffic &state, Context &context, GatewayRefusal refusal,
-            const std::string &reason, TimePoint now)
-{
-    const bool unknown = refusal == GatewayRefusal::TimedOut || refusal == GatewayRefusal::Failed;
-    ++(unknown ? state.counters_.failed_ : state.counters_.refused_);
-    emit(state, logEvent(LogLevel::Info, requestLine("refused", context, now)
-                                                 .add("refusal", gatewayRefusalName(refusal))
-                                                 .add("run", unknown ? "unknown" : "not-run")
-                                                 .add("reason", reason)));
-    if (refusal == GatewayRefusal::Quarantined)
-        ++state.counters_.quarantined_;
-    emit(state, RefuseRequest {context.request_.exchange_, refusal,
-                               retryAfter(state, context, refusal, now)});
-    removeRequest(state, context);
-}
-
-void abortResponse(GatewayTraffic &state, Context &context, const std::string &reason,
-                   TimePoint now)
-{
-    ++state.counters_.failed_;
-    emit(state, logEvent(LogLevel::Warning,
-                         requestLine("broken-off", context, now).add("reason", reason)));
-    emit(state, AbortResponse {context.request_.exchange_});
-    removeRequest(state, context);
-}
-
 void runFilters(GatewayTraffic &state, const GatewayView &view, Context &context, TimePoint now)
 {
     const GatewayFilterResult result
@@ -329,18 +239,6 @@
     emit(state, logEvent(LogLevel::Info, line));
 }
 
-//! Ends a request at once. If it was dispatched, it may have run, and the refusal for an unknown
-//! outcome is used.
-void endRequest(GatewayTraffic &state, Context &context, GatewayRefusal notRun,
-                GatewayRefusal unknown, const std::string &reason, TimePoint now)
-{
-    const bool mayHaveRun = context.dispatch_ || context.mayHaveRun_;
-    cancelDispatch(state, context);
-    if (context.streamStarted_)
-        return abortResponse(state, context, reason, now);
-    refuse(state, context, mayHaveRun ? unknown : notRun, reason, now);
-}
-
 Duration scaled(Duration duration, double factor)
 {
     return Duration(static_cast<std::int64_t>(factor * static_cast<double>(duration.count())));
@@ -377,45 +275,6 @@
     enqueue(context, state, false);
 }
 
-//! Refuses a queued request that has come into quarantine since it arrived, and moves one that has
-//! become suspect out of the way of the others. Returns true if the request ended.
-bool checkBlame(GatewayTraffic &state, const GatewayView &view, Context &context, TimePoint now)
-{
-    const RequestBlame blame = blameOfRequest(context, view, now);
-    if (blame.status_ == BlameStatus::Quarantined) {
-        context.quarantinedUntil_ = blame.until_;
-        refuse(state, context,
-               context.mayHaveRun_ ? GatewayRefusal::Failed : GatewayRefusal::Quarantined,
-               "quarantine", now);
-        return true;
-    }
-    if (blame.status_ == BlameStatus::Suspected && !context.suspect_) {
-        dequeue(context, state);
-        context.suspect_ = true;
-        enqueue(context, state, false);
-    }
-    return false;
-}
-
-//! Tells control when requests with suspect traits were answered last.
-void reportAnswers(GatewayTraffic &state, const GatewayView &view)
-{
-    for (const auto &[trait, verdict] : view.blame_->traits_) {
-        const auto answered = lastAnswer(state.traitHistory_, trait);
-        if (answered && (!verdict.answeredAt_ || *answered > *verdict.answeredAt_))
-            emit(state, TraitAnswered {trait, *answered});
-    }
-}
-
-//! Tells control that a dispatch lost its endpoint before that began to answer.
-void reportLoss(GatewayTraffic &state, const Context &context, TimePoint now)
-{
-    const ActiveDispatch &dispatch = *context.dispatch_;
-    if (!dispatch.hasAnswered_)
-        emit(state, DispatchLost {dispatch.endpoint_, dispatch.incarnation_, dispatch.sentAt_, now,
-                                  context.traits_});
-}
-
 //! True for a stream that may fail over to another endpoint.
 bool mayFailOver(const Context &context)
 {
--- a/src/policy/internal/traithistory.cpp
+++ b/src/policy/internal/traithistory.cpp
@@ -11,7 +11,7 @@
         ++history.unanswered_[trait];
 }
 
-void noteNotUnanswered(TraitHistory &history, const std::vector<RequestTrait> &traits)
+void releaseUnanswered(TraitHistory &history, const std::vector<RequestTrait> &traits)
 {
     for (const RequestTrait trait : traits) {
         const auto found = history.unanswered_.find(trait);
--- a/src/policy/tests/tst_crashblame.cpp
+++ b/src/policy/tests/tst_crashblame.cpp
@@ -151,7 +151,7 @@
         recordCrash(blame, other, {{"d"}, i, at(500), at(600)});
         noteDispatched(history, {other});
         noteAnswered(history, {other}, at(700));
-        noteNotUnanswered(history, {other});
+        releaseUnanswered(history, {other});
         if (i % 10'000 == 0)
             BOOST_TEST(blame.traits_.size() <= blame.limits_.maxTraits_);
     }
@@ -173,7 +173,7 @@
     BOOST_TEST(!mayRun(verdicts, history, {Trait}, at(200)));
     BOOST_TEST(!mayRun(verdicts, history, {{9}, Trait}, at(200)));
     BOOST_TEST(mayRun(verdicts, history, {{9}}, at(200)));
-    noteNotUnanswered(history, {Trait});
+    releaseUnanswered(history, {Trait});
     BOOST_TEST(mayRun(verdicts, history, {Trait}, at(200)));
 }
 
--- a/src/policy/traithistory.h
+++ b/src/policy/traithistory.h
@@ -26,7 +26,7 @@
 void noteDispatched(TraitHistory &history, const std::vector<RequestTrait> &traits);
 
 //! Notes that a dispatch brought an answer, or ended without one.
-void noteNotUnanswered(TraitHistory &history, const std::vector<RequestTrait> &traits);
+void releaseUnanswered(TraitHistory &history, const std::vector<RequestTrait> &traits);
 
 void noteAnswered(TraitHistory &history, const std::vector<RequestTrait> &traits, TimePoint now);
 
