--- a/src/controllers/crashes.h
+++ b/src/controllers/crashes.h
@@ -54,8 +54,9 @@
     Duration maxCheckTime_ = std::chrono::milliseconds(900);
     //! Time after which an unconfirmed loss is forgotten.
     Duration forgetLossAfter_ = std::chrono::seconds(5);
-    //! Traits in one digest.
-    std::size_t maxTraitsInDigest_ = 32;
+    //! Traits in one digest, and in one message of news.
+    std::size_t maxTraitsInDigest_ = 12;
+    std::size_t maxTraitsInNews_ = 32;
 };
 
 //! Dispatches lost at an endpoint that is not known yet to have ended or not.
@@ -73,6 +74,8 @@
     //! Verdicts for the traffic threads; replaced when blame_ changes.
     std::shared_ptr<const BlameVerdicts> verdicts_ = std::make_shared<BlameVerdicts>();
     std::vector<CheckEndpoint> checks_;
+    //! Traits of this process's dispatches under which an endpoint crashed, to be told to others.
+    std::vector<RequestTrait> news_;
     std::vector<LogEvent> log_;
 };
 
@@ -82,8 +85,8 @@
                     TimePoint now);
 
 //! Handles the result of a check that was sent at the given time; without a sighting the endpoint
-//! did not respond. Returns true if something new is suspected.
-bool onEndpointChecked(CrashesState &state, const EndpointListState &list,
+//! did not respond. What is newly suspected is left in CrashesState::news_.
+void onEndpointChecked(CrashesState &state, const EndpointListState &list,
                        const EndpointId &endpoint, const std::optional<EndpointSighting> &sighting,
                        TimePoint sentAt, TimePoint now);
 
--- a/src/controllers/internal/crashes.cpp
+++ b/src/controllers/internal/crashes.cpp
@@ -33,14 +33,15 @@
     return crashed;
 }
 
-//! Blames the traits of a dispatch for the end of its endpoint. Returns true if that is news.
-bool blameTraits(CrashesState &state, const DispatchLost &loss)
+//! Blames the traits of a dispatch for the end of its endpoint.
+void blameTraits(CrashesState &state, const DispatchLost &loss)
 {
     const EndpointCrash crash {loss.endpoint_, loss.incarnation_, loss.sentAt_, loss.lostAt_};
-    bool changed = false;
-    for (const RequestTrait trait : loss.traits_)
-        changed = recordCrash(state.blame_, trait, crash) || changed;
-    return changed;
+    for (const RequestTrait trait : loss.traits_) {
+        if (recordCrash(state.blame_, trait, crash)
+            && state.news_.size() < state.limits_.maxTraitsInNews_)
+            state.news_.push_back(trait);
+    }
 }
 
 void logCrash(CrashesState &state, const EndpointId &endpoint,
@@ -103,17 +104,17 @@
     detail::sendCheck(state, list, endpoint, unconfirmed);
 }
 
-bool onEndpointChecked(CrashesState &state, const EndpointListState &list,
+void onEndpointChecked(CrashesState &state, const EndpointListState &list,
                        const EndpointId &endpoint, const std::optional<EndpointSighting> &sighting,
                        TimePoint sentAt, TimePoint now)
 {
     const auto found = state.unconfirmed_.find(endpoint);
     if (found == state.unconfirmed_.end())
-        return false;
+        return;
     UnconfirmedLosses &unconfirmed = found->second;
     unconfirmed.checking_ = false;
     if (!sighting && now - sentAt > state.limits_.maxCheckTime_)
-        return false;
+        return;
     const auto crashed = detail::takeCrashed(unconfirmed, sighting);
     // A loss after the check was sent is not explained by it.
     std::erase_if(unconfirmed.losses_,
@@ -123,14 +124,12 @@
     else
         detail::sendCheck(state, list, endpoint, unconfirmed);
     if (crashed.empty())
-        return false;
+        return;
     detail::logCrash(state, endpoint, crashed, now);
-    bool changed = false;
     for (const DispatchLost &loss : crashed)
-        changed = detail::blameTraits(state, loss) || changed;
-    if (changed)
+        detail::blameTraits(state, loss);
+    if (!state.news_.empty())
         detail::applyNews(state, now);
-    return changed;
 }
 
 bool onTraitAnswered(CrashesState &state, const TraitAnswered &answered, TimePoint now)
--- a/src/core/messages.h
+++ b/src/core/messages.h
@@ -413,6 +413,10 @@
     Domain,
     //! Such a sum, passed on within the domain that received it.
     RelayedDomain,
+    //! Only traits under which an endpoint has just crashed.
+    CrashNews,
+    //! Crash news of another domain, passed on within the domain that received it.
+    RelayedCrashNews,
 };
 
 //! State that a gateway shares with the other gateways over UDP.
--- a/src/gateway/internal/control.cpp
+++ b/src/gateway/internal/control.cpp
@@ -86,16 +86,16 @@
     placing.effects_.clear();
 }
 
-//! Takes what a digest suspects, and passes it on at once from a gateway of this domain to the
-//! other domains.
+//! Takes what a digest suspects. News of crashes is passed on at once, from a gateway of this
+//! domain to the other domains and from another domain within this one.
 void takeTraitReports(GatewayControl &state, const GatewayDigestMessage &digest, TimePoint now)
 {
     if (!onTraitReports(state.crashes_, digest.traits_, now))
         return;
     publishView(state);
     emitCrashEffects(state);
-    if (digest.domain_ == state.members_.domain_)
-        sendDomainDigest(state, makeDigest(state, now), now);
+    if (digest.scope_ == DigestScope::CrashNews)
+        relayCrashNews(state, digest, now);
 }
 
 ReaderRole readerRole(const GatewayControl &state, TimePoint now)
@@ -466,13 +466,13 @@
                        const std::optional<EndpointSighting> &sighting, TimePoint sentAt,
                        TimePoint now)
 {
-    const bool isNews
-            = onEndpointChecked(state.crashes_, state.endpoints_, endpoint, sighting, sentAt, now);
+    onEndpointChecked(state.crashes_, state.endpoints_, endpoint, sighting, sentAt, now);
     detail::emitCrashEffects(state);
-    if (!isNews)
+    const auto news = std::exchange(state.crashes_.news_, {});
+    if (news.empty())
         return;
     detail::publishView(state);
-    detail::sendCrashNews(state, now);
+    detail::sendCrashNews(state, news, now);
 }
 
 void onOwnLoads(GatewayControl &state, OwnEndpointLoads loads)
@@ -482,13 +482,15 @@
 
 void onGatewayDigest(GatewayControl &state, GatewayDigestMessage digest, TimePoint now)
 {
+    detail::takeTraitReports(state, digest, now);
+    if (digest.scope_ == DigestScope::CrashNews || digest.scope_ == DigestScope::RelayedCrashNews)
+        return;
     const std::vector<LoadedLayersReport> loadedLayers = digest.loadedLayers_;
     const std::vector<EndpointId> down = digest.downEndpoints_;
     const std::vector<LayerMoveReport> moves = digest.layerMoves_;
     const std::vector<LeavingEndpointReport> leavingEndpoints = digest.leavingEndpoints_;
     applyMemberDigest(state.members_, digest, now);
     noteClock(state.relay_, digest, now);
-    detail::takeTraitReports(state, digest, now);
     const bool isNear = digest.domain_ == state.members_.domain_;
     const auto news = isNear ? digest.storeNews_ : std::nullopt;
     if (!detail::takeLoads(state, std::move(digest), now))
--- a/src/gateway/internal/digests.cpp
+++ b/src/gateway/internal/digests.cpp
@@ -68,6 +68,9 @@
         state.effects_.emplace_back(SendDigest {std::move(recipients), std::move(digest)});
 }
 
+namespace {
+
+//! Sends the sum over this domain to the other domains, if this process speaks for it.
 void sendDomainDigest(GatewayControl &state, const GatewayDigestMessage &own, TimePoint now)
 {
     auto others = domainDigestRecipients(state.members_, now);
@@ -78,6 +81,8 @@
     sendTo(state, std::move(others), std::move(sum));
 }
 
+} // namespace
+
 void sendDigests(GatewayControl &state, TimePoint now)
 {
     GatewayDigestMessage digest = makeDigest(state, now);
@@ -99,11 +104,25 @@
     sendTo(state, relayRecipients(state.members_, now), makeDigest(state, now));
 }
 
-void sendCrashNews(GatewayControl &state, TimePoint now)
+void sendCrashNews(GatewayControl &state, const std::vector<RequestTrait> &traits, TimePoint now)
 {
-    GatewayDigestMessage digest = makeDigest(state, now);
-    sendDomainDigest(state, digest, now);
-    sendTo(state, relayRecipients(state.members_, now), std::move(digest));
+    GatewayDigestMessage news;
+    news.scope_ = DigestScope::CrashNews;
+    news.instance_ = state.self_;
+    news.domain_ = state.members_.domain_;
+    news.gateway_ = state.members_.self_;
+    news.incarnation_ = state.incarnation_;
+    news.traits_ = reportTraits(state.crashes_.blame_, traits, now);
+    sendTo(state, relayRecipients(state.members_, now), news);
+    sendTo(state, domainDigestRecipients(state.members_, now), std::move(news));
+}
+
+void relayCrashNews(GatewayControl &state, GatewayDigestMessage news, TimePoint now)
+{
+    if (news.domain_ == state.members_.domain_)
+        return sendTo(state, domainDigestRecipients(state.members_, now), std::move(news));
+    news.scope_ = DigestScope::RelayedCrashNews;
+    sendTo(state, relayRecipients(state.members_, now), std::move(news));
 }
 
 } // namespace gypsumcroft::detail
--- a/src/gateway/internal/digests.h
+++ b/src/gateway/internal/digests.h
@@ -10,9 +10,6 @@
 
 void sendTo(GatewayControl &state, std::vector<Address> recipients, GatewayDigestMessage digest);
 
-//! Sends the sum over this domain to the other domains, if this process speaks for it.
-void sendDomainDigest(GatewayControl &state, const GatewayDigestMessage &own, TimePoint now);
-
 //! Sends the own digest to the gateways of this domain, and every second time the sum over the
 //! domain to the others.
 void sendDigests(GatewayControl &state, TimePoint now);
@@ -20,7 +17,10 @@
 //! Tells the other gateways of this domain at once what was read from the store.
 void sendStoreNews(GatewayControl &state, TimePoint now);
 
-//! Tells the other gateways at once of a crash that this process saw.
-void sendCrashNews(GatewayControl &state, TimePoint now);
+//! Tells the other gateways at once under which traits this process saw an endpoint crash.
+void sendCrashNews(GatewayControl &state, const std::vector<RequestTrait> &traits, TimePoint now);
+
+//! Passes news on: from this domain to the others, or from another one within this one.
+void relayCrashNews(GatewayControl &state, GatewayDigestMessage news, TimePoint now);
 
 } // namespace gypsumcroft::detail
--- a/src/gateway/tests/tst_crashes.cpp
+++ b/src/gateway/tests/tst_crashes.cpp
@@ -317,8 +317,18 @@
     carryOutControl(fleet, index);
 }
 
+bool isCrashNews(const GatewayDigestMessage &digest)
+{
+    return digest.scope_ == DigestScope::CrashNews
+           || digest.scope_ == DigestScope::RelayedCrashNews;
+}
+
 void send(Fleet &fleet, std::size_t from, const SendDigest &digest)
 {
+    // A burst of news to all must not fill slow links.
+    if (isCrashNews(digest.digest_))
+        BOOST_TEST((digest.digest_.loads_.empty() && digest.digest_.loadedLayers_.empty()
+                    && !digest.digest_.storeNews_));
     for (const Address &to : digest.to_) {
         const std::size_t index = std::stoul(to.host_.substr(to.host_.rfind('.') + 1)) - 1;
         if (isCut(fleet, from, index) || randomUnit(fleet.random_) < fleet.test_.loss_)
--- a/src/policy/crashblame.h
+++ b/src/policy/crashblame.h
@@ -122,6 +122,10 @@
 //! turn.
 std::vector<TraitReport> reportTraits(CrashBlame &blame, std::size_t limit, TimePoint now);
 
+//! Reports of the given traits.
+std::vector<TraitReport> reportTraits(const CrashBlame &blame,
+                                      const std::vector<RequestTrait> &traits, TimePoint now);
+
 void forgetTraits(CrashBlame &blame, TimePoint now);
 
 } // namespace gypsumcroft
--- a/src/policy/internal/crashblame.cpp
+++ b/src/policy/internal/crashblame.cpp
@@ -148,6 +148,17 @@
     return (!known || at > *known + AnswerTolerance) && recordAnswer(blame, trait, at);
 }
 
+TraitReport reportOf(RequestTrait trait, const SuspectTrait &suspect, TimePoint now)
+{
+    TraitReport report {trait, {}, {}};
+    for (const EndpointCrash &crash : suspect.crashes_)
+        report.crashes_.push_back(
+                {crash.endpoint_, crash.incarnation_, now - crash.at_, crash.at_ - crash.sentAt_});
+    if (suspect.answeredAt_)
+        report.answerAge_ = now - *suspect.answeredAt_;
+    return report;
+}
+
 } // namespace
 } // namespace detail
 
@@ -266,13 +277,19 @@
     std::vector<TraitReport> reports;
     for (const auto &[trait, suspect] : order) {
         suspect->reportedIn_ = blame.reports_;
-        TraitReport report {trait, {}, {}};
-        for (const EndpointCrash &crash : suspect->crashes_)
-            report.crashes_.push_back({crash.endpoint_, crash.incarnation_, now - crash.at_,
-                                       crash.at_ - crash.sentAt_});
-        if (suspect->answeredAt_)
-            report.answerAge_ = now - *suspect->answeredAt_;
-        reports.push_back(std::move(report));
+        reports.push_back(detail::reportOf(trait, *suspect, now));
+    }
+    return reports;
+}
+
+std::vector<TraitReport> reportTraits(const CrashBlame &blame,
+                                      const std::vector<RequestTrait> &traits, TimePoint now)
+{
+    std::vector<TraitReport> reports;
+    for (const RequestTrait trait : traits) {
+        const auto found = blame.traits_.find(trait);
+        if (found != blame.traits_.end())
+            reports.push_back(detail::reportOf(trait, found->second, now));
     }
     return reports;
 }
