An endpoint that is only slow to respond to a check is not taken for crashed

A plain service answers its health path from a slot, so a crowded one that reset a connection was blamed on what it had been sent. Change: only refused connections, a response of another server and a later incarnation show an end; a timeout shows nothing and the check is repeated for 5 s. The separate rule for hold-ups of the own process is no longer needed.

--- a/src/app/internal/gatewaycontrol.cpp
+++ b/src/app/internal/gatewaycontrol.cpp
@@ -305,11 +305,11 @@
 void GatewayControlLoop::check(const CheckEndpoint &check)
 {
     const TimePoint sent = monotonicNow();
-    const auto onChecked = [this, sent, endpoint = check.endpoint_](
-                                   const std::optional<EndpointSighting> &sighting) {
-        onEndpointChecked(control_, endpoint, sighting, sent, monotonicNow());
-        perform();
-    };
+    const auto onChecked
+            = [this, sent, endpoint = check.endpoint_](const EndpointSighting &sighting) {
+                  onEndpointChecked(control_, endpoint, sighting, sent, monotonicNow());
+                  perform();
+              };
     const auto &table = control_.routes_.table_;
     const TargetSpec *target = table ? findTarget(*table, check.target_) : nullptr;
     endpoints_.sight(check, target != nullptr && !target->engine_ ? target->healthPath_ : "",
--- a/src/controllers/crashes.h
+++ b/src/controllers/crashes.h
@@ -4,7 +4,6 @@
 
 #include <map>
 #include <memory>
-#include <optional>
 #include <vector>
 
 #include "controllers/endpointlist.h"
@@ -40,18 +39,24 @@
     TargetName target_;
 };
 
-//! Response to a check.
+enum class EndpointCheckResult : std::uint8_t {
+    //! The endpoint responded.
+    Responded,
+    //! Its address refuses connections, or another endpoint responded there.
+    Gone,
+    //! No response in time: it may be slow or cut off.
+    Silent,
+};
+
 struct EndpointSighting
 {
+    EndpointCheckResult result_ = EndpointCheckResult::Silent;
     //! Incarnation that responded; 0 if the response doesn't tell.
     std::uint64_t incarnation_ = 0;
 };
 
 struct CrashesLimits
 {
-    //! A check without a response that took longer was cut short by a hold-up of this process, and
-    //! says nothing.
-    Duration maxCheckTime_ = std::chrono::milliseconds(900);
     //! Time after which an unconfirmed loss is forgotten.
     Duration forgetLossAfter_ = std::chrono::seconds(5);
     //! Traits in one digest, and in one message of news.
@@ -84,10 +89,10 @@
 void onDispatchLost(CrashesState &state, const EndpointListState &list, DispatchLost loss,
                     TimePoint now);
 
-//! Handles the result of a check that was sent at the given time; without a sighting the endpoint
-//! did not respond. What is newly suspected is left in CrashesState::news_.
+//! Handles the result of a check that was sent at the given time. What is newly suspected is left
+//! in CrashesState::news_.
 void onEndpointChecked(CrashesState &state, const EndpointListState &list,
-                       const EndpointId &endpoint, const std::optional<EndpointSighting> &sighting,
+                       const EndpointId &endpoint, const EndpointSighting &sighting,
                        TimePoint sentAt, TimePoint now);
 
 //! Handles an answer to a request with a suspect trait. Returns true if that clears it.
--- a/src/controllers/internal/crashes.cpp
+++ b/src/controllers/internal/crashes.cpp
@@ -21,10 +21,11 @@
 
 //! Takes the losses that the end of the endpoint explains.
 std::vector<DispatchLost> takeCrashed(UnconfirmedLosses &unconfirmed,
-                                      const std::optional<EndpointSighting> &sighting)
+                                      const EndpointSighting &sighting)
 {
     const auto isCrashed = [&](const DispatchLost &loss) {
-        return !sighting || (loss.incarnation_ != 0 && sighting->incarnation_ > loss.incarnation_);
+        return sighting.result_ == EndpointCheckResult::Gone
+               || (loss.incarnation_ != 0 && sighting.incarnation_ > loss.incarnation_);
     };
     std::vector<DispatchLost> crashed;
     std::copy_if(unconfirmed.losses_.begin(), unconfirmed.losses_.end(),
@@ -105,7 +106,7 @@
 }
 
 void onEndpointChecked(CrashesState &state, const EndpointListState &list,
-                       const EndpointId &endpoint, const std::optional<EndpointSighting> &sighting,
+                       const EndpointId &endpoint, const EndpointSighting &sighting,
                        TimePoint sentAt, TimePoint now)
 {
     const auto found = state.unconfirmed_.find(endpoint);
@@ -113,7 +114,7 @@
         return;
     UnconfirmedLosses &unconfirmed = found->second;
     unconfirmed.checking_ = false;
-    if (!sighting && now - sentAt > state.limits_.maxCheckTime_)
+    if (sighting.result_ == EndpointCheckResult::Silent)
         return;
     const auto crashed = detail::takeCrashed(unconfirmed, sighting);
     // A loss after the check was sent is not explained by it.
--- a/src/gateway/control.h
+++ b/src/gateway/control.h
@@ -183,10 +183,9 @@
 //! Handles an answer to a request with a suspect trait.
 void onTraitAnswered(GatewayControl &state, const TraitAnswered &answered, TimePoint now);
 
-//! Handles the result of a check; without a sighting the endpoint did not respond.
+//! Handles the result of a check that was sent at the given time.
 void onEndpointChecked(GatewayControl &state, const EndpointId &endpoint,
-                       const std::optional<EndpointSighting> &sighting, TimePoint sentAt,
-                       TimePoint now);
+                       const EndpointSighting &sighting, TimePoint sentAt, TimePoint now);
 
 //! Stores the load of this gateway's requests on the endpoints, for the next digest.
 void onOwnLoads(GatewayControl &state, OwnEndpointLoads loads);
--- a/src/gateway/internal/control.cpp
+++ b/src/gateway/internal/control.cpp
@@ -463,8 +463,7 @@
 }
 
 void onEndpointChecked(GatewayControl &state, const EndpointId &endpoint,
-                       const std::optional<EndpointSighting> &sighting, TimePoint sentAt,
-                       TimePoint now)
+                       const EndpointSighting &sighting, TimePoint sentAt, TimePoint now)
 {
     onEndpointChecked(state.crashes_, state.endpoints_, endpoint, sighting, sentAt, now);
     detail::emitCrashEffects(state);
--- a/src/platform/endpointclient.h
+++ b/src/platform/endpointclient.h
@@ -28,11 +28,11 @@
     void sendLoadOrder(const SendLoadOrder &order, std::function<void(OrderOutcome)> callback);
 
     //! Finds out whether a server runs: requests the health path or, if that is empty, the server's
-    //! report. Any response of the server itself is a sighting, also one that turns the request
-    //! away. The callback gets nullopt on a connection failure, a timeout, or a response that names
-    //! another server.
+    //! report. Any response of the server itself shows it, also one that turns the request away. A
+    //! timeout is EndpointCheckResult::Silent; a connection that is refused or lost, or a response
+    //! that names another server, is EndpointCheckResult::Gone.
     void sight(const CheckEndpoint &target, const std::string &healthPath,
-               std::function<void(std::optional<EndpointSighting>)> callback);
+               std::function<void(EndpointSighting)> callback);
 
 private:
     void takeNotice(const EndpointId &endpoint, const http::ClientResult &result) const;
--- a/src/platform/internal/endpointclient.cpp
+++ b/src/platform/internal/endpointclient.cpp
@@ -18,16 +18,15 @@
 
 constexpr std::string_view InstanceHeader = "X-Instance-Id";
 
-std::optional<EndpointSighting> sightingIn(const EndpointId &endpoint,
-                                           const http::ClientResult &result)
+EndpointSighting sightingIn(const EndpointId &endpoint, const http::ClientResult &result)
 {
     if (!result.response_)
-        return std::nullopt;
+        return {result.connectionLost_ ? EndpointCheckResult::Gone : EndpointCheckResult::Silent};
     const auto instance = http::findHeader(result.response_->headers_, InstanceHeader);
     if (instance && *instance != endpoint.value_)
-        return std::nullopt;
+        return {EndpointCheckResult::Gone};
     const auto report = decodeServerReport(result.response_->body_);
-    return EndpointSighting {report.value_ ? report.value_->incarnation_ : 0};
+    return {EndpointCheckResult::Responded, report.value_ ? report.value_->incarnation_ : 0};
 }
 
 } // namespace
@@ -65,7 +64,7 @@
 }
 
 void EndpointClient::sight(const CheckEndpoint &target, const std::string &healthPath,
-                           std::function<void(std::optional<EndpointSighting>)> callback)
+                           std::function<void(EndpointSighting)> callback)
 {
     http::HttpRequest request;
     request.path_ = healthPath.empty() ? "/report" : healthPath;
