A held suspect request doesn't keep larger requests in the queue

Callers would see: while a suspect request waits for another one, sound ones that are larger wait behind it although endpoints have room. Cause: the queue passes over everything at least as large as a request that found no capacity; a request that was held for another reason counted as such. Change: the reasons to hold a request, whatever the capacity, are a question of their own, asked before capacity and without that conclusion. Evidence: heldSuspectDoesNotBlockOthers, before: the larger request is not dispatched ([1 != 2]); now it is.

--- a/src/filters/gatewayfilters.h
+++ b/src/filters/gatewayfilters.h
@@ -22,8 +22,13 @@
 //! Index of the filter at which the chain continues with a request that left the queue.
 std::size_t endpointFilterIndex();
 
-//! True if the request can be dispatched now; called before it leaves the queue. Stores the planned
-//! path of a model request in the context.
+//! False for a request that has to wait whatever the endpoints' capacity: for its retry delay, for
+//! another request of which the same is suspected, or because the process stops.
+bool mayBeDispatched(const GatewayContext &context, const GatewayView &view,
+                     const GatewayTraffic &state, TimePoint now);
+
+//! True if the endpoints have capacity for the request; called before it leaves the queue. Stores
+//! the planned path of a model request in the context.
 bool hasCapacity(GatewayContext &context, const GatewayView &view, GatewayTraffic &state,
                  TimePoint now);
 
--- a/src/filters/internal/gatewayfilters.cpp
+++ b/src/filters/internal/gatewayfilters.cpp
@@ -469,9 +469,7 @@
 bool hasCapacity(GatewayContext &context, const GatewayView &view, GatewayTraffic &state,
                  TimePoint now)
 {
-    if (!view.table_ || now < context.retryAt_ || isTooLateToDispatch(context, state, now))
-        return false;
-    if (!context.streamStarted_ && !mayRun(*view.blame_, state.traitHistory_, context.traits_, now))
+    if (!view.table_)
         return false;
     if (const EngineSpec *engine = detail::engineOf(context, view)) {
         context.plan_ = detail::planFor(context, view, *engine, state, now);
@@ -482,6 +480,15 @@
     return choice && choice->freeSlots_ + detail::MaxWaitingAtService > 0;
 }
 
+bool mayBeDispatched(const GatewayContext &context, const GatewayView &view,
+                     const GatewayTraffic &state, TimePoint now)
+{
+    if (now < context.retryAt_ || isTooLateToDispatch(context, state, now))
+        return false;
+    return context.streamStarted_
+           || mayRun(*view.blame_, state.traitHistory_, context.traits_, now);
+}
+
 bool isTooLateToDispatch(const GatewayContext &context, const GatewayTraffic &state, TimePoint now)
 {
     return context.dispatchCount_ == 0 && state.dispatchUntil_ && now >= *state.dispatchUntil_;
--- a/src/gateway/internal/traffic.cpp
+++ b/src/gateway/internal/traffic.cpp
@@ -67,7 +67,7 @@
     std::int64_t tooLarge = std::numeric_limits<std::int64_t>::max();
     const auto fits = [&](const QueuedRequest &queued) {
         Context &context = state.requests_.at(exchangeOf(queued));
-        if (now < context.retryAt_ || queued.work_.value_ >= tooLarge)
+        if (queued.work_.value_ >= tooLarge || !mayBeDispatched(context, view, state, now))
             return false;
         if (hasCapacity(context, view, state, now))
             return true;
--- a/src/gateway/tests/tst_crashes.cpp
+++ b/src/gateway/tests/tst_crashes.cpp
@@ -592,3 +592,34 @@
     BOOST_TEST(state.blame_.traits_.contains({7}) == test.blamed_);
     BOOST_TEST(state.news_.empty() != test.blamed_);
 }
+
+// A suspect request that has to wait for another one must not keep larger requests from being
+// dispatched.
+BOOST_AUTO_TEST_CASE(heldSuspectDoesNotBlockOthers)
+{
+    Fleet fleet {FleetCases[0], {}, {}, {}, {}, {}, {}, {}};
+    fleet.gateways_.resize(1);
+    fleet.endpoints_.resize(Endpoints);
+    start(fleet, 0);
+    carryOutControl(fleet, 0);
+    Gateway &gateway = fleet.gateways_[0];
+    const auto dispatchesAfter = [&](std::uint64_t id, std::uint64_t content, std::int64_t tokens) {
+        GatewayRequest made;
+        made.exchange_ = {id};
+        made.id_ = {"r" + std::to_string(id)};
+        made.host_ = "desk";
+        made.path_ = "/quote/x";
+        made.promptTokens_ = {tokens};
+        made.expectedOutput_ = {100};
+        made.content_ = {content};
+        onGatewayRequest(gateway.traffic_, gateway.view_, made, at(10));
+        return gateway.traffic_.counters_.dispatches_;
+    };
+    BOOST_REQUIRE(dispatchesAfter(1, 7, 100) == 1);
+    const RequestTrait trait = gateway.traffic_.requests_.at({1}).traits_.front();
+    auto verdicts = std::make_shared<BlameVerdicts>();
+    verdicts->traits_[trait].crashes_ = 1;
+    gateway.view_.blame_ = verdicts;
+    BOOST_TEST(dispatchesAfter(2, 7, 100) == 1U);
+    BOOST_TEST(dispatchesAfter(3, 8, 200) == 2U);
+}
