--- a/src/controllers/crashes.h
+++ b/src/controllers/crashes.h
@@ -95,7 +95,7 @@
                        const EndpointId &endpoint, const EndpointSighting &sighting,
                        TimePoint sentAt, TimePoint now);
 
-//! Handles an answer to a request with a suspect trait. Returns true if that clears it.
+//! Handles an answer to a request with a suspect trait. Returns true if it was unknown.
 bool onTraitAnswered(CrashesState &state, const TraitAnswered &answered, TimePoint now);
 
 //! Adds what another gateway reports. Returns true if it was unknown.
