Log how late a gateway's threads are, how long digests and requests lie, and sends for absent callers

Ruled out: a line a request or a digest (volume; a gateway that is behind would be more so). Change: lines control-load and traffic-load, one every two seconds and thread: processor time, longest delay of a timer, digests handled and their longest delay against the fastest of their sender, age of the list, whether the store answers; longest time for which a request lay unread (from the kernel's time since the last bytes), requests in progress and queued. A line for each request that is sent although its caller has closed. Gauge endpoint_list_age_ms. No decision changes. Conclusion: the two threads, the link and the queue can be told apart.

--- a/src/app/internal/gatewaycontrol.cpp
+++ b/src/app/internal/gatewaycontrol.cpp
@@ -99,11 +99,31 @@
 
 Duration GatewayControlLoop::tick()
 {
-    onGatewayControlTick(control_, monotonicNow());
+    const TimePoint now = monotonicNow();
+    noteTick(control_.loopDelay_, ticker_->delay());
+    onGatewayControlTick(control_, now);
     perform();
+    if (now - loadLoggedAt_ >= LoadLogInterval)
+        logLoad(now);
     return GatewayControlInterval;
 }
 
+void GatewayControlLoop::logLoad(TimePoint now)
+{
+    loadLoggedAt_ = now;
+    const Duration used = threadProcessorTime();
+    const DigestFigures digests = std::exchange(control_.digestFigures_, {});
+    LogLine line("control-load");
+    line.add("cpu_ms", used - std::exchange(processorTime_, used))
+            .add("late_ms", takeLongest(control_.loopDelay_))
+            .add("digests", digests.count_)
+            .add("digest_delay_ms", digests.longestDelay_)
+            .add("store", control_.platformReachable_ ? "answers" : "silent");
+    if (const auto listedAt = control_.endpoints_.confirmedAt_)
+        line.add("list_age_ms", now - *listedAt);
+    GC_LOG_INFO(line);
+}
+
 void GatewayControlLoop::readNewestConfig()
 {
     const TimePoint asked = monotonicNow();
--- a/src/app/internal/gatewaycontrol.h
+++ b/src/app/internal/gatewaycontrol.h
@@ -44,6 +44,7 @@
     void takeEndpoints(const platform::CompactedTopic &topic, TimePoint asked);
     void logUnreadable(const std::map<std::string, std::string> &unreadable);
     Duration tick();
+    void logLoad(TimePoint now);
 
     void perform();
     void perform(GatewayControlEffect &effect);
@@ -68,6 +69,8 @@
     //! Reason for which an entry of the endpoint list could not be read, by its key.
     std::map<std::string, std::string> unreadable_;
     DatagramSocket datagrams_;
+    TimePoint loadLoggedAt_;
+    Duration processorTime_ {};
     std::optional<Ticker> ticker_;
 };
 
--- a/src/app/internal/gatewayprocess.cpp
+++ b/src/app/internal/gatewayprocess.cpp
@@ -83,6 +83,7 @@
     auto &repeated = metrics_.gauge("repeated_ids", "Requests whose id was in hand already");
     auto &version = metrics_.gauge("config_version", "Version of the desired state in force");
     auto &age = metrics_.gauge("config_age_ms", "Time since the state in force was confirmed");
+    auto &listAge = metrics_.gauge("endpoint_list_age_ms", "Time since the list was confirmed");
     auto &lease = metrics_.gauge("placement_lease", "1 while this process places layers");
     metrics_.setReady([this] { return !stopping_ && control_.isReady(); });
     metrics_.setRefresh([&, this] {
@@ -102,6 +103,8 @@
         const RouteTableState &routes = control_.state().routes_;
         version.Set(routes.table_ ? static_cast<double>(routes.table_->state_.version_.value_) : 0);
         age.Set(toMilliseconds(desiredStateAge(routes, now).value_or(Duration())));
+        const auto listedAt = control_.state().endpoints_.confirmedAt_;
+        listAge.Set(listedAt ? toMilliseconds(now - *listedAt) : 0);
         lease.Set(holdsLease(control_.state().lease_, now) ? 1 : 0);
     });
 }
--- a/src/app/internal/gatewaytraffic.cpp
+++ b/src/app/internal/gatewaytraffic.cpp
@@ -80,7 +80,11 @@
     takeLimits(*view_.load());
     traffic_.counters_.unmatchedResponses_ = client_.unmatchedResponses();
     counters_ = std::make_shared<const GatewayCounters>(traffic_.counters_);
-    tellShares(monotonicNow());
+    noteTick(loopDelay_, ticker_.delay());
+    const TimePoint now = monotonicNow();
+    tellShares(now);
+    if (now - loadLoggedAt_ >= LoadLogInterval)
+        logLoad(now);
     if (!isGatewayIdle(traffic_))
         withTraffic([this](const GatewayView &view, TimePoint now) {
             onGatewayTick(traffic_, view, now);
@@ -96,6 +100,21 @@
     note_(ownEndpointLoads(traffic_));
 }
 
+void GatewayTrafficLoop::logLoad(TimePoint now)
+{
+    loadLoggedAt_ = now;
+    const Duration used = threadProcessorTime();
+    std::size_t queued = 0;
+    for (const auto &[target, queues] : traffic_.queues_)
+        queued += queues.onTime_.size_ + queues.overdue_.size_;
+    GC_LOG_INFO(LogLine("traffic-load")
+                        .add("cpu_ms", used - std::exchange(processorTime_, used))
+                        .add("late_ms", takeLongest(loopDelay_))
+                        .add("read_delay_ms", std::exchange(longestReadDelay_, Duration()))
+                        .add("requests", std::uint64_t {traffic_.requests_.size()})
+                        .add("queued", std::uint64_t {queued}));
+}
+
 void GatewayTrafficLoop::takeLimits(const GatewayView &view)
 {
     if (!view.table_ || view.table_ == limitsOf_)
@@ -128,6 +147,7 @@
     GatewayRequest decoded = platform::decodeCallerRequest(request, id);
     decoded.connection_ = exchange->connectionId();
     decoded.ordinal_ = exchange->requestOrdinal();
+    longestReadDelay_ = std::max(longestReadDelay_, exchange->readDelay());
     exchange->onDisconnect([this, id] {
         exchanges_.erase(id);
         withTraffic([&](const GatewayView &view, TimePoint now) {
@@ -245,6 +265,8 @@
         calls_.erase(id);
     };
     const OpenExchange &open = exchanges_.at(send.exchange_);
+    if (open.exchange_->hasCallerLeft())
+        GC_LOG_INFO(LogLine("sent-for-absent-caller").add("request", open.decoded_.id_));
     calls_[id].call_ = client_.send(platform::encodeEndpointRequest(open.request_, send),
                                     std::move(handlers));
 }
--- a/src/app/internal/gatewaytraffic.h
+++ b/src/app/internal/gatewaytraffic.h
@@ -11,6 +11,7 @@
 #include "http/eventsplitter.h"
 #include "http/relayclient.h"
 #include "http/relayserver.h"
+#include "policy/loopdelay.h"
 #include "runtime.h"
 
 namespace gypsumcroft::detail {
@@ -64,6 +65,7 @@
     void giveUpSend(DispatchId send, const char *reason);
     Duration tick();
     void tellShares(TimePoint now);
+    void logLoad(TimePoint now);
     void takeLimits(const GatewayView &view);
 
     //! Runs an event of the core and carries out its effects.
@@ -83,6 +85,11 @@
     std::unordered_map<DispatchId, OpenCall> calls_;
     std::uint64_t nextExchange_ = 1;
     TimePoint sharesToldAt_;
+    TimePoint loadLoggedAt_;
+    Duration processorTime_ {};
+    LoopDelay loopDelay_;
+    //! Longest time for which a request lay unread since the last line on the load.
+    Duration longestReadDelay_ {};
     std::atomic<std::shared_ptr<const GatewayCounters>> counters_;
     http::RelayClient client_;
     http::RelayServer server_;
--- a/src/app/internal/runtime.h
+++ b/src/app/internal/runtime.h
@@ -33,6 +33,18 @@
             std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec)));
 }
 
+//! Interval of the log lines on the load of a thread.
+constexpr Duration LoadLogInterval = std::chrono::seconds(2);
+
+//! Processor time that the calling thread has used.
+inline Duration threadProcessorTime()
+{
+    timespec time {};
+    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+    return std::chrono::duration_cast<Duration>(std::chrono::seconds(time.tv_sec)
+                                                + std::chrono::nanoseconds(time.tv_nsec));
+}
+
 //! Runs an action. An exception ends the action only and is logged: one request or message that
 //! meets an unforeseen error must not end the process with all the others.
 template <typename Action>
@@ -147,6 +159,9 @@
         arm(Duration::zero());
     }
 
+    //! By how much the current call of the action comes too late.
+    Duration delay() const { return delay_; }
+
 private:
     static constexpr Duration ErrorInterval = std::chrono::milliseconds(100);
 
@@ -156,6 +171,8 @@
         timer_.async_wait([this](boost::system::error_code error) {
             if (error)
                 return;
+            delay_ = std::chrono::duration_cast<Duration>(asio::steady_timer::clock_type::now()
+                                                          - timer_.expiry());
             Duration next = ErrorInterval;
             runGuarded(errors_, "ticker", [&] { next = action_(); });
             arm(next);
@@ -164,6 +181,7 @@
 
     asio::steady_timer timer_;
     std::function<Duration()> action_;
+    Duration delay_ {};
     RateLimitedLog errors_;
 };
 
--- a/src/controllers/internal/storerelay.cpp
+++ b/src/controllers/internal/storerelay.cpp
@@ -139,14 +139,18 @@
     return true;
 }
 
-void noteClock(StoreRelayState &state, const GatewayDigestMessage &digest, TimePoint now)
+Duration noteClock(StoreRelayState &state, const GatewayDigestMessage &digest, TimePoint now)
 {
-    HeardClock &clock = state.clocks_[digest.gateway_];
+    const Duration offset = now.time_since_epoch() - digest.sentAt_;
+    const auto [known, isNew] = state.clocks_.try_emplace(digest.gateway_);
+    HeardClock &clock = known->second;
+    const Duration leastOffset = isNew ? offset : std::min(clock.leastOffset_, offset);
     // Late digests of an earlier time would only make the news look older.
-    clock = {digest.sentAt_, now};
+    clock = {digest.sentAt_, now, leastOffset};
     std::erase_if(state.clocks_, [&](const auto &entry) {
         return now - entry.second.receivedAt_ > state.limits_.newsFor_;
     });
+    return offset - leastOffset;
 }
 
 std::optional<StoreNews> storeNews(const StoreRelayState &state, ConfigVersion version,
--- a/src/controllers/storerelay.h
+++ b/src/controllers/storerelay.h
@@ -69,6 +69,8 @@
 {
     Duration sentAt_ {};
     TimePoint receivedAt_;
+    //! Least difference between the own clock at the arrival of a digest and its sender's clock.
+    Duration leastOffset_ {};
 };
 
 struct StoreRelayState
@@ -108,8 +110,9 @@
 bool noteListRead(StoreRelayState &state, const std::vector<ListedEndpoint> &listed,
                   LogOffset offset);
 
-//! Notes the clock reading of a digest, for the echo to its sender.
-void noteClock(StoreRelayState &state, const GatewayDigestMessage &digest, TimePoint now);
+//! Notes the clock reading of a digest, for the echo to its sender. Returns how much longer this
+//! digest took to arrive and be handled than the fastest one of its sender.
+Duration noteClock(StoreRelayState &state, const GatewayDigestMessage &digest, TimePoint now);
 
 //! What this process has read lately, or nothing.
 std::optional<StoreNews> storeNews(const StoreRelayState &state, ConfigVersion version,
--- a/src/gateway/control.h
+++ b/src/gateway/control.h
@@ -19,6 +19,7 @@
 #include "core/endpointnotice.h"
 #include "core/random.h"
 #include "policy/endpointpause.h"
+#include "policy/loopdelay.h"
 
 namespace gypsumcroft {
 
@@ -85,6 +86,14 @@
     Duration maxReportTime_ = std::chrono::milliseconds(900);
 };
 
+//! Digests that were handled, for the log.
+struct DigestFigures
+{
+    std::uint64_t count_ = 0;
+    //! Longest time that one took more than the fastest one of its sender.
+    Duration longestDelay_ {};
+};
+
 struct GatewayControl
 {
     InstanceId self_;
@@ -105,6 +114,8 @@
     std::shared_ptr<const EndpointLoads> reportedLoads_ = std::make_shared<EndpointLoads>();
     std::uint64_t digestSequence_ = 0;
     TimePoint lastDigestAt_;
+    DigestFigures digestFigures_;
+    LoopDelay loopDelay_;
     TimePoint peersRequestedAt_;
     //! Index of the endpoint list; rebuilt when the list changes.
     std::shared_ptr<const EndpointIndex> endpointIndex_ = std::make_shared<EndpointIndex>();
--- a/src/gateway/internal/control.cpp
+++ b/src/gateway/internal/control.cpp
@@ -1,5 +1,6 @@
 #include "gateway/control.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "gateway/internal/digests.h"
@@ -489,7 +490,9 @@
     const std::vector<LayerMoveReport> moves = digest.layerMoves_;
     const std::vector<LeavingEndpointReport> leavingEndpoints = digest.leavingEndpoints_;
     applyMemberDigest(state.members_, digest, now);
-    noteClock(state.relay_, digest, now);
+    const Duration delay = noteClock(state.relay_, digest, now);
+    ++state.digestFigures_.count_;
+    state.digestFigures_.longestDelay_ = std::max(state.digestFigures_.longestDelay_, delay);
     const bool isNear = digest.domain_ == state.members_.domain_;
     const auto news = isNear ? digest.storeNews_ : std::nullopt;
     if (!detail::takeLoads(state, std::move(digest), now))
--- a/src/http/internal/relayserver.cpp
+++ b/src/http/internal/relayserver.cpp
@@ -248,14 +248,27 @@
     }
 }
 
-//! True if the caller has closed its side of the connection, even if received bytes are unread.
-bool hasDisconnected(RelayConnection &connection)
+std::optional<tcp_info> tcpInfo(RelayConnection &connection)
 {
     tcp_info info {};
     socklen_t size = sizeof info;
     const int got
             = getsockopt(connection.socket_.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size);
-    return got == 0 && (info.tcpi_state == TCP_CLOSE_WAIT || info.tcpi_state == TCP_CLOSE);
+    return got == 0 ? std::optional(info) : std::nullopt;
+}
+
+//! True if the caller has closed its side of the connection, even if received bytes are unread.
+bool hasDisconnected(RelayConnection &connection)
+{
+    const auto info = tcpInfo(connection);
+    return info && (info->tcpi_state == TCP_CLOSE_WAIT || info->tcpi_state == TCP_CLOSE);
+}
+
+//! Time since the last bytes arrived from the caller.
+Duration sinceLastBytes(RelayConnection &connection)
+{
+    const auto info = tcpInfo(connection);
+    return info ? std::chrono::milliseconds(info->tcpi_last_data_recv) : Duration();
 }
 
 //! Closes connections whose caller has disconnected during a request. A pending read detects that
@@ -359,7 +372,8 @@
 };
 
 RelayExchange::RelayExchange(std::shared_ptr<detail::RelayConnection> connection)
-    : connection_(std::move(connection)), exchangeNumber_(connection_->exchangeNumber_)
+    : connection_(std::move(connection)), exchangeNumber_(connection_->exchangeNumber_),
+      readDelay_(detail::sinceLastBytes(*connection_))
 { }
 
 void RelayExchange::respond(const ResponseHead &head, const std::string &body)
@@ -435,6 +449,12 @@
         connection_->onDisconnect_ = std::move(handler);
 }
 
+bool RelayExchange::hasCallerLeft() const
+{
+    return connection_->closed_ || connection_->exchangeNumber_ != exchangeNumber_
+           || detail::hasDisconnected(*connection_);
+}
+
 ConnectionId RelayExchange::connectionId() const
 {
     return connection_->id_;
--- a/src/http/relayserver.h
+++ b/src/http/relayserver.h
@@ -37,6 +37,10 @@
     //! Sets the handler for a connection that is closed before the response is sent completely. It
     //! is called once, never from within a function of this class.
     void onDisconnect(std::function<void()> handler);
+    //! True if the caller has closed the connection, even if that has not been read yet.
+    bool hasCallerLeft() const;
+    //! Time for which the last bytes of the request had lain unread when it was complete.
+    Duration readDelay() const { return readDelay_; }
     ConnectionId connectionId() const;
     //! Position of the request on its connection, from 1.
     RequestOrdinal requestOrdinal() const { return {exchangeNumber_}; }
@@ -44,6 +48,7 @@
 private:
     std::shared_ptr<detail::RelayConnection> connection_;
     std::uint64_t exchangeNumber_ = 0;
+    Duration readDelay_ {};
 };
 
 using RelayHandler = std::function<void(RelayRequest, std::shared_ptr<RelayExchange>)>;
--- /dev/null
+++ b/src/policy/loopdelay.h
@@ -0,0 +1,31 @@
+//! How far behind a thread's event loop is. A loop that has more work than processor time is late
+//! with everything, its timers included.
+#pragma once
+
+#include <algorithm>
+#include <utility>
+
+#include "core/units.h"
+
+namespace gypsumcroft {
+
+struct LoopDelay
+{
+    //! By how much the last tick came too late.
+    Duration last_ {};
+    //! Longest delay since takeLongest().
+    Duration longest_ {};
+};
+
+inline void noteTick(LoopDelay &delay, Duration late)
+{
+    delay.last_ = std::max(Duration(), late);
+    delay.longest_ = std::max(delay.longest_, delay.last_);
+}
+
+inline Duration takeLongest(LoopDelay &delay)
+{
+    return std::exchange(delay.longest_, Duration());
+}
+
+} // namespace gypsumcroft
