--- a/src/http/tests/tst_relayserver.cpp
+++ b/src/http/tests/tst_relayserver.cpp
@@ -349,3 +349,58 @@
     caller.join();
     BOOST_TEST(end == asio::error::connection_reset);
 }
+
+// A server that is busy with its kept connections accepts all new ones that wait, not one in each
+// turn of its loop: the last of them must not wait for as many turns as there are new connections.
+BOOST_AUTO_TEST_CASE(newConnectionsDontWaitForOneAnother)
+{
+    constexpr std::size_t Kept = 40;
+    constexpr std::size_t New = 40;
+    constexpr std::chrono::milliseconds Work {2};
+    const std::string request = "GET /a HTTP/1.1\r\nHost: x\r\n\r\n";
+    asio::io_context context;
+    std::size_t handled = 0;
+    http::RelayServer server(context, [&](const http::RelayRequest &,
+                                          const std::shared_ptr<http::RelayExchange> &exchange) {
+        ++handled;
+        std::this_thread::sleep_for(Work);
+        exchange->respond({200, {}}, "ok");
+    });
+    const auto address = server.listen({"127.0.0.1", 0});
+    BOOST_REQUIRE(address);
+    const tcp::endpoint to(asio::ip::make_address(address->host_), address->port_);
+    asio::io_context own;
+    const auto connect = [&](std::size_t count) {
+        std::vector<tcp::socket> callers;
+        for (std::size_t i = 0; i < count; ++i) {
+            callers.emplace_back(own);
+            callers.back().connect(to);
+            asio::write(callers.back(), asio::buffer(request));
+        }
+        return callers;
+    };
+    std::vector<tcp::socket> kept = connect(Kept);
+    BOOST_REQUIRE(runUntil(context, [&] { return handled >= Kept; }));
+    std::vector<tcp::socket> fresh = connect(New);
+    const std::size_t before = handled;
+    // The kept callers send their next request as soon as they have a response.
+    std::vector<std::string> received(Kept);
+    const auto goOn = [&] {
+        for (std::size_t i = 0; i < Kept; ++i) {
+            boost::system::error_code error;
+            char bytes[256];
+            kept[i].non_blocking(true, error);
+            if (kept[i].read_some(asio::buffer(bytes), error) > 0)
+                asio::write(kept[i], asio::buffer(request), error);
+        }
+    };
+    const auto allAccepted = [&] { return server.connectionCount() >= Kept + New; };
+    BOOST_REQUIRE(runUntil(context, [&] {
+        goOn();
+        return allAccepted();
+    }));
+    // A few turns in which each kept caller is served, where one accept a turn would take New
+    // turns.
+    constexpr std::size_t Turns = 5;
+    BOOST_TEST(handled - before <= Turns * (Kept + New));
+}
--- a/src/wire/tests/tst_meshend.cpp
+++ b/src/wire/tests/tst_meshend.cpp
@@ -200,3 +200,73 @@
     const std::size_t after = residentBytes();
     BOOST_TEST(after - std::min(before, after) <= test.maxGrowthBytes_);
 }
+
+namespace {
+
+//! Digests that wait in the socket, and those that are handled once the receiver gets to them.
+struct WaitingCase
+{
+    const char *name_;
+    std::vector<GatewayDigestMessage> sent_;
+    std::vector<std::uint64_t> handled_;
+};
+
+std::ostream &operator<<(std::ostream &out, const WaitingCase &test)
+{
+    return out << test.name_;
+}
+
+GatewayDigestMessage digestOf(DigestScope scope, const char *domain, std::uint64_t sequence)
+{
+    GatewayDigestMessage digest;
+    digest.scope_ = scope;
+    digest.domain_ = {domain};
+    digest.sequence_ = sequence;
+    return digest;
+}
+
+const WaitingCase WaitingCases[] = {
+        {"one", {digestOf(DigestScope::Gateway, "a", 1)}, {1}},
+        {"several of one gateway",
+         {digestOf(DigestScope::Gateway, "a", 1), digestOf(DigestScope::Gateway, "a", 2),
+          digestOf(DigestScope::Gateway, "a", 3)},
+         {3}},
+        {"own state and sums",
+         {digestOf(DigestScope::Gateway, "a", 1), digestOf(DigestScope::Domain, "a", 2),
+          digestOf(DigestScope::Gateway, "a", 3), digestOf(DigestScope::Domain, "a", 4)},
+         {3, 4}},
+        {"sums of two domains, passed on",
+         {digestOf(DigestScope::RelayedDomain, "b", 1),
+          digestOf(DigestScope::RelayedDomain, "c", 2),
+          digestOf(DigestScope::RelayedDomain, "b", 3)},
+         {2, 3}},
+        {"news of crashes",
+         {digestOf(DigestScope::CrashNews, "a", 1), digestOf(DigestScope::CrashNews, "a", 2),
+          digestOf(DigestScope::RelayedCrashNews, "a", 3), digestOf(DigestScope::Gateway, "a", 4)},
+         {1, 2, 3, 4}},
+};
+
+} // namespace
+
+// A receiver that was held up handles the newest state of each sender, and no news is lost.
+BOOST_DATA_TEST_CASE(digestsThatAreOutOfDateAreNotHandled, WaitingCases, test)
+{
+    asio::io_context context;
+    std::vector<std::uint64_t> handled;
+    const auto handle = [&](const Datagram &datagram) {
+        handled.push_back(std::get<GatewayDigestMessage>(datagram).sequence_);
+    };
+    const auto ignore = [](const std::string &) {};
+    DatagramSocket receiver(context, handle, ignore);
+    const auto address = receiver.bind({"127.0.0.1", 0});
+    BOOST_REQUIRE(address);
+    asio::io_context own;
+    DatagramSocket sender(
+            own, [](const Datagram &) {}, ignore);
+    BOOST_REQUIRE(sender.bind({"127.0.0.1", 0}));
+    for (const GatewayDigestMessage &digest : test.sent_)
+        sender.send(*address, digest);
+    own.run_for(std::chrono::milliseconds(50));
+    context.run_for(std::chrono::milliseconds(100));
+    BOOST_TEST(handled == test.handled_, boost::test_tools::per_element());
+}
