A request is sent only for a caller that is still there

What callers saw: servers ran requests whose callers had left up to 0.9 s before (GONE). Cause: the end of a caller's connection is noticed when it is read. At a gateway that is behind it lies in the socket while the request is dispatched, and again while a connection to the endpoint is opened. Ruled out: reading ahead of each dispatch for all queued requests (a system call each and turn). Change: right before a dispatch takes a connection, and again before it is written, the kernel is asked whether the caller's connection has ended; if so, the request ends as if that had been read. Line send-withdrawn. Conclusion: no dispatch for a caller whose close has arrived, however late the loop is.

--- a/src/app/internal/gatewaytraffic.cpp
+++ b/src/app/internal/gatewaytraffic.cpp
@@ -148,18 +148,35 @@
     decoded.connection_ = exchange->connectionId();
     decoded.ordinal_ = exchange->requestOrdinal();
     longestReadDelay_ = std::max(longestReadDelay_, exchange->readDelay());
-    exchange->onDisconnect([this, id] {
-        exchanges_.erase(id);
-        withTraffic([&](const GatewayView &view, TimePoint now) {
-            onGatewayCallerDisconnected(traffic_, view, id, now);
-        });
-    });
+    exchange->onDisconnect([this, id] { endForAbsentCaller(id); });
     exchanges_[id] = {std::move(request), decoded, std::move(exchange)};
     withTraffic([&](const GatewayView &view, TimePoint now) {
         onGatewayRequest(traffic_, view, std::move(decoded), now);
     });
 }
 
+void GatewayTrafficLoop::endForAbsentCaller(ExchangeId exchange)
+{
+    exchanges_.erase(exchange);
+    withTraffic([&](const GatewayView &view, TimePoint now) {
+        onGatewayCallerDisconnected(traffic_, view, exchange, now);
+    });
+}
+
+//! A caller's close may lie unread behind other work.
+bool GatewayTrafficLoop::maySend(ExchangeId exchange)
+{
+    const auto open = exchanges_.find(exchange);
+    if (open != exchanges_.end() && !open->second.exchange_->hasCallerLeft())
+        return true;
+    if (open != exchanges_.end())
+        GC_LOG_INFO(LogLine("send-withdrawn")
+                            .add("request", open->second.decoded_.id_)
+                            .add("reason", "caller left"));
+    endForAbsentCaller(exchange);
+    return false;
+}
+
 void GatewayTrafficLoop::onBody(DispatchId send, std::string_view bytes)
 {
     const auto found = calls_.find(send);
@@ -233,6 +250,7 @@
 {
     const DispatchId id = send.dispatch_;
     http::RelayCallHandlers handlers;
+    handlers.maySend_ = [this, exchange = send.exchange_] { return maySend(exchange); };
     handlers.onHead_ = [this, id](http::ResponseHead head) {
         const auto found = calls_.find(id);
         if (found == calls_.end())
@@ -265,8 +283,6 @@
         calls_.erase(id);
     };
     const OpenExchange &open = exchanges_.at(send.exchange_);
-    if (open.exchange_->hasCallerLeft())
-        GC_LOG_INFO(LogLine("sent-for-absent-caller").add("request", open.decoded_.id_));
     calls_[id].call_ = client_.send(platform::encodeEndpointRequest(open.request_, send),
                                     std::move(handlers));
 }
--- a/src/http/internal/relayclient.cpp
+++ b/src/http/internal/relayclient.cpp
@@ -239,12 +239,17 @@
         co_return std::string();
     }
 
+    static bool maySend(const detail::RelayCallState &call)
+    {
+        return !call.cancelled_ && (!call.handlers_.maySend_ || call.handlers_.maySend_());
+    }
+
     static asio::awaitable<void> run(std::shared_ptr<Impl> self,
                                      std::shared_ptr<detail::RelayCallState> call)
     {
         // send() returns its handle before the call starts.
         co_await asio::post(self->context_, asio::use_awaitable);
-        if (call->cancelled_)
+        if (!maySend(*call))
             co_return;
         if (!call->request_.newConnection_ && !call->request_.correlationHeader_.empty())
             call->connection_ = self->takeIdleConnection(call->request_, detail::Clock::now());
@@ -257,6 +262,8 @@
                 call->handlers_.onFailed_(RelayFailure::NotSent, reason);
                 co_return;
             }
+            if (!maySend(*call))
+                co_return;
         }
         call->connection_->requestIdHashes_.push_back(
                 std::hash<std::string>()(call->request_.correlationId_));
--- a/src/http/internal/relayserver.cpp
+++ b/src/http/internal/relayserver.cpp
@@ -257,11 +257,22 @@
     return got == 0 ? std::optional(info) : std::nullopt;
 }
 
+//! True if the end of the connection is the next thing to be read.
+bool isAtEnd(RelayConnection &connection)
+{
+    char byte = 0;
+    boost::system::error_code error;
+    connection.socket_.non_blocking(true, error);
+    connection.socket_.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+    return error && error != asio::error::would_block;
+}
+
 //! True if the caller has closed its side of the connection, even if received bytes are unread.
 bool hasDisconnected(RelayConnection &connection)
 {
     const auto info = tcpInfo(connection);
-    return info && (info->tcpi_state == TCP_CLOSE_WAIT || info->tcpi_state == TCP_CLOSE);
+    return (info && (info->tcpi_state == TCP_CLOSE_WAIT || info->tcpi_state == TCP_CLOSE))
+           || isAtEnd(connection);
 }
 
 //! Time since the last bytes arrived from the caller.
--- a/src/http/relayclient.h
+++ b/src/http/relayclient.h
@@ -50,6 +50,10 @@
 //! Called on the client's thread, never from within RelayClient::send() or RelayCall::cancel().
 struct RelayCallHandlers
 {
+    //! Optional. Asked before a connection is taken and again before the request is written, which
+    //! may be much later. If it returns false the call has ended: nothing was sent, and no other
+    //! handler is called.
+    std::function<bool()> maySend_;
     std::function<void(ResponseHead)> onHead_;
     std::function<void(std::string_view)> onBody_;
     //! The response is complete.
