A gateway accepts all connections that wait, not one in each turn of its loop

What callers saw: requests on new connections reached endpoints seconds late, or after their callers had left (GONE), while the gateway's timers were at most 0.2 s late. Cause: each turn of the traffic loop accepted one connection and then did the work of all open ones. With more new callers a second than turns, connections wait in the kernel, the oldest first, and nobody knows for how long. Ruled out: a shorter listening queue alone (callers would be refused that could be served). Change: after each accept the other waiting connections are accepted too, up to 256 a turn. Conclusion: a new connection waits for one turn of the loop, whatever comes with it.

--- a/src/http/internal/relayserver.cpp
+++ b/src/http/internal/relayserver.cpp
@@ -340,12 +340,33 @@
                 co_await pause(self->context_, AcceptRetryDelay);
                 continue;
             }
-            auto connection
-                    = std::make_shared<detail::RelayConnection>(std::move(socket), self->shared_);
-            asio::co_spawn(self->context_, detail::serve(std::move(connection)), asio::detached);
+            self->serve(std::move(socket));
+            self->acceptWaiting();
         }
     }
 
+    //! Accepts the other connections that wait already. One a turn of the loop would leave new
+    //! callers behind all that the open connections have to do.
+    void acceptWaiting()
+    {
+        boost::system::error_code error;
+        acceptor_.non_blocking(true, error);
+        for (std::size_t i = 0; i < MaxAcceptsPerTurn && !error && acceptor_.is_open(); ++i) {
+            if (shared_->connections_.size() >= shared_->limits_.maxConnections_)
+                return;
+            tcp::socket socket(context_);
+            acceptor_.accept(socket, error);
+            if (!error)
+                serve(std::move(socket));
+        }
+    }
+
+    void serve(tcp::socket socket)
+    {
+        auto connection = std::make_shared<detail::RelayConnection>(std::move(socket), shared_);
+        asio::co_spawn(context_, detail::serve(std::move(connection)), asio::detached);
+    }
+
     static asio::awaitable<void> checkCallers(std::shared_ptr<Impl> self)
     {
         while (!self->shared_->serverDestroyed_) {
@@ -374,6 +395,7 @@
         co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     }
 
+    static constexpr std::size_t MaxAcceptsPerTurn = 256;
     //! Without a delay, the thread would spin while the process is out of file descriptors.
     static constexpr std::chrono::milliseconds AcceptRetryDelay {20};
 
