A gateway that was held up handles the newest digest of each sender, not all in their order

What callers saw: requests reached endpoints 4.5 s after they had said that they leave (DRAIN), from gateways whose timers were at most 0.2 s late. Cause: each turn of the control loop took one datagram. Change: all waiting datagrams are taken at once; of those that describe the state of the same thing (a gateway, or a domain passed on by it), only the last is decoded and handled. News of crashes is never left out. The scope and the domain come first in a digest's encoding, so that the rest need not be read. Conclusion: what a gateway believes is at most a turn of its loop behind what has arrived.

--- a/src/wire/codec.h
+++ b/src/wire/codec.h
@@ -34,4 +34,17 @@
 std::optional<Message> decodePayload(const FrameHeader &header, std::string_view payload);
 std::optional<Datagram> decodeDatagram(std::string_view bytes);
 
+//! What a datagram describes the state of. The next datagram of the same kind from the same sender
+//! replaces it.
+struct StateKind
+{
+    DigestScope scope_ = DigestScope::Gateway;
+    FailureDomainId domain_;
+    auto operator<=>(const StateKind &) const = default;
+};
+
+//! nullopt for a datagram that isn't replaced by another one, and for malformed ones. Reads the
+//! beginning of the datagram only.
+std::optional<StateKind> stateKindOf(std::string_view bytes);
+
 } // namespace gypsumcroft
--- a/src/wire/internal/codec.cpp
+++ b/src/wire/internal/codec.cpp
@@ -223,10 +223,12 @@
 template <typename Archive>
 void serialize(Archive &archive, GatewayDigestMessage &digest)
 {
-    archive(digest.scope_, digest.sentAt_, digest.settled_, digest.stopping_, digest.storeNews_);
-    archive(digest.instance_, digest.domain_, digest.gateway_, digest.incarnation_,
-            digest.sequence_, digest.loads_, digest.loadedLayers_, digest.layerMoves_,
-            digest.downEndpoints_, digest.leavingEndpoints_, digest.members_, digest.traits_);
+    // stateKindOf() reads the first two without the rest.
+    archive(digest.scope_, digest.domain_);
+    archive(digest.sentAt_, digest.settled_, digest.stopping_, digest.storeNews_);
+    archive(digest.instance_, digest.gateway_, digest.incarnation_, digest.sequence_, digest.loads_,
+            digest.loadedLayers_, digest.layerMoves_, digest.downEndpoints_,
+            digest.leavingEndpoints_, digest.members_, digest.traits_);
 }
 
 template <typename Archive>
@@ -390,6 +392,29 @@
     return detail::decodeValue<Message>(payload);
 }
 
+std::optional<StateKind> stateKindOf(std::string_view bytes)
+{
+    // Encoded text is short; the rest of a datagram can be large.
+    constexpr std::size_t PrefixBytes = 512;
+    if (bytes.size() < FrameHeaderBytes)
+        return std::nullopt;
+    try {
+        std::istringstream stream {std::string(bytes.substr(FrameHeaderBytes, PrefixBytes))};
+        cereal::PortableBinaryInputArchive archive(stream);
+        std::int32_t index = 0; // As cereal encodes the alternative of a variant.
+        archive(index);
+        if (static_cast<std::size_t>(index) != Datagram(GatewayDigestMessage {}).index())
+            return std::nullopt;
+        StateKind kind;
+        archive(kind.scope_, kind.domain_);
+        const bool isNews = kind.scope_ == DigestScope::CrashNews
+                            || kind.scope_ == DigestScope::RelayedCrashNews;
+        return isNews ? std::nullopt : std::optional(kind);
+    } catch (const std::exception &) {
+        return std::nullopt;
+    }
+}
+
 std::optional<Datagram> decodeDatagram(std::string_view bytes)
 {
     const auto header = decodeFrameHeader(bytes);
--- a/src/wire/internal/mesh.cpp
+++ b/src/wire/internal/mesh.cpp
@@ -1,8 +1,10 @@
 #include "wire/mesh.h"
 
 #include <deque>
+#include <map>
 #include <mutex>
 #include <unordered_map>
+#include <utility>
 
 #include <boost/asio.hpp>
 
@@ -21,6 +23,8 @@
 //! The buffer of a payload grows by at most this much ahead of the received bytes.
 constexpr std::size_t MaxBufferGrowthBytes = 64UL * 1024;
 constexpr std::chrono::milliseconds AcceptRetryDelay {20};
+//! Datagrams that are taken from a socket before they are handled.
+constexpr std::size_t MaxDatagramsPerTurn = 512;
 
 //! An outgoing connection. Not thread-safe: all members are used on its io_context's single thread.
 struct PeerConnection : std::enable_shared_from_this<PeerConnection>
@@ -263,20 +267,45 @@
 
     void receive()
     {
-        socket_.async_receive_from(
-                asio::buffer(buffer_), from_,
-                [self = shared_from_this()](boost::system::error_code error, std::size_t size) {
-                    if (error == asio::error::operation_aborted || !self->socket_.is_open())
-                        return;
-                    if (!error)
-                        self->received(size);
-                    self->receive();
-                });
+        socket_.async_wait(udp::socket::wait_read, [self = shared_from_this()](
+                                                           boost::system::error_code error) {
+            if (error == asio::error::operation_aborted || !self->socket_.is_open())
+                return;
+            self->handleWaiting();
+            self->receive();
+        });
+    }
+
+    //! Takes all datagrams that wait, and handles them without those that a later one replaces: a
+    //! receiver that was held up would only fall further behind with them.
+    void handleWaiting()
+    {
+        std::vector<std::string> datagrams;
+        std::map<std::pair<udp::endpoint, StateKind>, std::size_t> newest;
+        boost::system::error_code error;
+        socket_.non_blocking(true, error);
+        while (!error && datagrams.size() < detail::MaxDatagramsPerTurn) {
+            udp::endpoint from;
+            const std::size_t size = socket_.receive_from(asio::buffer(buffer_), from, 0, error);
+            if (error)
+                break;
+            datagrams.emplace_back(buffer_.data(), size);
+            const auto kind = stateKindOf(datagrams.back());
+            if (!kind)
+                continue;
+            const auto [known, isNew] = newest.try_emplace({from, *kind}, datagrams.size() - 1);
+            if (!isNew)
+                datagrams[std::exchange(known->second, datagrams.size() - 1)].clear();
+        }
+        for (const std::string &datagram : datagrams) {
+            if (!datagram.empty())
+                handle(datagram);
+        }
     }
 
-    void received(std::size_t size)
+    void handle(std::string_view bytes)
     {
-        auto datagram = decodeDatagram({buffer_.data(), size});
+        auto datagram = decodeDatagram(bytes);
         if (datagram)
             handler_(std::move(*datagram));
         else
@@ -284,7 +313,6 @@
     }
 
     udp::socket socket_;
-    udp::endpoint from_;
     std::array<char, 65536> buffer_ {};
     Handler handler_;
     MalformedInputHandler onMalformedInput_;
