News of the endpoint list carries the changes of the last two seconds, not only the last one

Ruled out: sending the whole list (some 20 KB a digest). Change: StoreNews has the last changes in order, up to 128 entries and two seconds back, the newest always. Measured: missedChangesOfTheListAreTaken, four rows, hold; by the code before, the rows with more than one change can't be taken. Conclusion: only a gateway that heard nothing for two seconds of changes reads the list for itself.

--- a/src/controllers/internal/storerelay.cpp
+++ b/src/controllers/internal/storerelay.cpp
@@ -58,16 +58,48 @@
     return TimePoint(echo->sentAt_ + echo->heldFor_ - *age);
 }
 
+std::size_t sizeOf(const EndpointListChanges &changes)
+{
+    return changes.changed_.size() + changes.removed_.size();
+}
+
+//! Adds a change to those that digests carry.
+void addChange(StoreRelayState &state, EndpointListChanges changes, TimePoint now)
+{
+    std::vector<ListChange> &known = state.listChanges_;
+    if (!known.empty() && known.back().changes_.toHash_ != changes.fromHash_)
+        known.clear();
+    known.push_back({std::move(changes), now});
+    std::size_t entries = 0;
+    for (const ListChange &change : known)
+        entries += sizeOf(change.changes_);
+    const auto isOld = [&](const ListChange &change) {
+        return now - change.readAt_ > state.limits_.changesFor_;
+    };
+    while (known.size() > 1 && (entries > state.limits_.maxChanges_ || isOld(known.front()))) {
+        entries -= sizeOf(known.front().changes_);
+        known.erase(known.begin());
+    }
+    if (entries > state.limits_.maxChanges_)
+        known.clear();
+}
+
 //! Brings the list to the newer one of the news. Returns false if that is impossible.
 bool takeList(StoreRelayState &state, const StoreNews &news)
 {
-    if (!news.listChanges_ || news.listChanges_->fromHash_ != state.listHash_)
+    const auto first = std::find_if(news.listChanges_.begin(), news.listChanges_.end(),
+                                    [&](const EndpointListChanges &changes) {
+                                        return changes.fromHash_ == state.listHash_;
+                                    });
+    if (first == news.listChanges_.end())
         return false;
     auto listed = state.listed_;
-    for (const ListedEndpoint &endpoint : news.listChanges_->changed_)
-        listed[endpoint.id_] = endpoint;
-    for (const EndpointId &endpoint : news.listChanges_->removed_)
-        listed.erase(endpoint);
+    for (auto changes = first; changes != news.listChanges_.end(); ++changes) {
+        for (const ListedEndpoint &endpoint : changes->changed_)
+            listed[endpoint.id_] = endpoint;
+        for (const EndpointId &endpoint : changes->removed_)
+            listed.erase(endpoint);
+    }
     const std::uint64_t hash = listHash(listed);
     if (hash != news.listHash_)
         return false;
@@ -121,7 +153,7 @@
 }
 
 bool noteListRead(StoreRelayState &state, const std::vector<ListedEndpoint> &listed,
-                  LogOffset offset)
+                  LogOffset offset, TimePoint now)
 {
     if (offset < state.listOffset_)
         return false;
@@ -135,7 +167,7 @@
     changes.fromHash_ = state.listHash_;
     state.listed_ = std::move(after);
     state.listHash_ = changes.toHash_ = listHash(state.listed_);
-    state.listChanges_ = std::move(changes);
+    detail::addChange(state, std::move(changes), now);
     return true;
 }
 
@@ -169,10 +201,13 @@
     news.listAge_ = age(state.list_);
     if (!news.configAge_ && !news.listAge_)
         return std::nullopt;
-    const EndpointListChanges &changes = state.listChanges_;
-    if (news.listAge_ && changes.toHash_ == state.listHash_
-        && changes.changed_.size() + changes.removed_.size() <= state.limits_.maxChanges_)
-        news.listChanges_ = changes;
+    const std::vector<ListChange> &changes = state.listChanges_;
+    if (news.listAge_ && !changes.empty() && changes.back().changes_.toHash_ == state.listHash_) {
+        for (const ListChange &change : changes) {
+            if (&change == &changes.back() || now - change.readAt_ <= state.limits_.changesFor_)
+                news.listChanges_.push_back(change.changes_);
+        }
+    }
     for (const auto &[address, clock] : state.clocks_)
         news.echoes_.push_back({address, clock.sentAt_, now - clock.receivedAt_});
     return news;
--- a/src/controllers/storerelay.h
+++ b/src/controllers/storerelay.h
@@ -44,8 +44,10 @@
     Duration retryDelay_ = std::chrono::milliseconds(150);
     //! Time for which digests tell what was read.
     Duration newsFor_ = std::chrono::seconds(3);
-    //! Largest change of the list that digests carry; recipients read a larger one for themselves.
+    //! Entries in the changes of the list that digests carry; recipients read more for themselves.
     std::size_t maxChanges_ = 128;
+    //! Time for which digests carry a change of the list. The newest one is always carried.
+    Duration changesFor_ = std::chrono::seconds(2);
 };
 
 //! Read of one thing: the desired state or the endpoint list.
@@ -73,6 +75,13 @@
     Duration leastOffset_ {};
 };
 
+//! A change of the list and when it was read.
+struct ListChange
+{
+    EndpointListChanges changes_;
+    TimePoint readAt_;
+};
+
 struct StoreRelayState
 {
     StoreRelayLimits limits_;
@@ -82,8 +91,8 @@
     std::map<EndpointId, ListedEndpoint> listed_;
     std::uint64_t listHash_ = 0;
     LogOffset listOffset_;
-    //! How the last read changed the list.
-    EndpointListChanges listChanges_;
+    //! How the last reads changed the list, the newest at the end.
+    std::vector<ListChange> listChanges_;
     std::map<Address, HeardClock> clocks_;
 };
 
@@ -108,7 +117,7 @@
 
 //! Notes a list that this process read. Returns false if a newer one is known.
 bool noteListRead(StoreRelayState &state, const std::vector<ListedEndpoint> &listed,
-                  LogOffset offset);
+                  LogOffset offset, TimePoint now);
 
 //! Notes the clock reading of a digest, for the echo to its sender. Returns how much longer this
 //! digest took to arrive and be handled than the fastest one of its sender.
--- a/src/core/messages.h
+++ b/src/core/messages.h
@@ -381,8 +381,9 @@
     //! End of the log of list records when the list was read: a list with a higher one is newer.
     LogOffset listOffset_;
     std::optional<Duration> listAge_;
-    //! Leads from the previous list to this one; empty if that is long ago or too large.
-    std::optional<EndpointListChanges> listChanges_;
+    //! The last changes, the newest at the end, so that a recipient that missed some news can take
+    //! them all; empty if they are too large.
+    std::vector<EndpointListChanges> listChanges_;
     std::vector<DigestEcho> echoes_;
 };
 
--- a/src/gateway/internal/control.cpp
+++ b/src/gateway/internal/control.cpp
@@ -304,7 +304,7 @@
     detail::onPlatformResponse(state, now);
     StoreRead &read = state.relay_.list_;
     onReadAnswered(read, requestedAt, detail::readInterval(state, read, now), now);
-    if (!noteListRead(state.relay_, listed, offset))
+    if (!noteListRead(state.relay_, listed, offset, now))
         return;
     detail::applyList(state, requestedAt, now);
     read.nextAt_ = std::min(read.nextAt_, nextListPoll(state.endpoints_, now));
--- a/src/gateway/tests/tst_storerelay.cpp
+++ b/src/gateway/tests/tst_storerelay.cpp
@@ -439,3 +439,57 @@
     BOOST_TEST(fleet.calmCalls_ / seconds / static_cast<double>(test.domains_)
                <= test.callsPerDomain_);
 }
+
+namespace {
+
+//! News of a list that changed several times since the recipient took it.
+struct MissedCase
+{
+    const char *name_;
+    //! Time between two changes, and their number since the list that the recipient has.
+    int everyMs_;
+    int missed_;
+    bool taken_;
+};
+
+std::ostream &operator<<(std::ostream &out, const MissedCase &test)
+{
+    return out << test.name_;
+}
+
+const MissedCase MissedCases[] = {
+        {"one change", 700, 1, true},
+        {"two changes", 700, 2, true},
+        {"three changes close together", 200, 3, true},
+        {"changes of a time for which nothing was heard", 900, 8, false},
+};
+
+} // namespace
+
+// A gateway that missed some news takes all the changes of the list from the next one: it need not
+// read the store, which may not answer it.
+BOOST_DATA_TEST_CASE(missedChangesOfTheListAreTaken, MissedCases, test)
+{
+    const Address self {"10.0.0.1", 7000};
+    StoreRelayState reader;
+    StoreRelayState recipient;
+    int ms = 0;
+    for (int number = 1; number <= test.missed_ + 1; ++number) {
+        ms += test.everyMs_;
+        BOOST_REQUIRE(noteListRead(reader, listOf(static_cast<std::uint64_t>(number)),
+                                   {static_cast<std::uint64_t>(ms)}, at(ms)));
+        onReadAnswered(reader.list_, at(ms), Duration(), at(ms));
+        if (number > 1)
+            continue;
+        noteListRead(recipient, listOf(1), {static_cast<std::uint64_t>(ms)}, at(ms));
+    }
+    GatewayDigestMessage digest;
+    digest.gateway_ = self;
+    digest.sentAt_ = at(ms).time_since_epoch();
+    noteClock(reader, digest, at(ms));
+    const auto news = storeNews(reader, {1}, at(ms + 1));
+    BOOST_REQUIRE(news.has_value());
+    const RelayedNews relayed = applyStoreNews(recipient, *news, self, std::nullopt, at(ms + 1));
+    BOOST_TEST(relayed.listConfirmedAt_.has_value() == test.taken_);
+    BOOST_TEST((recipient.listHash_ == reader.listHash_) == test.taken_);
+}
