No request is dispatched by an endpoint list that this gateway could know better

What callers saw: requests reached endpoints more than DrainMs after they had said that they leave (DRAIN). Cause: nothing at a dispatch looks at the age of the list, as keysAreFresh() and stateIsFresh() do for the desired state; and what is learned while a connection to the endpoint is opened changes nothing. Ruled out: serving nothing by an old list whenever the store is silent (its disturbance excuses nothing): the list counts as unavailable while a read of this process is refused, or gets no answer although its own loop keeps up. Change: setting bounds/drainMs; listIsFresh(); while it is false requests wait, and are refused as not run once they are overdue; a gateway whose list is over three seconds old without that excuse isn't ready. confirmDispatch() asks right before a dispatch is sent whether its path is still usable, and queues the request again if not. Conclusion: the bound on the list's age is enforced where it matters, whatever makes the process late.

--- a/src/app/internal/gatewaytraffic.cpp
+++ b/src/app/internal/gatewaytraffic.cpp
@@ -164,11 +164,16 @@
 }
 
 //! A caller's close may lie unread behind other work.
-bool GatewayTrafficLoop::maySend(ExchangeId exchange)
+bool GatewayTrafficLoop::maySend(ExchangeId exchange, DispatchId dispatch)
 {
     const auto open = exchanges_.find(exchange);
-    if (open != exchanges_.end() && !open->second.exchange_->hasCallerLeft())
-        return true;
+    if (open != exchanges_.end() && !open->second.exchange_->hasCallerLeft()) {
+        bool confirmed = false;
+        withTraffic([&](const GatewayView &view, TimePoint now) {
+            confirmed = confirmDispatch(traffic_, view, dispatch, now);
+        });
+        return confirmed;
+    }
     if (open != exchanges_.end())
         GC_LOG_INFO(LogLine("send-withdrawn")
                             .add("request", open->second.decoded_.id_)
@@ -250,7 +255,7 @@
 {
     const DispatchId id = send.dispatch_;
     http::RelayCallHandlers handlers;
-    handlers.maySend_ = [this, exchange = send.exchange_] { return maySend(exchange); };
+    handlers.maySend_ = [this, id, exchange = send.exchange_] { return maySend(exchange, id); };
     handlers.onHead_ = [this, id](http::ResponseHead head) {
         const auto found = calls_.find(id);
         if (found == calls_.end())
--- a/src/app/internal/gatewaytraffic.h
+++ b/src/app/internal/gatewaytraffic.h
@@ -62,8 +62,9 @@
 
     void onRequest(http::RelayRequest request, std::shared_ptr<http::RelayExchange> exchange);
     void endForAbsentCaller(ExchangeId exchange);
-    //! Whether the exchange's caller is still there; ends the request if not.
-    bool maySend(ExchangeId exchange);
+    //! Whether the exchange's caller is still there and nothing speaks against the dispatch; ends
+    //! or queues the request if not.
+    bool maySend(ExchangeId exchange, DispatchId dispatch);
     void onBody(DispatchId send, std::string_view bytes);
     void giveUpSend(DispatchId send, const char *reason);
     Duration tick();
--- a/src/controllers/gatewayview.h
+++ b/src/controllers/gatewayview.h
@@ -16,7 +16,8 @@
 
 namespace gypsumcroft {
 
-//! How long ago the desired state may have been confirmed for it to be used.
+//! How long ago the desired state and the endpoint list may have been confirmed for them to be
+//! used.
 struct FreshnessLimits
 {
     //! Within this time after the platform accepts a state that revokes a key, the key must be
@@ -24,6 +25,9 @@
     Duration maxKeyAge_ {};
     //! Within this time after the platform accepts a state, requests must be routed by it.
     Duration maxStateAge_ = std::chrono::milliseconds(2000);
+    //! Within this time after the platform accepts that an endpoint leaves, it must get no more
+    //! requests.
+    Duration maxListAge_ = std::chrono::milliseconds(2000);
 };
 
 struct EndpointIndex
@@ -55,6 +59,8 @@
     std::optional<TimePoint> stateConfirmedAt_;
     //! When the last successful poll of the endpoint list was sent.
     std::optional<TimePoint> listConfirmedAt_;
+    //! The platform doesn't tell this process the list, which can't get newer by waiting.
+    bool listUnavailable_ = false;
     FreshnessLimits freshness_;
     FailureDomainId domain_;
     //! Number of gateways that share the retry budget and the endpoints, including this one.
@@ -94,4 +100,9 @@
 //! True while the desired state is recent enough that requests may still be routed by it.
 bool stateIsFresh(const GatewayView &view, TimePoint now);
 
+//! True while the endpoint list is recent enough that every endpoint that must get no more requests
+//! is known to leave, or it is the best that can be had. False where this process is behind with
+//! news that it can have.
+bool listIsFresh(const GatewayView &view, TimePoint now);
+
 } // namespace gypsumcroft
--- a/src/controllers/internal/gatewayview.cpp
+++ b/src/controllers/internal/gatewayview.cpp
@@ -9,12 +9,10 @@
 //! reach its endpoint.
 constexpr double UsedFraction = 0.9;
 
-bool isWithin(const GatewayView &view, Duration bound, TimePoint now)
+bool isWithin(std::optional<TimePoint> confirmedAt, Duration bound, TimePoint now)
 {
-    if (!view.stateConfirmedAt_)
-        return false;
     const auto used = static_cast<std::int64_t>(UsedFraction * static_cast<double>(bound.count()));
-    return now - *view.stateConfirmedAt_ <= Duration(used);
+    return confirmedAt && now - *confirmedAt <= Duration(used);
 }
 
 } // namespace
@@ -36,12 +34,19 @@
 bool keysAreFresh(const GatewayView &view, TimePoint now)
 {
     return view.freshness_.maxKeyAge_ == Duration::zero()
-           || detail::isWithin(view, view.freshness_.maxKeyAge_, now);
+           || detail::isWithin(view.stateConfirmedAt_, view.freshness_.maxKeyAge_, now);
 }
 
 bool stateIsFresh(const GatewayView &view, TimePoint now)
 {
-    return detail::isWithin(view, view.freshness_.maxStateAge_, now);
+    return detail::isWithin(view.stateConfirmedAt_, view.freshness_.maxStateAge_, now);
+}
+
+bool listIsFresh(const GatewayView &view, TimePoint now)
+{
+    // Without any list there are no endpoints to send to.
+    return !view.listConfirmedAt_ || view.listUnavailable_
+           || detail::isWithin(view.listConfirmedAt_, view.freshness_.maxListAge_, now);
 }
 
 } // namespace gypsumcroft
--- a/src/documents/internal/gatewaysettings.cpp
+++ b/src/documents/internal/gatewaysettings.cpp
@@ -55,6 +55,8 @@
     limits.freshness_.maxKeyAge_ = readFlag(bounds, "strictRevoke", true) ? revoke : Duration();
     limits.freshness_.maxStateAge_
             = readMilliseconds(bounds, "applyMs", limits.freshness_.maxStateAge_);
+    limits.freshness_.maxListAge_
+            = readMilliseconds(bounds, "drainMs", limits.freshness_.maxListAge_);
     limits.retry_.ratio_ = readNumber(bounds, "retryRatio", limits.retry_.ratio_);
     limits.retry_.slack_ = readNumber(bounds, "retrySlack", limits.retry_.slack_);
     limits.retry_.window_ = std::chrono::microseconds(
@@ -121,6 +123,8 @@
             now.freshness_.maxKeyAge_);
     compare(changes.applied_, "bounds/applyMs", old.freshness_.maxStateAge_,
             now.freshness_.maxStateAge_);
+    compare(changes.applied_, "bounds/drainMs", old.freshness_.maxListAge_,
+            now.freshness_.maxListAge_);
     compare(changes.applied_, "bounds/retryRatio", old.retry_.ratio_, now.retry_.ratio_);
     compare(changes.applied_, "bounds/retrySlack", old.retry_.slack_, now.retry_.slack_);
     compare(changes.applied_, "bounds/retryWindowS", old.retry_.window_, now.retry_.window_);
--- a/src/documents/tests/tst_documents.cpp
+++ b/src/documents/tests/tst_documents.cpp
@@ -127,14 +127,15 @@
         = R"({"role":"gateway","instance":"g","failureDomain":"a","mesh":"127.0.0.1:1",)"
           R"("callers":"127.0.0.1:2","ready":"127.0.0.1:3","metrics":"127.0.0.1:4",)"
           R"("store":{"address":"127.0.0.1:5","partitions":12,"shortestLifetimeMs":3000},)"
-          R"("bounds":{"strictRevoke":true,"revokeMs":5000,"applyMs":2000,"retryRatio":0.2,)"
-          R"("retrySlack":100,"retryWindowS":10,"graceS":8}})";
+          R"("bounds":{"strictRevoke":true,"revokeMs":5000,"applyMs":2000,"drainMs":2000,)"
+          R"("retryRatio":0.2,"retrySlack":100,"retryWindowS":10,"graceS":8}})";
 
 const ReloadCase ReloadCases[] = {
         {"{", "{", "", ""},
         {"\"revokeMs\":5000", "\"revokeMs\":4000", "bounds/revokeMs", ""},
         {"\"strictRevoke\":true", "\"strictRevoke\":false", "bounds/revokeMs", ""},
         {"\"applyMs\":2000", "\"applyMs\":4000", "bounds/applyMs", ""},
+        {"\"drainMs\":2000", "\"drainMs\":4000", "bounds/drainMs", ""},
         {"\"retryRatio\":0.2", "\"retryRatio\":0.3", "bounds/retryRatio", ""},
         {"\"retrySlack\":100", "\"retrySlack\":320", "bounds/retrySlack", ""},
         {"\"retryWindowS\":10", "\"retryWindowS\":5", "bounds/retryWindowS", ""},
--- a/src/filters/gatewayfilters.h
+++ b/src/filters/gatewayfilters.h
@@ -27,6 +27,11 @@
 bool mayBeDispatched(const GatewayContext &context, const GatewayView &view,
                      const GatewayTraffic &state, TimePoint now);
 
+//! True while nothing says that an endpoint of the dispatch's path leaves, is down or wants no
+//! requests, by a list that is fresh.
+bool isPathUsable(const GatewayContext &context, const GatewayView &view,
+                  const GatewayTraffic &state, TimePoint now);
+
 //! True if the endpoints have capacity for the request; called before it leaves the queue. Stores
 //! the planned path of a model request in the context.
 bool hasCapacity(GatewayContext &context, const GatewayView &view, GatewayTraffic &state,
--- a/src/filters/internal/gatewayfilters.cpp
+++ b/src/filters/internal/gatewayfilters.cpp
@@ -489,6 +489,21 @@
            || mayRun(*view.blame_, state.traitHistory_, context.traits_, now);
 }
 
+bool isPathUsable(const GatewayContext &context, const GatewayView &view,
+                  const GatewayTraffic &state, TimePoint now)
+{
+    const auto isPartUsable = [&](const PathSegment &part) {
+        const auto known = view.endpoints_->byId_.find(part.endpoint_);
+        const auto usage = state.endpointUsage_.find(part.endpoint_);
+        return known != view.endpoints_->byId_.end() && usage != state.endpointUsage_.end()
+               && detail::isUsable(view, usage->second, view.endpoints_->endpoints_[known->second],
+                                   now);
+    };
+    return listIsFresh(view, now) && context.dispatch_
+           && std::all_of(context.dispatch_->path_.begin(), context.dispatch_->path_.end(),
+                          isPartUsable);
+}
+
 bool isTooLateToDispatch(const GatewayContext &context, const GatewayTraffic &state, TimePoint now)
 {
     return context.dispatchCount_ == 0 && state.dispatchUntil_ && now >= *state.dispatchUntil_;
--- a/src/gateway/control.h
+++ b/src/gateway/control.h
@@ -81,6 +81,12 @@
     //! Time for which digests include an endpoint's report of its loaded layers.
     Duration reportForwardTime_ = std::chrono::seconds(2);
     EndpointPauseLimits pause_;
+    //! Time after which a read of the store without an answer shows that the store is silent, in a
+    //! process that keeps up. Each of the read's steps may wait for a turn of a loop that is late.
+    Duration storeSilentAfter_ = std::chrono::milliseconds(200);
+    std::int64_t turnsOfRead_ = 8;
+    //! A read that failed within this time was refused, and not given up for want of an answer.
+    Duration refusedWithin_ = std::chrono::milliseconds(500);
     //! A report request without a response that took longer than this was cut short by a hold-up of
     //! this process, and says nothing about the endpoint.
     Duration maxReportTime_ = std::chrono::milliseconds(900);
@@ -126,6 +132,9 @@
     TimePoint gatewaysLoggedAt_;
     //! False from the first failed request to the platform until one succeeds.
     bool platformReachable_ = true;
+    //! The last read of the list failed for a reason that lies with the platform, and the list has
+    //! not been confirmed since.
+    bool listReadFailed_ = false;
     Random random_;
     std::vector<GatewayControlEffect> effects_;
 };
@@ -212,7 +221,8 @@
 
 GatewayView gatewayViewOf(const GatewayControl &state, TimePoint now);
 
-//! True while the process knows a desired state that was confirmed recently enough.
+//! True while the process knows a desired state and an endpoint list that were confirmed recently
+//! enough; a list that the platform doesn't tell may be old.
 bool isGatewayReady(const GatewayControl &state, TimePoint now);
 
 } // namespace gypsumcroft
--- a/src/gateway/internal/control.cpp
+++ b/src/gateway/internal/control.cpp
@@ -159,8 +159,23 @@
     return listed;
 }
 
+//! True if a request to the store that was sent then would have been answered by now. A process
+//! that is behind can't tell.
+bool storeKeptSilent(const GatewayControl &state, TimePoint sentAt, TimePoint now)
+{
+    const GatewayBounds &bounds = state.bounds_;
+    return now - sentAt >= bounds.storeSilentAfter_ + bounds.turnsOfRead_ * state.loopDelay_.last_;
+}
+
+bool listIsUnavailable(const GatewayControl &state, TimePoint now)
+{
+    const StoreRead &read = state.relay_.list_;
+    return state.listReadFailed_ || (read.inFlight_ && storeKeptSilent(state, read.sentAt_, now));
+}
+
 void applyList(GatewayControl &state, TimePoint requestedAt, TimePoint now)
 {
+    state.listReadFailed_ = false;
     const bool changed
             = applyEndpointList(state.endpoints_, listOf(state.relay_), requestedAt, now);
     emitLog(state, state.endpoints_.log_);
@@ -314,6 +329,11 @@
 void onEndpointListFailed(GatewayControl &state, const std::string &reason, TimePoint now)
 {
     onPlatformRequestFailed(state, "endpoints", reason, now);
+    const StoreRead &read = state.relay_.list_;
+    if (now - read.sentAt_ < state.bounds_.refusedWithin_
+        || detail::storeKeptSilent(state, read.sentAt_, now))
+        state.listReadFailed_ = true;
+    state.viewStale_ = true;
     onReadFailed(state.relay_.list_, state.relay_.limits_, now);
     onListPollFailed(state.endpoints_, reason, now);
     detail::emitLog(state, state.endpoints_.log_);
@@ -537,7 +557,10 @@
     tickCrashes(state.crashes_, state.endpoints_, now);
     detail::emitCrashEffects(state);
     detail::emitProbeEffects(state);
-    if (std::exchange(state.viewStale_, false))
+    const bool listIsLate
+            = state.endpoints_.confirmedAt_
+              && now - *state.endpoints_.confirmedAt_ > state.relay_.limits_.takeOverAfter_;
+    if (std::exchange(state.viewStale_, false) || listIsLate)
         detail::publishView(state);
     if (state.routes_.table_ && holdsLease(state.lease_, now))
         detail::tickTargets(state, now);
@@ -558,6 +581,7 @@
     }
     view.stateConfirmedAt_ = state.routes_.confirmedAt_;
     view.listConfirmedAt_ = state.endpoints_.confirmedAt_;
+    view.listUnavailable_ = detail::listIsUnavailable(state, now);
     view.freshness_ = state.bounds_.freshness_;
     view.domain_ = state.members_.domain_;
     view.gatewayCount_ = knownGateways(state.members_);
@@ -572,7 +596,10 @@
 bool isGatewayReady(const GatewayControl &state, TimePoint now)
 {
     const auto age = desiredStateAge(state.routes_, now);
-    return age && *age <= state.bounds_.maxReadyAge_;
+    const auto listedAt = state.endpoints_.confirmedAt_;
+    const bool listIsRecent = !listedAt || now - *listedAt <= state.bounds_.maxReadyAge_
+                              || detail::listIsUnavailable(state, now);
+    return age && *age <= state.bounds_.maxReadyAge_ && listIsRecent;
 }
 
 } // namespace gypsumcroft
--- a/src/gateway/internal/traffic.cpp
+++ b/src/gateway/internal/traffic.cpp
@@ -87,6 +87,8 @@
 
 void dispatchQueued(GatewayTraffic &state, const GatewayView &view, TimePoint now)
 {
+    if (!listIsFresh(view, now))
+        return;
     for (auto &[target, queues] : state.queues_) {
         dispatchFromQueue(state, view, queues.onTime_, now);
         if (queues.onTime_.size_ == 0)
@@ -357,9 +359,13 @@
                           now);
     if (context.queued_ && checkBlame(state, view, context, now))
         return;
+    const bool isOverdue = hasWaitedLongerThan(context, overdueAfter, now);
+    if (isOverdue && !listIsFresh(view, now))
+        return endRequest(state, context, GatewayRefusal::Unready, GatewayRefusal::TimedOut,
+                          "endpoint list", now);
     if (hasWaitedLongerThan(context, queueTimeout(context.route_, state.limits_), now))
         onQueueTimeout(state, context, now);
-    else if (!context.overdue_ && hasWaitedLongerThan(context, overdueAfter, now))
+    else if (!context.overdue_ && isOverdue)
         markOverdue(state, context);
     else if (context.dispatch_ && context.route_.isStream_)
         checkStream(state, view, context, now);
@@ -405,6 +411,24 @@
         context->dispatch_->connection_ = connection;
 }
 
+bool confirmDispatch(GatewayTraffic &state, const GatewayView &view, DispatchId dispatch,
+                     TimePoint now)
+{
+    GatewayContext *context = detail::contextOf(state, dispatch);
+    if (context == nullptr)
+        return false;
+    if (isPathUsable(*context, view, state, now))
+        return true;
+    detail::emit(state,
+                 logEvent(LogLevel::Info, detail::requestLine("send-withdrawn", *context, now)
+                                                  .add("reason", "endpoint")));
+    detail::emit(state, CancelDispatch {dispatch});
+    releaseDispatch(*context, state);
+    enqueue(*context, state, true);
+    detail::dispatchQueued(state, view, now);
+    return false;
+}
+
 void onDispatchHead(GatewayTraffic &state, const GatewayView &, DispatchId dispatch,
                     const EndpointResponseHead &head, TimePoint now)
 {
--- a/src/gateway/tests/tst_notices.cpp
+++ b/src/gateway/tests/tst_notices.cpp
@@ -419,3 +419,97 @@
     BOOST_TEST(asked(2600));
     BOOST_TEST(gatewayViewOf(control, at(2600)).pausedUntil_.empty());
 }
+
+namespace {
+
+//! A gateway with one reader's news of the list at time 0, and what it finds out afterwards.
+struct ListAgeCase
+{
+    const char *name_;
+    int nowMs_;
+    //! How late the loop's ticks are.
+    int lateMs_;
+    //! The read of the list that is asked for when the news is old fails after this time; -1: it
+    //! has no end yet.
+    int failedAfterMs_;
+    bool dispatches_;
+    bool ready_;
+};
+
+std::ostream &operator<<(std::ostream &out, const ListAgeCase &test)
+{
+    return out << test.name_;
+}
+
+const ListAgeCase ListAgeCases[] = {
+        {"news is recent", 1700, 0, -1, true, true},
+        {"news is old, the store has not had time to answer", 1850, 0, -1, false, true},
+        {"news is old, and the store refuses this gateway", 1950, 0, 10, true, true},
+        {"news is old, and the store is silent", 2300, 0, -1, true, true},
+        {"news is old, and the store was silent until the read was given up", 2600, 0, 700, true,
+         true},
+        {"news is old, and a late loop gave the read up", 2600, 300, 700, false, true},
+        {"news is very old, and a late loop gave the read up", 3100, 300, 700, false, false},
+};
+
+} // namespace
+
+// By a list that this gateway could know better, no request is dispatched.
+BOOST_DATA_TEST_CASE(oldListIsUsedOnlyIfThereIsNoNewerOne, ListAgeCases, test)
+{
+    constexpr int ReadAtMs = 1800;
+    GatewayControl control;
+    control.members_.domain_ = {"a"};
+    control.relay_.limits_.ownInterval_ = milliseconds(ReadAtMs);
+    control.endpoints_.limits_.pollInterval_ = milliseconds(ReadAtMs);
+    onDesiredState(control, desired(), at(0), at(0));
+    onEndpointList(control, {endpoint("d1", "desk", 1, 1)}, {1}, at(0), at(0));
+    for (int ms = 100; ms <= test.nowMs_; ms += 50) {
+        noteTick(control.loopDelay_, milliseconds(test.lateMs_));
+        onGatewayControlTick(control, at(ms));
+        onDesiredStateConfirmed(control, at(ms), at(ms));
+        const StoreRead &read = control.relay_.list_;
+        if (test.failedAfterMs_ >= 0 && read.inFlight_
+            && at(ms) - read.sentAt_ >= milliseconds(test.failedAfterMs_))
+            onEndpointListFailed(control, "failed", at(ms));
+    }
+    const GatewayView view = gatewayViewOf(control, at(test.nowMs_));
+    GatewayTraffic traffic;
+    onGatewayRequest(traffic, view, request(1, "/book/x"), at(test.nowMs_));
+    BOOST_TEST((takeSends(traffic) == "d1") == test.dispatches_);
+    BOOST_TEST(isGatewayReady(control, at(test.nowMs_)) == test.ready_);
+}
+
+// A request that waits for the list is refused, as not run, before its caller loses its time.
+BOOST_AUTO_TEST_CASE(requestIsRefusedWhenTheListStaysOld)
+{
+    GatewayView view = viewWith(1);
+    view.listConfirmedAt_ = at(0);
+    GatewayTraffic traffic;
+    onGatewayRequest(traffic, view, request(1, "/look/x"), at(3000));
+    BOOST_TEST(takeSends(traffic).empty());
+    onGatewayTick(traffic, view, at(6700));
+    BOOST_TEST(traffic.requests_.size() == 1U);
+    onGatewayTick(traffic, view, at(6800));
+    BOOST_TEST(traffic.requests_.empty());
+    BOOST_TEST(traffic.counters_.refused_ == 1U);
+}
+
+// What is learned between the decision and the sending of a dispatch takes it back.
+BOOST_AUTO_TEST_CASE(dispatchIsTakenBackBeforeItIsSent)
+{
+    GatewayView view = viewWith(1);
+    GatewayTraffic traffic;
+    onGatewayRequest(traffic, view, request(1, "/look/x"), at(0));
+    BOOST_REQUIRE(takeSends(traffic) == "d1");
+    const DispatchId first = traffic.exchangesByDispatch_.begin()->first;
+    BOOST_TEST(confirmDispatch(traffic, view, first, at(1)));
+    EndpointListState list;
+    ListedEndpoint draining = endpoint("d1", "desk", 1, 1);
+    draining.state_ = ListedState::Draining;
+    applyEndpointList(list, {draining, endpoint("d2", "desk", 2, 1)}, at(2), at(2));
+    view.endpoints_ = buildEndpointIndex(list);
+    BOOST_TEST(!confirmDispatch(traffic, view, first, at(3)));
+    BOOST_TEST(takeSends(traffic) == "d2");
+    BOOST_TEST(!confirmDispatch(traffic, view, first, at(4)));
+}
--- a/src/gateway/traffic.h
+++ b/src/gateway/traffic.h
@@ -18,6 +18,11 @@
 void onDispatchConnection(GatewayTraffic &state, DispatchId dispatch,
                           const DispatchConnection &connection);
 
+//! To be asked right before a dispatch is sent: false if what has been learned since it was
+//! decided speaks against it. Then the request is queued again, and the dispatch must not be sent.
+bool confirmDispatch(GatewayTraffic &state, const GatewayView &view, DispatchId dispatch,
+                     TimePoint now);
+
 //! Handles the head of an endpoint's response.
 void onDispatchHead(GatewayTraffic &state, const GatewayView &view, DispatchId dispatch,
                     const EndpointResponseHead &head, TimePoint now);
