--- a/src/policy/internal/pathplan.cpp
+++ b/src/policy/internal/pathplan.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <limits>
-#include <map>
 
 namespace gypsumcroft {
 
@@ -38,7 +37,8 @@
     std::size_t segments_ = 0;
 };
 
-using PartialPaths = std::map<FailureDomainId, PartialPath>;
+//! By index of the failure domain.
+using PartialPaths = std::vector<PartialPath>;
 
 double delayMs(const EngineSpec &engine, const FailureDomainId &from, const FailureDomainId &to)
 {
@@ -50,12 +50,34 @@
     return found == engine.domainDelays_.end() ? 1.0 : toMilliseconds(found->second);
 }
 
-double utilisationWith(const PathNode &node, std::uint32_t count, const PathDemand &demand)
+//! What a node costs a request: fixed, and for each layer that it runs.
+struct NodeCost
 {
-    if (node.kvCapacity_ <= 0)
-        return 1;
-    const double need = static_cast<double>(demand.prompt_.value_ + demand.answer_.value_) * count;
-    return (node.kvUsed_ + need) / node.kvCapacity_;
+    double fixedMs_ = 0;
+    double msPerLayer_ = 0;
+    //! Utilisation of the KV capacity without the request.
+    double utilisation_ = 0;
+    double utilisationPerLayer_ = 0;
+};
+
+NodeCost nodeCost(const EngineSpec &engine, const PathNode &node, const PathDemand &demand)
+{
+    const double layers = engine.layers_;
+    const double read = toMilliseconds(
+            prefillTime(engine, node.prefillFactor_, engine.layers_, demand.prompt_));
+    const double step = (toMilliseconds(engine.decodeStepTime_)
+                         + toMilliseconds(engine.decodeStepTimePerSequence_) * node.streams_)
+                        * node.decodeFactor_;
+    NodeCost cost;
+    cost.fixedMs_ = toMilliseconds(node.pendingPrefill_) + toMilliseconds(node.penalty_);
+    cost.msPerLayer_ = (read + step * WeightedDecodeSteps) / layers;
+    cost.utilisation_ = node.kvCapacity_ <= 0 ? 1 : node.kvUsed_ / node.kvCapacity_;
+    cost.utilisationPerLayer_
+            = node.kvCapacity_ <= 0
+                      ? 0
+                      : static_cast<double>(demand.prompt_.value_ + demand.answer_.value_)
+                                / node.kvCapacity_;
+    return cost;
 }
 
 //! Utilisation of the slots of a path's first endpoint.
@@ -70,21 +92,6 @@
            + (utilisation > 1 ? OverloadMs * (utilisation - 1) : 0);
 }
 
-//! Cost in ms of running count layers on a node with the given KV utilisation. It only grows with
-//! count.
-double segmentMs(const EngineSpec &engine, const PathNode &node, std::uint32_t count,
-                 double utilisation, const PathDemand &demand)
-{
-    const double share = static_cast<double>(count) / engine.layers_;
-    const double read
-            = toMilliseconds(prefillTime(engine, node.prefillFactor_, count, demand.prompt_));
-    const double step = (toMilliseconds(engine.decodeStepTime_)
-                         + toMilliseconds(engine.decodeStepTimePerSequence_) * node.streams_)
-                        * node.decodeFactor_ * share;
-    return read + toMilliseconds(node.pendingPrefill_) + step * WeightedDecodeSteps
-           + utilisationMs(utilisation) + toMilliseconds(node.penalty_);
-}
-
 double hopMs(const EngineSpec &engine, const FailureDomainId &from, const FailureDomainId &to,
              const PathDemand &demand)
 {
@@ -124,49 +131,130 @@
     return boundaries;
 }
 
+//! Failure domains of the nodes, in order, with what a hop between them costs in ms.
+struct Domains
+{
+    std::vector<FailureDomainId> names_;
+    //! Index into names_ of each node.
+    std::vector<std::size_t> ofNode_;
+    //! Cost of reaching each domain from the gateway.
+    std::vector<double> entryMs_;
+    //! Cost of a hop from the domain of the row to that of the column.
+    std::vector<std::vector<double>> hopMs_;
+};
+
+Domains domainsOf(const EngineSpec &engine, const std::vector<PathNode> &nodes,
+                  const PathDemand &demand)
+{
+    Domains domains;
+    for (const PathNode &node : nodes)
+        domains.names_.push_back(node.domain_);
+    std::sort(domains.names_.begin(), domains.names_.end());
+    domains.names_.erase(std::unique(domains.names_.begin(), domains.names_.end()),
+                         domains.names_.end());
+    for (const PathNode &node : nodes) {
+        const auto found
+                = std::lower_bound(domains.names_.begin(), domains.names_.end(), node.domain_);
+        domains.ofNode_.push_back(static_cast<std::size_t>(found - domains.names_.begin()));
+    }
+    for (const FailureDomainId &from : domains.names_) {
+        domains.entryMs_.push_back(delayMs(engine, demand.from_, from));
+        std::vector<double> &row = domains.hopMs_.emplace_back();
+        for (const FailureDomainId &to : domains.names_)
+            row.push_back(hopMs(engine, from, to, demand));
+    }
+    return domains;
+}
+
+//! What running a node's layers from the current boundary to a later one costs.
+struct Segment
+{
+    std::size_t to_ = 0;
+    double utilisation_ = 0;
+    double cost_ = 0;
+};
+
 struct Search
 {
     const EngineSpec &engine_;
     const std::vector<PathNode> &nodes_;
     const PathDemand &demand_;
+    Domains domains_;
+    std::vector<NodeCost> costs_;
     std::vector<std::uint32_t> boundaries_;
     std::vector<PartialPaths> cheapest_;
 };
 
-//! Extends a partial path by every endpoint that has loaded the next layer, up to every boundary
-//! within the endpoint's range.
-void extend(Search &search, std::size_t at, const PartialPath *before, double cost,
-            double highestUtilisation)
+//! A node that has loaded the layer after a boundary, and its place among the segments that begin
+//! there.
+struct Start
+{
+    std::size_t node_ = 0;
+    std::size_t firstSegment_ = 0;
+    std::size_t endSegment_ = 0;
+};
+
+struct Starts
+{
+    std::vector<Start> nodes_;
+    std::vector<Segment> segments_;
+};
+
+//! Fills starts, which is reused for each boundary, with what can begin at this one.
+void findStarts(const Search &search, std::size_t at, Starts &starts)
 {
     const std::uint32_t layer = search.boundaries_[at];
+    starts.nodes_.clear();
+    starts.segments_.clear();
     for (std::size_t n = 0; n < search.nodes_.size(); ++n) {
-        const PathNode &node = search.nodes_[n];
-        if (node.layers_.first_.value_ > layer || node.layers_.end_.value_ <= layer)
+        const LayerRange &layers = search.nodes_[n].layers_;
+        if (layers.first_.value_ > layer || layers.end_.value_ <= layer)
             continue;
-        if (before != nullptr && !search.demand_.allowCrossDomain_
-            && search.nodes_[before->node_].domain_ != node.domain_)
+        const NodeCost &cost = search.costs_[n];
+        const std::size_t first = starts.segments_.size();
+        for (std::size_t to = at + 1;
+             to < search.boundaries_.size() && search.boundaries_[to] <= layers.end_.value_; ++to) {
+            const double count = search.boundaries_[to] - layer;
+            const double utilisation = cost.utilisation_ + cost.utilisationPerLayer_ * count;
+            starts.segments_.push_back(
+                    {to, utilisation,
+                     cost.fixedMs_ + cost.msPerLayer_ * count + utilisationMs(utilisation)});
+        }
+        starts.nodes_.push_back({n, first, starts.segments_.size()});
+    }
+}
+
+//! Extends a partial path by every endpoint that has loaded the next layer, up to every boundary
+//! within the endpoint's range.
+void extend(Search &search, std::size_t at, const Starts &starts, const PartialPath *before)
+{
+    const double cost = before == nullptr ? 0 : before->cost_;
+    const double fill = before == nullptr ? 0 : before->fill_;
+    const std::size_t segments = before == nullptr ? 1 : before->segments_ + 1;
+    if (segments > MaxSegments)
+        return;
+    for (const Start &start : starts.nodes_) {
+        const std::size_t domain = search.domains_.ofNode_[start.node_];
+        const std::size_t from
+                = before == nullptr ? domain : search.domains_.ofNode_[before->node_];
+        if (from != domain && !search.demand_.allowCrossDomain_)
             continue;
-        if (before != nullptr && (before->segments_ >= MaxSegments || contains(*before, n)))
+        if (before != nullptr && contains(*before, start.node_))
             continue;
-        const double slots = before == nullptr ? slotUtilisationWith(node) : 0;
+        const double slots
+                = before == nullptr ? slotUtilisationWith(search.nodes_[start.node_]) : 0;
         const double hop = before == nullptr
-                                   ? delayMs(search.engine_, search.demand_.from_, node.domain_)
-                                             + utilisationMs(slots)
-                                   : hopMs(search.engine_, search.nodes_[before->node_].domain_,
-                                           node.domain_, search.demand_);
-        for (std::size_t to = at + 1;
-             to < search.boundaries_.size() && search.boundaries_[to] <= node.layers_.end_.value_;
-             ++to) {
-            const std::uint32_t count = search.boundaries_[to] - layer;
-            const double utilisation = utilisationWith(node, count, search.demand_);
-            const double highest = std::max({highestUtilisation, utilisation, slots});
-            const double total
-                    = cost + hop
-                      + segmentMs(search.engine_, node, count, utilisation, search.demand_);
-            PartialPath &best = search.cheapest_[to][node.domain_];
-            if (total < best.cost_)
-                best = {total, highest, n,
-                        layer, before,  before == nullptr ? 1 : before->segments_ + 1};
+                                   ? search.domains_.entryMs_[domain] + utilisationMs(slots)
+                                   : search.domains_.hopMs_[from][domain];
+        for (std::size_t i = start.firstSegment_; i < start.endSegment_; ++i) {
+            const Segment &segment = starts.segments_[i];
+            const double total = cost + hop + segment.cost_;
+            PartialPath &best = search.cheapest_[segment.to_][domain];
+            if (total >= best.cost_)
+                continue;
+            best = {total,       std::max({fill, segment.utilisation_, slots}),
+                    start.node_, search.boundaries_[at],
+                    before,      segments};
         }
     }
 }
@@ -196,16 +284,27 @@
 std::optional<PlannedPath> planPath(const EngineSpec &engine, const std::vector<PathNode> &nodes,
                                     const PathDemand &demand)
 {
-    detail::Search search {engine, nodes, demand, detail::boundariesOf(engine, nodes), {}};
-    search.cheapest_.resize(search.boundaries_.size());
-    detail::extend(search, 0, nullptr, 0, 0);
+    detail::Search search {engine, nodes,
+                           demand, detail::domainsOf(engine, nodes, demand),
+                           {},     detail::boundariesOf(engine, nodes),
+                           {}};
+    for (const PathNode &node : nodes)
+        search.costs_.push_back(detail::nodeCost(engine, node, demand));
+    search.cheapest_.assign(search.boundaries_.size(),
+                            detail::PartialPaths(search.domains_.names_.size()));
+    detail::Starts starts;
+    detail::findStarts(search, 0, starts);
+    detail::extend(search, 0, starts, nullptr);
     for (std::size_t at = 1; at + 1 < search.boundaries_.size(); ++at) {
-        for (const auto &[domain, partial] : search.cheapest_[at])
-            detail::extend(search, at, &partial, partial.cost_, partial.fill_);
+        detail::findStarts(search, at, starts);
+        for (const detail::PartialPath &partial : search.cheapest_[at]) {
+            if (partial.segments_ > 0)
+                detail::extend(search, at, starts, &partial);
+        }
     }
     const detail::PartialPath *best = nullptr;
-    for (const auto &[domain, partial] : search.cheapest_.back()) {
-        if (best == nullptr || partial.cost_ < best->cost_)
+    for (const detail::PartialPath &partial : search.cheapest_.back()) {
+        if (partial.segments_ > 0 && (best == nullptr || partial.cost_ < best->cost_))
             best = &partial;
     }
     if (best == nullptr || search.boundaries_.back() != engine.layers_)
