A datagram whose handler throws doesn't end receiving; the load lines count from their first tick

Cause: the next receive was begun after the handler, so an exception out of it left the socket deaf; the first cpu_ms of the load lines was the thread's whole clock. Change: the next receive is begun however the handler ends; the first tick only takes the starting point. Measured: wire-end and the gateway's tests hold; no test makes a datagram's handler throw.

--- a/src/app/internal/gatewaycontrol.cpp
+++ b/src/app/internal/gatewaycontrol.cpp
@@ -110,11 +110,14 @@
 
 void GatewayControlLoop::logLoad(TimePoint now)
 {
-    loadLoggedAt_ = now;
     const Duration used = threadProcessorTime();
+    const bool isFirst = std::exchange(loadLoggedAt_, now) == TimePoint();
+    const Duration before = std::exchange(processorTime_, used);
+    if (isFirst)
+        return;
     const DigestFigures digests = std::exchange(control_.digestFigures_, {});
     LogLine line("control-load");
-    line.add("cpu_ms", used - std::exchange(processorTime_, used))
+    line.add("cpu_ms", used - before)
             .add("late_ms", takeLongest(control_.loopDelay_))
             .add("digests", digests.count_)
             .add("digest_delay_ms", digests.longestDelay_)
--- a/src/app/internal/gatewaytraffic.cpp
+++ b/src/app/internal/gatewaytraffic.cpp
@@ -107,13 +107,16 @@
 
 void GatewayTrafficLoop::logLoad(TimePoint now)
 {
-    loadLoggedAt_ = now;
     const Duration used = threadProcessorTime();
+    const bool isFirst = std::exchange(loadLoggedAt_, now) == TimePoint();
+    const Duration before = std::exchange(processorTime_, used);
+    if (isFirst)
+        return;
     std::size_t queued = 0;
     for (const auto &[target, queues] : traffic_.queues_)
         queued += queues.onTime_.size_ + queues.overdue_.size_;
     GC_LOG_INFO(LogLine("traffic-load")
-                        .add("cpu_ms", used - std::exchange(processorTime_, used))
+                        .add("cpu_ms", used - before)
                         .add("late_ms", takeLongest(loopDelay_))
                         .add("read_delay_ms", std::exchange(longestReadDelay_, Duration()))
                         .add("requests", std::uint64_t {traffic_.requests_.size()})
--- a/src/wire/internal/mesh.cpp
+++ b/src/wire/internal/mesh.cpp
@@ -271,11 +271,18 @@
                                                            boost::system::error_code error) {
             if (error == asio::error::operation_aborted || !self->socket_.is_open())
                 return;
+            const ReceiveAgain again {*self};
             self->handleWaiting();
-            self->receive();
         });
     }
 
+    //! The time for the next receive also comes when a handler throws.
+    struct ReceiveAgain
+    {
+        Impl &socket_;
+        ~ReceiveAgain() { socket_.receive(); }
+    };
+
     //! Takes all datagrams that wait, and handles them without those that a later one replaces: a
     //! receiver that was held up would only fall further behind with them.
     void handleWaiting()
