A state that takes the last organisation away still demands keys

Cause: authorise() took a state without organisations for one without keys. Ruled out: refusing such a state (the store accepts it). Change: DesiredState::keysRequired_, set where the state has a list, however short. Conclusion: revoking the last key closes the door.

--- a/src/core/routes.h
+++ b/src/core/routes.h
@@ -125,8 +125,9 @@
     ConfigVersion version_;
     std::vector<RouteRule> routes_;
     std::vector<TargetSpec> targets_;
-    //! When empty, callers need no API key.
     std::vector<OrganisationRule> organisations_;
+    //! Callers need an API key of one of the organisations, even if there is none left.
+    bool keysRequired_ = false;
     CallerLimits limits_;
 };
 
--- a/src/filters/internal/gatewayfilters.cpp
+++ b/src/filters/internal/gatewayfilters.cpp
@@ -66,7 +66,9 @@
 GatewayFilterResult authorise(GatewayContext &context, const GatewayView &view, GatewayTraffic &,
                               TimePoint now)
 {
-    if (view.table_->state_.organisations_.empty() || context.route_.allowAnonymous_)
+    const DesiredState &desired = view.table_->state_;
+    const bool needsKey = desired.keysRequired_ || !desired.organisations_.empty();
+    if (!needsKey || context.route_.allowAnonymous_)
         return proceedGateway();
     if (!keysAreFresh(view, now))
         return refuseGateway(GatewayRefusal::Unready);
--- a/src/gateway/tests/tst_traffic.cpp
+++ b/src/gateway/tests/tst_traffic.cpp
@@ -785,3 +785,48 @@
     }
     BOOST_TEST(effects == test.effects_);
 }
+
+namespace {
+
+//! Desired states with and without organisations, and what a caller gets.
+struct KeyCase
+{
+    const char *name_;
+    bool keysRequired_;
+    bool hasOrganisation_;
+    const char *path_;
+    const char *key_;
+    const char *effects_;
+};
+
+std::ostream &operator<<(std::ostream &out, const KeyCase &test)
+{
+    return out << test.name_;
+}
+
+const KeyCase KeyCases[] = {
+        {"no keys in use", false, false, "/book/x", "any", "send d1 fresh"},
+        {"the last organisation was taken away", true, false, "/book/x", "key",
+         "refuse unauthorised"},
+        {"the last organisation was taken away, no key", true, false, "/book/x", "",
+         "refuse unauthorised"},
+        {"the last organisation was taken away, a route without keys", true, false, "/open/x", "",
+         "send d1"},
+        {"an organisation's key", true, true, "/book/x", "key", "send d1 fresh"},
+        {"another key", true, true, "/book/x", "other", "refuse unauthorised"},
+};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(onlyKeysOfOrganisationsAreLetIn, KeyCases, test)
+{
+    DesiredState state = desired();
+    state.keysRequired_ = test.keysRequired_;
+    if (!test.hasOrganisation_)
+        state.organisations_.clear();
+    GatewayView view = viewAt(0);
+    view.table_ = buildRouteTable(state);
+    GatewayTraffic traffic;
+    onGatewayRequest(traffic, view, request(1, test.path_, test.key_), at(0));
+    BOOST_TEST(takeText(traffic) == test.effects_);
+}
--- a/src/platform/internal/documents.cpp
+++ b/src/platform/internal/documents.cpp
@@ -254,6 +254,8 @@
         state.routes_.push_back(routeOf(objectOf(route)));
     for (const json::value &target : list(object, "Services"))
         state.targets_.push_back(targetOf(objectOf(target)));
+    const json::value *tenants = object.if_contains("Tenants");
+    state.keysRequired_ = tenants != nullptr && !tenants->is_null();
     for (const json::value &organisation : list(object, "Tenants"))
         state.organisations_.push_back(organisationOf(objectOf(organisation)));
     if (const json::value *limits = object.if_contains("Limits"); limits && limits->is_object())
