The pages of the store's records come to an end, and are asked for by the very key

Cause: query values were sent as they are, so the store understood another key and showed the same page again; nothing looked at whether pages go on. Ruled out: leaving such entries out (the next page begins after them).

--- a/src/http/internal/client.cpp
+++ b/src/http/internal/client.cpp
@@ -29,6 +29,28 @@
 using Message = beast::http::request<beast::http::string_body>;
 using ResponseParser = beast::http::response_parser<beast::http::string_body>;
 
+//! Encodes a name or value in a query: all bytes but the unreserved ones of RFC 3986.
+std::string encodePercent(std::string_view text)
+{
+    constexpr std::string_view Digits = "0123456789ABCDEF";
+    constexpr std::string_view Unreserved
+            = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-._~";
+    constexpr unsigned HalfByteBits = 4;
+    constexpr unsigned HalfByte = 0xf;
+    std::string encoded;
+    for (const char character : text) {
+        if (Unreserved.find(character) != std::string_view::npos) {
+            encoded += character;
+            continue;
+        }
+        const auto byte = static_cast<unsigned char>(character);
+        encoded += '%';
+        encoded += Digits[byte >> HalfByteBits];
+        encoded += Digits[byte & HalfByte];
+    }
+    return encoded;
+}
+
 Message messageOf(const Address &to, HttpRequest &request)
 {
     Message message;
@@ -37,7 +59,7 @@
     char separator = '?';
     for (const auto &[name, value] : request.query_) {
         target += separator;
-        target.append(name).append("=").append(value);
+        target.append(encodePercent(name)).append("=").append(encodePercent(value));
         separator = '&';
     }
     message.target(target);
--- a/src/platform/internal/storeclient.cpp
+++ b/src/platform/internal/storeclient.cpp
@@ -17,6 +17,9 @@
 //! Size limit of a response body: enough for a megabyte of records in base64, with their keys and
 //! framing.
 constexpr std::uint64_t MaxResponseBytes = 4UL * 1024 * 1024;
+//! Bounds of one read of the latest records. Reading fails beyond them.
+constexpr std::size_t MaxPages = 64;
+constexpr std::size_t MaxTopicBytes = 16UL * 1024 * 1024;
 constexpr std::uint16_t StatusOk = 200;
 constexpr std::uint16_t StatusGone = 410;
 constexpr std::size_t LengthBytes = 4;
@@ -39,6 +42,20 @@
     return bytes;
 }
 
+//! Why a read of the latest records must not go on with the page after the given key, or nothing.
+const char *reasonToStop(const CompactedTopic &gathered, std::size_t pages,
+                         const std::string &after, const std::string &next)
+{
+    std::size_t bytes = 0;
+    for (const CompactedRecord &record : gathered.records_)
+        bytes += record.key_.size() + (record.value_ ? record.value_->size() : 0);
+    if (next == after)
+        return "a page of /log-newest doesn't go on after the one before";
+    if (pages >= MaxPages || bytes > MaxTopicBytes)
+        return "too many pages of /log-newest";
+    return nullptr;
+}
+
 std::uint64_t bigEndian(std::string_view bytes)
 {
     std::uint64_t value = 0;
@@ -199,11 +216,11 @@
 void StoreClient::readLatest(const std::string &topic,
                              std::function<void(Result<CompactedTopic>)> callback)
 {
-    readLatestPage(topic, {}, {}, std::move(callback));
+    readLatestPage(topic, {}, {}, 1, std::move(callback));
 }
 
 void StoreClient::readLatestPage(const std::string &topic, CompactedTopic gathered,
-                                 const std::string &after,
+                                 const std::string &after, std::size_t page,
                                  std::function<void(Result<CompactedTopic>)> callback)
 {
     http::HttpRequest request;
@@ -213,7 +230,7 @@
         request.query_["After"] = after;
     client_.send(
             store_, std::move(request), {detail::ResponseTimeout, false, detail::MaxResponseBytes},
-            [this, topic, gathered = std::move(gathered),
+            [this, topic, after, page, gathered = std::move(gathered),
              callback = std::move(callback)](const http::ClientResult &result) mutable {
                 if (!result.response_ || result.response_->status_ != detail::StatusOk)
                     return callback(failure<CompactedTopic>(detail::failureReason(result)));
@@ -222,7 +239,9 @@
                     return callback(failure<CompactedTopic>("malformed response to /log-newest"));
                 if (next->empty())
                     return callback(success(std::move(gathered)));
-                readLatestPage(topic, std::move(gathered), *next, std::move(callback));
+                if (const char *reason = detail::reasonToStop(gathered, page, after, *next))
+                    return callback(failure<CompactedTopic>(reason));
+                readLatestPage(topic, std::move(gathered), *next, page + 1, std::move(callback));
             });
 }
 
--- a/src/platform/storeclient.h
+++ b/src/platform/storeclient.h
@@ -87,7 +87,7 @@
 
 private:
     void readLatestPage(const std::string &topic, CompactedTopic gathered, const std::string &after,
-                        std::function<void(Result<CompactedTopic>)> callback);
+                        std::size_t page, std::function<void(Result<CompactedTopic>)> callback);
 
     Address store_;
     http::Client client_;
--- a/src/platform/tests/tst_endpointclient.cpp
+++ b/src/platform/tests/tst_endpointclient.cpp
@@ -8,7 +8,9 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include "http/server.h"
 #include "http/tests/replyingserver.h"
+#include "platform/documents.h"
 #include "platform/endpointclient.h"
 #include "platform/storeclient.h"
 
@@ -293,3 +295,96 @@
     BOOST_REQUIRE(runUntil(context, std::chrono::seconds(4), [&] { return joined.has_value(); }));
     BOOST_TEST(!*joined);
 }
+
+namespace {
+
+//! The last key of the pages of a store, and how the read ends.
+struct LastKeyCase
+{
+    const char *name_;
+    //! As in the pages' JSON, and as it must come back in the request for the next page.
+    const char *json_;
+    const char *key_;
+    //! The store answers each request with the same page.
+    bool repeats_;
+    const char *result_;
+};
+
+std::ostream &operator<<(std::ostream &out, const LastKeyCase &test)
+{
+    return out << test.name_;
+}
+
+const LastKeyCase LastKeyCases[] = {
+        {"a plain key", "i-1", "i-1", false, "2 records"},
+        {"separators of a query", "i&After=a=b#c?d", "i&After=a=b#c?d", false, "2 records"},
+        {"percent signs, spaces and signs", "i%41 +/", "i%41 +/", false, "2 records"},
+        {"bytes beyond ASCII and below the space", "\\u00e9\\u0001", "\xc3\xa9\x01", false,
+         "2 records"},
+        {"pages that don't go on", "i-1", "i-1", true,
+         "a page of /log-newest doesn't go on after the one before"},
+};
+
+} // namespace
+
+// Another writer chooses the keys: the next page must be asked for by the very key, and a store
+// that shows the same page again must not be read without end.
+BOOST_DATA_TEST_CASE(pagesGoOnAfterTheLastKey, LastKeyCases, test)
+{
+    asio::io_context context;
+    std::vector<std::string> asked;
+    http::Server server({&context}, [&](const http::HttpRequest &request,
+                                        const std::shared_ptr<http::Exchange> &exchange) {
+        const auto after = request.query_.find("After");
+        asked.push_back(after == request.query_.end() ? "" : after->second);
+        const bool isLast = asked.size() > 1 && !test.repeats_;
+        http::HttpResponse response;
+        response.status_ = 200;
+        response.body_ = R"({"Items":[{"Key":")" + std::string(isLast ? "z" : test.json_)
+                         + R"(","Value":"eA=="}],"HasMore":)" + (isLast ? "false" : "true")
+                         + R"(,"EndOffset":9})";
+        exchange->respond(response);
+    });
+    const auto address = server.listen({"127.0.0.1", 0});
+    BOOST_REQUIRE(address);
+    platform::StoreClient client(context, *address);
+    std::optional<std::string> result;
+    client.readLatest("keyed.any", [&](const Result<platform::CompactedTopic> &topic) {
+        result = topic ? std::to_string(topic->records_.size()) + " records" : topic.lastReason_;
+    });
+    BOOST_REQUIRE(runUntil(context, std::chrono::seconds(4), [&] { return result.has_value(); }));
+    BOOST_TEST(*result == test.result_);
+    BOOST_REQUIRE(asked.size() == 2U);
+    BOOST_TEST(asked[1] == test.key_);
+}
+
+namespace {
+
+struct TenantsCase
+{
+    const char *json_;
+    bool keysRequired_;
+};
+
+std::ostream &operator<<(std::ostream &out, const TenantsCase &test)
+{
+    return out << test.json_;
+}
+
+const TenantsCase TenantsCases[] = {
+        {R"({"Version":1,"Routes":[],"Services":[]})", false},
+        {R"({"Version":1,"Routes":[],"Services":[],"Tenants":null})", false},
+        {R"({"Version":1,"Routes":[],"Services":[],"Tenants":[]})", true},
+        {R"({"Version":1,"Routes":[],"Services":[],"Tenants":[{"Name":"t","ApiKeys":["k"]}]})",
+         true},
+};
+
+} // namespace
+
+// A state that takes the last organisation away still demands keys.
+BOOST_DATA_TEST_CASE(statesWithTenantsDemandKeys, TenantsCases, test)
+{
+    const auto state = platform::decodeDesiredState(test.json_);
+    BOOST_REQUIRE_MESSAGE(state, state.lastReason_);
+    BOOST_TEST(state->keysRequired_ == test.keysRequired_);
+}
