--- a/lab/tests/tst_endlessanswers.cpp
+++ b/lab/tests/tst_endlessanswers.cpp
@@ -166,6 +166,7 @@
     };
     BOOST_REQUIRE(lab::tests::waitFor(haveAllMoved));
     std::vector<std::future<Answer>> answers;
+    answers.reserve(Callers);
     for (int i = 0; i < Callers; ++i)
         answers.push_back(std::async(std::launch::async, [&, i] {
             return ask(gateway.callers_, "GET", "/look/x", "endless" + std::to_string(i), "key");
