A request that a stale desired state can't decide waits while a newer one can be had

The test holds a gateway up for 2.0 s; keys may be used for 2.7 s after the state was confirmed (0.9 of the three seconds in the settings), and a confirmation may be 0.8 s old when the hold-up begins. The traffic thread then sees requests before the control thread has asked the store, and refuses what could be served some milliseconds later. Callers lose their attempt and the pause before the next.

Ruled out: the endpoint list (its refusal has another reason), slots, lost connections (no `send-ended` in the logs), load of the machine as such (the ages explain it without).

Change: where the chain refused as unready because the state is stale, it holds the request as long as the platform tells this process the state, half a second at the most; each tick runs the chain again, from its start, as a newer state may have other routes. Where reads are refused or stay without an answer, the refusal comes at once as before. Whether the list and the state can be had is now judged by the same two functions, with the time that the store may hold a waiting read back.

The two new tables need the new fields and were not run on the old code.

--- a/src/controllers/gatewayview.h
+++ b/src/controllers/gatewayview.h
@@ -57,6 +57,9 @@
     std::shared_ptr<const BlameVerdicts> blame_ = std::make_shared<BlameVerdicts>();
     //! When the desired state was last confirmed to be the newest one.
     std::optional<TimePoint> stateConfirmedAt_;
+    //! The platform tells this process the desired state when asked, so that a stale one is soon
+    //! confirmed or replaced.
+    bool stateAvailable_ = false;
     //! When the last successful poll of the endpoint list was sent.
     std::optional<TimePoint> listConfirmedAt_;
     //! The platform doesn't tell this process the list, which can't get newer by waiting.
--- a/src/controllers/storerelay.h
+++ b/src/controllers/storerelay.h
@@ -55,6 +55,11 @@
 {
     bool inFlight_ = false;
     TimePoint sentAt_;
+    //! Time for which the store may hold the read in flight back.
+    Duration wait_ {};
+    //! The last read failed for a reason that lies with the platform, and nothing has been
+    //! confirmed since.
+    bool failed_ = false;
     //! Earliest time of the next read.
     TimePoint nextAt_;
     //! When the newest successful read of this process was sent.
--- a/src/filters/gatewaystate.h
+++ b/src/filters/gatewaystate.h
@@ -211,6 +211,8 @@
     TimePoint deadline_;
     std::size_t nextFilter_ = 0;
     bool queued_ = false;
+    //! The request is held until a newer desired state decides it.
+    bool awaitsState_ = false;
     std::optional<ActiveDispatch> dispatch_;
     //! Earliest time of the next dispatch (retry delay).
     TimePoint retryAt_;
@@ -292,6 +294,8 @@
     //! Time since arrival after which a queued request counts as overdue, as a multiple of the
     //! latency target.
     double overdueFactor_ = 0.75;
+    //! Longest time for which a request awaits a newer desired state.
+    Duration maxStateWait_ = std::chrono::milliseconds(500);
     //! After this time without an event, probes of a stream's endpoints are requested.
     Duration probeAfter_ = std::chrono::milliseconds(400);
     //! A stream without an event for this part of its caller's patience fails over to another path
--- a/src/filters/internal/gatewayfilters.cpp
+++ b/src/filters/internal/gatewayfilters.cpp
@@ -42,11 +42,19 @@
     return view.table_ ? proceedGateway() : refuseGateway(GatewayRefusal::Unready);
 }
 
-//! Returns Unready instead of a final refusal while the desired state is stale: a newer state may
-//! allow the request.
-GatewayRefusal refusalIfFresh(const GatewayView &view, GatewayRefusal refusal, TimePoint now)
+//! Holds a request that the desired state is too old to decide. It is refused at once where a newer
+//! state can't be had.
+GatewayFilterResult awaitState(const GatewayView &view)
 {
-    return stateIsFresh(view, now) ? refusal : GatewayRefusal::Unready;
+    return view.stateAvailable_ ? GatewayFilterResult {FilterAction::Hold, {}}
+                                : refuseGateway(GatewayRefusal::Unready);
+}
+
+//! Refuses a request for good, unless the desired state is stale: a newer one may allow the
+//! request.
+GatewayFilterResult refuseIfFresh(const GatewayView &view, GatewayRefusal refusal, TimePoint now)
+{
+    return stateIsFresh(view, now) ? refuseGateway(refusal) : awaitState(view);
 }
 
 GatewayFilterResult identifyRoute(GatewayContext &context, const GatewayView &view,
@@ -55,7 +63,7 @@
     const RouteRule *route
             = findRoute(*view.table_, context.request_.host_, context.request_.path_);
     if (route == nullptr)
-        return refuseGateway(refusalIfFresh(view, GatewayRefusal::UnknownRoute, now));
+        return refuseIfFresh(view, GatewayRefusal::UnknownRoute, now);
     context.route_ = *route;
     context.priority_ = route->priority_;
     const Duration timeout = context.request_.timeout_.value_or(GatewayLimits().defaultTimeout_);
@@ -71,12 +79,12 @@
     if (!needsKey || context.route_.allowAnonymous_)
         return proceedGateway();
     if (!keysAreFresh(view, now))
-        return refuseGateway(GatewayRefusal::Unready);
+        return awaitState(view);
     const OrganisationRule *organisation
             = context.request_.apiKey_ ? findOrganisation(*view.table_, *context.request_.apiKey_)
                                        : nullptr;
     if (organisation == nullptr)
-        return refuseGateway(refusalIfFresh(view, GatewayRefusal::Unauthorised, now));
+        return refuseIfFresh(view, GatewayRefusal::Unauthorised, now);
     context.organisation_ = organisation->organisation_;
     context.priority_ = organisation->priority_.value_or(context.priority_);
     return proceedGateway();
--- a/src/gateway/control.h
+++ b/src/gateway/control.h
@@ -132,9 +132,6 @@
     TimePoint gatewaysLoggedAt_;
     //! False from the first failed request to the platform until one succeeds.
     bool platformReachable_ = true;
-    //! The last read of the list failed for a reason that lies with the platform, and the list has
-    //! not been confirmed since.
-    bool listReadFailed_ = false;
     Random random_;
     std::vector<GatewayControlEffect> effects_;
 };
--- a/src/gateway/internal/control.cpp
+++ b/src/gateway/internal/control.cpp
@@ -132,6 +132,7 @@
         ReadDesiredState read;
         if (isRecent)
             read.wait_ = role.hasListeners_ ? limits.sharedInterval_ : limits.ownConfigWait_;
+        config.wait_ = read.wait_.value_or(Duration());
         state.effects_.emplace_back(read);
     }
     const auto listedAt = state.endpoints_.confirmedAt_;
@@ -167,15 +168,33 @@
     return now - sentAt >= bounds.storeSilentAfter_ + bounds.turnsOfRead_ * state.loopDelay_.last_;
 }
 
-bool listIsUnavailable(const GatewayControl &state, TimePoint now)
+//! True if the platform doesn't tell this process what the read is for.
+bool isUnavailable(const GatewayControl &state, const StoreRead &read, TimePoint now)
 {
-    const StoreRead &read = state.relay_.list_;
-    return state.listReadFailed_ || (read.inFlight_ && storeKeptSilent(state, read.sentAt_, now));
+    return read.failed_
+           || (read.inFlight_ && storeKeptSilent(state, read.sentAt_ + read.wait_, now));
+}
+
+//! Notes a failed read. One that failed late in a process that is behind says nothing about the
+//! platform.
+void noteReadFailure(GatewayControl &state, StoreRead &read, TimePoint now)
+{
+    if (now - read.sentAt_ < state.bounds_.refusedWithin_
+        || storeKeptSilent(state, read.sentAt_ + read.wait_, now))
+        read.failed_ = true;
+    state.viewStale_ = true;
+    onReadFailed(read, state.relay_.limits_, now);
+}
+
+void confirmState(GatewayControl &state, TimePoint requestedAt)
+{
+    state.relay_.config_.failed_ = false;
+    confirmDesiredState(state.routes_, requestedAt);
 }
 
 void applyList(GatewayControl &state, TimePoint requestedAt, TimePoint now)
 {
-    state.listReadFailed_ = false;
+    state.relay_.list_.failed_ = false;
     const bool changed
             = applyEndpointList(state.endpoints_, listOf(state.relay_), requestedAt, now);
     emitLog(state, state.endpoints_.log_);
@@ -192,7 +211,7 @@
     const RelayedNews relayed
             = applyStoreNews(state.relay_, news, state.members_.self_, version, now);
     if (relayed.configConfirmedAt_ && *relayed.configConfirmedAt_ <= now) {
-        confirmDesiredState(state.routes_, *relayed.configConfirmedAt_);
+        confirmState(state, *relayed.configConfirmedAt_);
         state.viewStale_ = true;
     }
     const auto known = state.endpoints_.confirmedAt_;
@@ -277,7 +296,7 @@
                     TimePoint now)
 {
     detail::onPlatformResponse(state, now);
-    confirmDesiredState(state.routes_, requestedAt);
+    detail::confirmState(state, requestedAt);
     const ConfigVersion version = desired.version_;
     const std::size_t routes = desired.routes_.size();
     const bool taken = applyDesiredState(state.routes_, std::move(desired), now);
@@ -293,7 +312,7 @@
 void onDesiredStateConfirmed(GatewayControl &state, TimePoint requestedAt, TimePoint now)
 {
     detail::onPlatformResponse(state, now);
-    confirmDesiredState(state.routes_, requestedAt);
+    detail::confirmState(state, requestedAt);
     detail::publishView(state);
 }
 
@@ -310,7 +329,7 @@
 void onDesiredStateReadFailed(GatewayControl &state, const std::string &reason, TimePoint now)
 {
     onPlatformRequestFailed(state, "config", reason, now);
-    onReadFailed(state.relay_.config_, state.relay_.limits_, now);
+    detail::noteReadFailure(state, state.relay_.config_, now);
 }
 
 void onEndpointList(GatewayControl &state, const std::vector<ListedEndpoint> &listed,
@@ -329,12 +348,7 @@
 void onEndpointListFailed(GatewayControl &state, const std::string &reason, TimePoint now)
 {
     onPlatformRequestFailed(state, "endpoints", reason, now);
-    const StoreRead &read = state.relay_.list_;
-    if (now - read.sentAt_ < state.bounds_.refusedWithin_
-        || detail::storeKeptSilent(state, read.sentAt_, now))
-        state.listReadFailed_ = true;
-    state.viewStale_ = true;
-    onReadFailed(state.relay_.list_, state.relay_.limits_, now);
+    detail::noteReadFailure(state, state.relay_.list_, now);
     onListPollFailed(state.endpoints_, reason, now);
     detail::emitLog(state, state.endpoints_.log_);
 }
@@ -557,10 +571,12 @@
     tickCrashes(state.crashes_, state.endpoints_, now);
     detail::emitCrashEffects(state);
     detail::emitProbeEffects(state);
-    const bool listIsLate
-            = state.endpoints_.confirmedAt_
-              && now - *state.endpoints_.confirmedAt_ > state.relay_.limits_.takeOverAfter_;
-    if (std::exchange(state.viewStale_, false) || listIsLate)
+    const auto isLate = [&](const std::optional<TimePoint> &confirmedAt) {
+        return confirmedAt && now - *confirmedAt > state.relay_.limits_.takeOverAfter_;
+    };
+    // Whether the platform can still tell what is late changes with time alone.
+    if (std::exchange(state.viewStale_, false) || isLate(state.routes_.confirmedAt_)
+        || isLate(state.endpoints_.confirmedAt_))
         detail::publishView(state);
     if (state.routes_.table_ && holdsLease(state.lease_, now))
         detail::tickTargets(state, now);
@@ -580,8 +596,9 @@
             view.pausedUntil_[endpoint] = known.pausedUntil_;
     }
     view.stateConfirmedAt_ = state.routes_.confirmedAt_;
+    view.stateAvailable_ = !detail::isUnavailable(state, state.relay_.config_, now);
     view.listConfirmedAt_ = state.endpoints_.confirmedAt_;
-    view.listUnavailable_ = detail::listIsUnavailable(state, now);
+    view.listUnavailable_ = detail::isUnavailable(state, state.relay_.list_, now);
     view.freshness_ = state.bounds_.freshness_;
     view.domain_ = state.members_.domain_;
     view.gatewayCount_ = knownGateways(state.members_);
@@ -598,7 +615,7 @@
     const auto age = desiredStateAge(state.routes_, now);
     const auto listedAt = state.endpoints_.confirmedAt_;
     const bool listIsRecent = !listedAt || now - *listedAt <= state.bounds_.maxReadyAge_
-                              || detail::listIsUnavailable(state, now);
+                              || detail::isUnavailable(state, state.relay_.list_, now);
     return age && *age <= state.bounds_.maxReadyAge_ && listIsRecent;
 }
 
--- a/src/gateway/internal/traffic.cpp
+++ b/src/gateway/internal/traffic.cpp
@@ -38,10 +38,19 @@
     state.byRequestId_.emplace(request.id_, request.exchange_);
 }
 
+//! A newer desired state may have other routes, so the whole chain runs again.
+void holdForState(Context &context)
+{
+    context.awaitsState_ = true;
+    context.nextFilter_ = 0;
+}
+
 void runFilters(GatewayTraffic &state, const GatewayView &view, Context &context, TimePoint now)
 {
     const GatewayFilterResult result
             = runChain(gatewayChain(), context.nextFilter_, context, view, state, now);
+    if (result.action_ == FilterAction::Hold)
+        return holdForState(context);
     if (result.action_ != FilterAction::Refuse)
         return;
     const bool mayHaveRun = context.mayHaveRun_;
@@ -346,6 +355,15 @@
         failOver(state, view, context, "silent", now);
 }
 
+//! Runs the chain again for a request that awaits a newer desired state.
+void retryHeld(GatewayTraffic &state, const GatewayView &view, Context &context, TimePoint now)
+{
+    if (now - context.arrivedAt_ > state.limits_.maxStateWait_)
+        return refuse(state, context, GatewayRefusal::Unready, "desired state", now);
+    context.awaitsState_ = false;
+    runFilters(state, view, context, now);
+}
+
 //! Checks the time limits of a request, what it is suspected of, and its stream.
 void checkRequest(GatewayTraffic &state, const GatewayView &view, Context &context, TimePoint now)
 {
@@ -354,6 +372,8 @@
     if (now >= context.deadline_)
         return endRequest(state, context, GatewayRefusal::Overloaded, GatewayRefusal::TimedOut,
                           "deadline", now);
+    if (context.awaitsState_)
+        return retryHeld(state, view, context, now);
     if (context.queued_ && isTooLateToDispatch(context, state, now))
         return endRequest(state, context, GatewayRefusal::Stopping, GatewayRefusal::Failed, "stop",
                           now);
--- /dev/null
+++ b/src/gateway/tests/tst_stateavailable.cpp
@@ -0,0 +1,77 @@
+// Whether the platform still tells a gateway its desired state, by what became of the reads.
+
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "gateway/control.h"
+
+using namespace gypsumcroft;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+TimePoint at(int ms)
+{
+    return TimePoint(seconds(1000) + milliseconds(ms));
+}
+
+//! What becomes of the read that is in flight from 0 ms on.
+enum class ReadEnd {
+    //! Nothing yet.
+    None,
+    Answered,
+    Failed,
+    //! It failed, and another gateway's news confirms the state afterwards.
+    FailedThenConfirmed,
+};
+
+struct AvailabilityCase
+{
+    const char *name_;
+    //! Time for which the store may hold the read back.
+    int waitMs_;
+    //! How late the control thread's last tick was.
+    int lateMs_;
+    ReadEnd end_;
+    int endMs_;
+    bool isAvailable_;
+};
+
+std::ostream &operator<<(std::ostream &out, const AvailabilityCase &test)
+{
+    return out << test.name_;
+}
+
+const AvailabilityCase AvailabilityCases[] = {
+        {"answered", 0, 0, ReadEnd::Answered, 10, true},
+        {"in flight", 0, 0, ReadEnd::None, 199, true},
+        {"without an answer", 0, 0, ReadEnd::None, 200, false},
+        {"a waiting read", 800, 0, ReadEnd::None, 999, true},
+        {"a waiting read without an answer", 800, 0, ReadEnd::None, 1000, false},
+        {"in flight, the process was held up", 0, 2000, ReadEnd::None, 2100, true},
+        {"refused", 0, 0, ReadEnd::Failed, 10, false},
+        {"failed without an answer", 0, 0, ReadEnd::Failed, 900, false},
+        {"failed while the process was held up", 0, 2000, ReadEnd::Failed, 2100, true},
+        {"refused, but a neighbour reads it", 0, 0, ReadEnd::FailedThenConfirmed, 10, true},
+};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(stateIsAvailableWhileThePlatformTellsIt, AvailabilityCases, test)
+{
+    GatewayControl control;
+    DesiredState desired;
+    desired.version_ = {1};
+    onDesiredState(control, desired, at(-100), at(-100));
+    StoreRead &read = control.relay_.config_;
+    read.inFlight_ = true;
+    read.sentAt_ = at(0);
+    read.wait_ = milliseconds(test.waitMs_);
+    control.loopDelay_.last_ = milliseconds(test.lateMs_);
+    if (test.end_ == ReadEnd::Failed || test.end_ == ReadEnd::FailedThenConfirmed)
+        onDesiredStateReadFailed(control, "test", at(test.endMs_));
+    if (test.end_ == ReadEnd::Answered || test.end_ == ReadEnd::FailedThenConfirmed)
+        onDesiredStateConfirmed(control, at(0), at(test.endMs_));
+    BOOST_TEST(gatewayViewOf(control, at(test.endMs_)).stateAvailable_ == test.isAvailable_);
+}
--- a/src/gateway/tests/tst_traffic.cpp
+++ b/src/gateway/tests/tst_traffic.cpp
@@ -830,3 +830,99 @@
     onGatewayRequest(traffic, view, request(1, test.path_, test.key_), at(0));
     BOOST_TEST(takeText(traffic) == test.effects_);
 }
+
+namespace {
+
+//! What becomes known of the desired state while a request awaits it.
+enum class StateNews {
+    None,
+    //! The state is confirmed.
+    Confirmed,
+    //! A newer state, of which the request's key is no longer a part.
+    KeyRevoked,
+    //! A newer state, in which the request's route is new.
+    RouteAdded,
+    //! The platform doesn't tell the state any more.
+    Unavailable,
+    CallerLeft,
+    ProcessEnds,
+};
+
+struct StaleStateCase
+{
+    const char *name_;
+    const char *path_;
+    //! When the desired state was confirmed.
+    int confirmedMs_;
+    bool available_;
+    const char *first_;
+    int newsMs_;
+    StateNews news_;
+    const char *effects_;
+};
+
+std::ostream &operator<<(std::ostream &out, const StaleStateCase &test)
+{
+    return out << test.name_;
+}
+
+const StaleStateCase StaleStateCases[] = {
+        {"confirmed", "/book/x", -4501, true, "", 20, StateNews::Confirmed, "send d1 fresh"},
+        {"the key is revoked", "/book/x", -4501, true, "", 20, StateNews::KeyRevoked,
+         "refuse unauthorised"},
+        {"the route is new", "/new/x", -1801, true, "", 20, StateNews::RouteAdded, "send d1"},
+        {"the route isn't known", "/new/x", -1801, true, "", 20, StateNews::Confirmed,
+         "refuse unknown-route"},
+        {"no news yet", "/book/x", -4501, true, "", 500, StateNews::None, ""},
+        {"no news in time", "/book/x", -4501, true, "", 501, StateNews::None, "refuse unready"},
+        {"the platform falls silent", "/book/x", -4501, true, "", 20, StateNews::Unavailable,
+         "refuse unready"},
+        {"the platform is silent", "/book/x", -4501, false, "refuse unready", 20, StateNews::None,
+         ""},
+        {"the caller leaves", "/book/x", -4501, true, "", 20, StateNews::CallerLeft, ""},
+        {"the process ends", "/book/x", -4501, true, "", 20, StateNews::ProcessEnds,
+         "refuse stopping"},
+        {"a fresh state", "/book/x", -4500, true, "send d1 fresh", 20, StateNews::None, ""},
+};
+
+void applyNews(GatewayTraffic &state, GatewayView &view, StateNews news, int ms)
+{
+    DesiredState newer = desired();
+    newer.version_ = {2};
+    if (news == StateNews::KeyRevoked)
+        newer.organisations_ = {{{"firm"}, {"other"}, {}}};
+    if (news == StateNews::RouteAdded)
+        newer.routes_.push_back(route("/new/", "desk", RerunPolicy::FromStart, false));
+    if (news == StateNews::KeyRevoked || news == StateNews::RouteAdded)
+        view.table_ = buildRouteTable(newer);
+    if (news == StateNews::KeyRevoked || news == StateNews::RouteAdded
+        || news == StateNews::Confirmed)
+        view.stateConfirmedAt_ = at(ms);
+    view.stateAvailable_ = view.stateAvailable_ && news != StateNews::Unavailable;
+    if (news == StateNews::CallerLeft)
+        onGatewayCallerDisconnected(state, view, {1}, at(ms));
+    if (news == StateNews::ProcessEnds)
+        onGatewayStop(state, at(ms));
+    onGatewayTick(state, view, at(ms));
+}
+
+} // namespace
+
+// A process that was held up has a stale state for the moment that its question to the platform
+// takes. Its requests must be neither refused nor served by the old state meanwhile.
+BOOST_DATA_TEST_CASE(requestsAwaitAStateThatCanBeHad, StaleStateCases, test)
+{
+    GatewayTraffic state;
+    GatewayView view = viewAt(test.confirmedMs_);
+    view.stateAvailable_ = test.available_;
+    onGatewayRequest(state, view, request(1, test.path_), at(0));
+    BOOST_TEST(takeText(state) == test.first_);
+    applyNews(state, view, test.news_, test.newsMs_);
+    BOOST_TEST(takeText(state) == test.effects_);
+    const bool hasEnded = test.news_ == StateNews::CallerLeft
+                          || std::string(test.first_) + test.effects_ != std::string(test.first_)
+                          || std::string(test.first_).starts_with("refuse");
+    const bool isSent = std::string(test.first_).starts_with("send")
+                        || std::string(test.effects_).starts_with("send");
+    BOOST_TEST(isGatewayIdle(state) == (hasEnded && !isSent));
+}
