A hold-up is noticed with the first event after it, not with the next tick

Cause: whether the store kept silent is judged by how late the control loop is, and that was noted only by the tick. After a hold-up another event (a digest, a response) may be handled first; its view was published while the loop passed for punctual, so that a read in flight for the length of the hold-up passed for a silent store. For the desired state this refuses requests. For the endpoint list it is worse: a list that "can't be had" is used however old it is, which is how a leaving endpoint gets a request (DRAIN).

Change: the loop knows when its next tick is due; its lateness at any moment is the larger of the last tick's and what has passed since the next was due.

--- a/lab/tests/tst_gatewaybehind.cpp
+++ b/lab/tests/tst_gatewaybehind.cpp
@@ -166,3 +166,27 @@
             BOOST_TEST((run.request_ != "waiting" || run.server_ != "i-desk"), test.name_);
     }
 }
+
+// A gateway that was held up for longer than a key may be used unconfirmed knows the state again
+// within a moment; what lay in its sockets is served and not refused.
+BOOST_AUTO_TEST_CASE(requestAfterHoldUpBeyondTheKeysBoundIsServed)
+{
+    constexpr int Callers = 8;
+    // The gateways' settings want a revoked key refused after three seconds.
+    constexpr std::chrono::milliseconds HoldUp {3500};
+    Fixture fixture;
+    GatewayProgram &gateway = *fixture.gateways_[0];
+    std::vector<std::unique_ptr<Caller>> callers;
+    for (int i = 0; i < Callers; ++i) {
+        callers.push_back(std::make_unique<Caller>(gateway.callers_));
+        callers.back()->send("GET", "/look/x", "first");
+        BOOST_TEST(callers.back()->status() == "HTTP/1.1 200");
+    }
+    gateway.signal(SIGSTOP);
+    std::this_thread::sleep_for(HoldUp);
+    for (const auto &caller : callers)
+        caller->send("POST", "/book/x", "waiting");
+    gateway.signal(SIGCONT);
+    for (const auto &caller : callers)
+        BOOST_TEST(caller->status() == "HTTP/1.1 200");
+}
--- a/src/gateway/internal/control.cpp
+++ b/src/gateway/internal/control.cpp
@@ -165,7 +165,8 @@
 bool storeKeptSilent(const GatewayControl &state, TimePoint sentAt, TimePoint now)
 {
     const GatewayBounds &bounds = state.bounds_;
-    return now - sentAt >= bounds.storeSilentAfter_ + bounds.turnsOfRead_ * state.loopDelay_.last_;
+    return now - sentAt
+           >= bounds.storeSilentAfter_ + bounds.turnsOfRead_ * currentDelay(state.loopDelay_, now);
 }
 
 //! True if the platform doesn't tell this process what the read is for.
@@ -563,6 +564,7 @@
 
 void onGatewayControlTick(GatewayControl &state, TimePoint now)
 {
+    state.loopDelay_.nextDueAt_ = now + GatewayControlInterval;
     if (takeDueJoin(state.lease_, now))
         state.effects_.emplace_back(JoinGroup {state.lease_.generation_});
     detail::tickPeers(state, now);
--- a/src/gateway/tests/tst_notices.cpp
+++ b/src/gateway/tests/tst_notices.cpp
@@ -434,6 +434,8 @@
     int failedAfterMs_;
     bool dispatches_;
     bool ready_;
+    //! The process is held up for this time, after which its ticks are still to come.
+    int heldUpMs_ = 0;
 };
 
 std::ostream &operator<<(std::ostream &out, const ListAgeCase &test)
@@ -450,6 +452,7 @@
          true},
         {"news is old, and a late loop gave the read up", 2600, 300, 700, false, true},
         {"news is very old, and a late loop gave the read up", 3100, 300, 700, false, false},
+        {"a hold-up that begins with the read in flight", 1850, 0, -1, false, false, 2000},
 };
 
 } // namespace
@@ -473,11 +476,12 @@
             && at(ms) - read.sentAt_ >= milliseconds(test.failedAfterMs_))
             onEndpointListFailed(control, "failed", at(ms));
     }
-    const GatewayView view = gatewayViewOf(control, at(test.nowMs_));
+    const TimePoint end = at(test.nowMs_ + test.heldUpMs_);
+    const GatewayView view = gatewayViewOf(control, end);
     GatewayTraffic traffic;
-    onGatewayRequest(traffic, view, request(1, "/book/x"), at(test.nowMs_));
+    onGatewayRequest(traffic, view, request(1, "/book/x"), end);
     BOOST_TEST((takeSends(traffic) == "d1") == test.dispatches_);
-    BOOST_TEST(isGatewayReady(control, at(test.nowMs_)) == test.ready_);
+    BOOST_TEST(isGatewayReady(control, end) == test.ready_);
 }
 
 // A request that waits for the list is refused, as not run, before its caller loses its time.
--- a/src/gateway/tests/tst_stateavailable.cpp
+++ b/src/gateway/tests/tst_stateavailable.cpp
@@ -33,6 +33,8 @@
     int waitMs_;
     //! How late the control thread's last tick was.
     int lateMs_;
+    //! When its next tick was due.
+    int tickDueMs_;
     ReadEnd end_;
     int endMs_;
     bool isAvailable_;
@@ -44,16 +46,18 @@
 }
 
 const AvailabilityCase AvailabilityCases[] = {
-        {"answered", 0, 0, ReadEnd::Answered, 10, true},
-        {"in flight", 0, 0, ReadEnd::None, 199, true},
-        {"without an answer", 0, 0, ReadEnd::None, 200, false},
-        {"a waiting read", 800, 0, ReadEnd::None, 999, true},
-        {"a waiting read without an answer", 800, 0, ReadEnd::None, 1000, false},
-        {"in flight, the process was held up", 0, 2000, ReadEnd::None, 2100, true},
-        {"refused", 0, 0, ReadEnd::Failed, 10, false},
-        {"failed without an answer", 0, 0, ReadEnd::Failed, 900, false},
-        {"failed while the process was held up", 0, 2000, ReadEnd::Failed, 2100, true},
-        {"refused, but a neighbour reads it", 0, 0, ReadEnd::FailedThenConfirmed, 10, true},
+        {"answered", 0, 0, 10, ReadEnd::Answered, 10, true},
+        {"in flight", 0, 0, 199, ReadEnd::None, 199, true},
+        {"without an answer", 0, 0, 200, ReadEnd::None, 200, false},
+        {"a waiting read", 800, 0, 999, ReadEnd::None, 999, true},
+        {"a waiting read without an answer", 800, 0, 1000, ReadEnd::None, 1000, false},
+        {"in flight, the process was held up", 0, 2000, 2100, ReadEnd::None, 2100, true},
+        {"in flight, held up, the first event since", 0, 0, 100, ReadEnd::None, 2100, true},
+        {"refused", 0, 0, 10, ReadEnd::Failed, 10, false},
+        {"failed without an answer", 0, 0, 900, ReadEnd::Failed, 900, false},
+        {"failed while the process was held up", 0, 2000, 2100, ReadEnd::Failed, 2100, true},
+        {"failed, held up, the first event since", 0, 0, 100, ReadEnd::Failed, 2100, true},
+        {"refused, but a neighbour reads it", 0, 0, 10, ReadEnd::FailedThenConfirmed, 10, true},
 };
 
 } // namespace
@@ -69,6 +73,7 @@
     read.sentAt_ = at(0);
     read.wait_ = milliseconds(test.waitMs_);
     control.loopDelay_.last_ = milliseconds(test.lateMs_);
+    control.loopDelay_.nextDueAt_ = at(test.tickDueMs_);
     if (test.end_ == ReadEnd::Failed || test.end_ == ReadEnd::FailedThenConfirmed)
         onDesiredStateReadFailed(control, "test", at(test.endMs_));
     if (test.end_ == ReadEnd::Answered || test.end_ == ReadEnd::FailedThenConfirmed)
--- a/src/policy/loopdelay.h
+++ b/src/policy/loopdelay.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 #include "core/units.h"
@@ -15,6 +16,8 @@
     Duration last_ {};
     //! Longest delay since takeLongest().
     Duration longest_ {};
+    //! When the next tick is due, if the loop notes it.
+    std::optional<TimePoint> nextDueAt_;
 };
 
 inline void noteTick(LoopDelay &delay, Duration late)
@@ -23,6 +26,13 @@
     delay.longest_ = std::max(delay.longest_, delay.last_);
 }
 
+//! By how much the loop is late now. After a hold-up other events may come before the tick that is
+//! overdue.
+inline Duration currentDelay(const LoopDelay &delay, TimePoint now)
+{
+    return delay.nextDueAt_ ? std::max(delay.last_, now - *delay.nextDueAt_) : delay.last_;
+}
+
 inline Duration takeLongest(LoopDelay &delay)
 {
     return std::exchange(delay.longest_, Duration());
