Tests that hold a gateway up wait until none of its threads runs

Seen: requestOfCallerThatLeftReachesNoEndpoint failed in 1 of 16 runs of the whole file (four side by side) and in 10 of 30 runs (six side by side, a build beside them): requests of callers that had left reached an endpoint.

Trace (logs of the failed runs kept): every request that reached an endpoint was read and routed within a millisecond of its sending, 0.7 s before the gateway logged that its caller had left, that is before the hold-up and while the caller was there. SIGSTOP had been sent, but threads that run on other processors stop a little later, the later the busier the machine is. The requests were allowed; the test took the hold-up for begun too early.

Ruled out: dispatches after the hold-up. In the same logs all requests read after it end with caller-gone within a millisecond of their reading and without an arrival.

Change: GatewayProgram::holdUp() waits for the kernel's word that the whole process has stopped. The checks and the times are as they were.

--- a/lab/gatewayprogram.cpp
+++ b/lab/gatewayprogram.cpp
@@ -75,6 +75,18 @@
     return pid_ > 0 && kill(pid_, number) == 0;
 }
 
+bool GatewayProgram::holdUp()
+{
+    if (!signal(SIGSTOP))
+        return false;
+    int status = 0;
+    if (waitpid(pid_, &status, WUNTRACED) != pid_)
+        return false;
+    if (!WIFSTOPPED(status))
+        noteEnd(status);
+    return WIFSTOPPED(status);
+}
+
 bool GatewayProgram::hasEnded()
 {
     if (pid_ <= 0)
@@ -82,9 +94,14 @@
     int status = 0;
     if (waitpid(pid_, &status, WNOHANG) != pid_)
         return false;
+    noteEnd(status);
+    return true;
+}
+
+void GatewayProgram::noteEnd(int status)
+{
     pid_ = -1;
     exitCode_ = WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
-    return true;
 }
 
 bool GatewayProgram::isReady() const
--- a/lab/gatewayprogram.h
+++ b/lab/gatewayprogram.h
@@ -38,6 +38,9 @@
     void restart();
     //! False if the process is gone.
     bool signal(int number) const;
+    //! Stops the process with SIGSTOP and waits until none of its threads runs any more. False if
+    //! the process is gone.
+    bool holdUp();
     //! Reaps the process if it has ended.
     bool hasEnded();
     //! Of the last process that ended; negative for the signal that ended it.
@@ -54,6 +57,8 @@
     Address metrics_;
 
 private:
+    void noteEnd(int status);
+
     std::vector<std::string> command_;
     std::string settingsFile_;
     std::string log_;
--- a/lab/tests/tst_gatewaybehind.cpp
+++ b/lab/tests/tst_gatewaybehind.cpp
@@ -106,7 +106,7 @@
                 BOOST_TEST(caller->status() == "HTTP/1.1 200");
             }
         }
-        gateway.signal(SIGSTOP);
+        BOOST_REQUIRE(gateway.holdUp());
         for (int i = 0; i < Callers; ++i) {
             const auto number = static_cast<std::size_t>(i);
             leaving[number]->send(test.method_, test.path_, "left-" + name);
@@ -154,7 +154,7 @@
             callers.back()->send("GET", "/look/x", "first");
             BOOST_TEST(callers.back()->status() == "HTTP/1.1 200");
         }
-        gateway.signal(SIGSTOP);
+        BOOST_REQUIRE(gateway.holdUp());
         fixture.platform_.setDraining("i-desk");
         std::this_thread::sleep_for(DrainBound);
         for (const auto &caller : callers)
@@ -182,7 +182,7 @@
         callers.back()->send("GET", "/look/x", "first");
         BOOST_TEST(callers.back()->status() == "HTTP/1.1 200");
     }
-    gateway.signal(SIGSTOP);
+    BOOST_REQUIRE(gateway.holdUp());
     std::this_thread::sleep_for(HoldUp);
     for (const auto &caller : callers)
         caller->send("POST", "/book/x", "waiting");
