A gateway that gets more than it can carry refuses the rest at once, and recovers

Cause: nothing limits what a gateway begins but its endpoints. Each request in progress adds to each turn of the loop, each takes several turns, and a queue is worked through from its oldest end, so that beyond some number all are late, and stay late.

Change: the window, the turn that ends and the refusal on arrival, as docs/DESIGN.md has them. Decided in policy/loopwindow and by the entry's policy/admission, in a filter of its own; the driver only measures how late its ticks are. The reading time counts in a request's age while the process is overloaded; after a hold-up it can't be known.

Not built: the same load on processes; a Retry-After that follows the queue.

--- a/src/app/internal/gatewaytraffic.cpp
+++ b/src/app/internal/gatewaytraffic.cpp
@@ -85,15 +85,15 @@
     takeLimits(*view_.load());
     traffic_.counters_.unmatchedResponses_ = client_.unmatchedResponses();
     counters_ = std::make_shared<const GatewayCounters>(traffic_.counters_);
-    noteTick(loopDelay_, ticker_.delay());
     const TimePoint now = monotonicNow();
     tellShares(now);
     if (now - loadLoggedAt_ >= LoadLogInterval)
         logLoad(now);
-    if (!isGatewayIdle(traffic_))
-        withTraffic([this](const GatewayView &view, TimePoint now) {
+    withTraffic([this](const GatewayView &view, TimePoint now) {
+        onLoopTick(traffic_, ticker_.delay(), now);
+        if (!isGatewayIdle(traffic_))
             onGatewayTick(traffic_, view, now);
-        });
+    });
     return GatewayTickInterval;
 }
 
@@ -117,7 +117,7 @@
         queued += queues.onTime_.size_ + queues.overdue_.size_;
     GC_LOG_INFO(LogLine("traffic-load")
                         .add("cpu_ms", used - before)
-                        .add("late_ms", takeLongest(loopDelay_))
+                        .add("late_ms", takeLongest(traffic_.loopDelay_))
                         .add("read_delay_ms", std::exchange(longestReadDelay_, Duration()))
                         .add("requests", std::uint64_t {traffic_.requests_.size()})
                         .add("queued", std::uint64_t {queued}));
--- a/src/app/internal/gatewaytraffic.h
+++ b/src/app/internal/gatewaytraffic.h
@@ -12,7 +12,6 @@
 #include "http/eventsplitter.h"
 #include "http/relayclient.h"
 #include "http/relayserver.h"
-#include "policy/loopdelay.h"
 #include "runtime.h"
 
 namespace gypsumcroft::detail {
@@ -97,7 +96,6 @@
     TimePoint sharesToldAt_;
     TimePoint loadLoggedAt_;
     Duration processorTime_ {};
-    LoopDelay loopDelay_;
     //! Longest time for which a request lay unread since the last line on the load.
     Duration longestReadDelay_ {};
     std::atomic<std::shared_ptr<const GatewayCounters>> counters_;
--- a/src/filters/gatewayfilters.h
+++ b/src/filters/gatewayfilters.h
@@ -16,7 +16,7 @@
 
 using GatewayFilter = Filter<GatewayContext, GatewayView, GatewayTraffic, GatewayFilterResult>;
 
-//! state, route, authorise, target, quarantine, queue, endpoint, dispatch, in this order.
+//! state, route, authorise, target, quarantine, admit, queue, endpoint, dispatch, in this order.
 std::span<const GatewayFilter> gatewayChain();
 
 //! Index of the filter at which the chain continues with a request that left the queue.
@@ -55,6 +55,9 @@
 //! Load that this gateway's requests place on the endpoints.
 OwnEndpointLoads ownEndpointLoads(const GatewayTraffic &state);
 
+//! Time since arrival after which a queued request isn't expected to meet its latency target.
+Duration overdueAfter(const GatewayContext &context, const GatewayTraffic &state);
+
 //! Adds a request to its queue; a retry is added at the front.
 void enqueue(GatewayContext &context, GatewayTraffic &state, bool front);
 //! Removes a request from its queue; does nothing if it is not queued.
--- a/src/filters/gatewaystate.h
+++ b/src/filters/gatewaystate.h
@@ -16,10 +16,13 @@
 #include "core/logline.h"
 #include "core/random.h"
 #include "core/routes.h"
+#include "policy/admission.h"
 #include "policy/crossdomainbudget.h"
 #include "policy/endpointhealth.h"
 #include "policy/endpointpause.h"
 #include "policy/fairqueue.h"
+#include "policy/loopdelay.h"
+#include "policy/loopwindow.h"
 #include "policy/pathplan.h"
 #include "policy/patience.h"
 #include "policy/retry.h"
@@ -262,6 +265,8 @@
     FairQueue onTime_;
     //! Requests that no longer can; dispatched only while the other queue is empty.
     FairQueue overdue_;
+    //! Rate at which onTime_ is dispatched; known only while requests wait in it all the time.
+    DrainRate drained_;
 };
 
 struct GatewayCounters
@@ -294,6 +299,8 @@
     //! Time since arrival after which a queued request counts as overdue, as a multiple of the
     //! latency target.
     double overdueFactor_ = 0.75;
+    //! The same while this process is overloaded, whose own turns take time from each request.
+    double overloadedFactor_ = 0.4;
     //! Longest time for which a request awaits news that the platform has told this process so far,
     //! from its arrival or the end of a hold-up on.
     Duration maxNewsWait_ = std::chrono::milliseconds(500);
@@ -317,6 +324,11 @@
     Duration retryAfter_ = std::chrono::milliseconds(400);
     //! A load reported by an endpoint is ignored once it is older than this.
     Duration maxReportedLoadAge_ = std::chrono::milliseconds(300);
+    LoopWindowLimits loopWindow_;
+    //! A turn of the loop that is later than this begins no more dispatches.
+    Duration maxTurn_ = std::chrono::milliseconds(30);
+    //! Dispatches from one queue between two looks at how late the turn is.
+    std::size_t maxBegunAtOnce_ = 32;
     EndpointHealthLimits health_;
     EndpointPauseLimits pause_;
     RetryLimits retry_;
@@ -336,6 +348,8 @@
     std::map<TargetName, CrossDomainBudget> crossDomainBudgets_;
     TraitHistory traitHistory_;
     std::uint64_t nextDispatch_ = 1;
+    LoopDelay loopDelay_;
+    LoopWindow loopWindow_;
     TimePoint lastTickAt_;
     //! End of the last time for which this process was held up.
     TimePoint heldUpUntil_;
--- a/src/filters/internal/gatewayfilters.cpp
+++ b/src/filters/internal/gatewayfilters.cpp
@@ -135,6 +135,42 @@
                                                      : proceedGateway();
 }
 
+Rank rankOf(Priority priority)
+{
+    return AllRanks.at(std::min<std::size_t>(priority.value_, RankCount - 1));
+}
+
+QueuedRequest toQueuedRequest(const GatewayContext &context)
+{
+    QueuedRequest queued;
+    queued.request_ = queueId(context.request_.exchange_);
+    queued.organisation_ = context.organisation_.value_or(OrganisationId {});
+    // A suspect request that has to wait must not hold up the others of its organisation.
+    queued.caller_ = {queued.organisation_.value_ + (context.suspect_ ? "/suspect" : "")};
+    queued.rank_ = rankOf(context.priority_);
+    queued.work_ = {std::max<std::int64_t>(1, context.request_.promptTokens_.value_
+                                                      + context.request_.expectedOutput_.value_)};
+    queued.deadline_ = context.deadline_;
+    return queued;
+}
+
+//! While this process is overloaded, refuses a request at once that would wait so long that it
+//! isn't expected to meet its latency target.
+GatewayFilterResult admitRequest(GatewayContext &context, const GatewayView &,
+                                 GatewayTraffic &state, TimePoint now)
+{
+    const auto found = state.queues_.find(context.target_);
+    if (!state.loopWindow_.size_ || found == state.queues_.end())
+        return proceedGateway();
+    const TargetQueues &queues = found->second;
+    if (!queues.drained_.known_ && !hasRoom(state.loopWindow_, queues.onTime_.size_))
+        return refuseGateway(GatewayRefusal::Overloaded);
+    const Tokens ahead = workAhead(queues.onTime_, toQueuedRequest(context));
+    const Duration wait = now - context.arrivedAt_ + expectedWait(queues.drained_, ahead);
+    return wait <= overdueAfter(context, state) ? proceedGateway()
+                                                : refuseGateway(GatewayRefusal::Overloaded);
+}
+
 GatewayFilterResult queueRequest(GatewayContext &context, const GatewayView &,
                                  GatewayTraffic &state, TimePoint)
 {
@@ -405,36 +441,18 @@
     return {FilterAction::Done, {}};
 }
 
-constexpr std::array<GatewayFilter, 8> Chain = {{
+constexpr std::array<GatewayFilter, 9> Chain = {{
         {"state", checkState},
         {"route", identifyRoute},
         {"authorise", authorise},
         {"target", chooseTarget},
         {"quarantine", quarantineRequest},
+        {"admit", admitRequest},
         {"queue", queueRequest},
         {"endpoint", choosePath},
         {"dispatch", dispatch},
 }};
-constexpr std::size_t EndpointFilter = 6;
-
-Rank rankOf(Priority priority)
-{
-    return AllRanks.at(std::min<std::size_t>(priority.value_, RankCount - 1));
-}
-
-QueuedRequest toQueuedRequest(const GatewayContext &context)
-{
-    QueuedRequest queued;
-    queued.request_ = queueId(context.request_.exchange_);
-    queued.organisation_ = context.organisation_.value_or(OrganisationId {});
-    // A suspect request that has to wait must not hold up the others of its organisation.
-    queued.caller_ = {queued.organisation_.value_ + (context.suspect_ ? "/suspect" : "")};
-    queued.rank_ = rankOf(context.priority_);
-    queued.work_ = {std::max<std::int64_t>(1, context.request_.promptTokens_.value_
-                                                      + context.request_.expectedOutput_.value_)};
-    queued.deadline_ = context.deadline_;
-    return queued;
-}
+constexpr std::size_t EndpointFilter = 7;
 
 //! True if the planned path has free KV capacity and its pending prefill is within the limit of the
 //! request's rank.
@@ -572,6 +590,15 @@
     return {std::to_string(exchange.value_)};
 }
 
+Duration overdueAfter(const GatewayContext &context, const GatewayTraffic &state)
+{
+    const GatewayLimits &limits = state.limits_;
+    const double factor
+            = state.loopWindow_.size_ ? limits.overloadedFactor_ : limits.overdueFactor_;
+    const auto target = static_cast<double>(context.route_.latencyTarget_.count());
+    return Duration(static_cast<std::int64_t>(factor * target));
+}
+
 void enqueue(GatewayContext &context, GatewayTraffic &state, bool front)
 {
     FairQueue &queue = detail::queueOf(context, state);
--- a/src/gateway/internal/traffic.cpp
+++ b/src/gateway/internal/traffic.cpp
@@ -68,9 +68,16 @@
     return exchange;
 }
 
+//! False while this process has as much work as it can carry.
+bool mayBeginMore(const GatewayTraffic &state, TimePoint now)
+{
+    return currentDelay(state.loopDelay_, now) <= state.limits_.maxTurn_
+           && hasRoom(state.loopWindow_, state.exchangesByDispatch_.size());
+}
+
 //! Dispatches queued requests while endpoints have capacity for them.
 void dispatchFromQueue(GatewayTraffic &state, const GatewayView &view, FairQueue &queue,
-                       TimePoint now)
+                       DrainRate &rate, TimePoint now)
 {
     // A request at least as large as one that exceeded the free capacity exceeds it too.
     std::int64_t tooLarge = std::numeric_limits<std::int64_t>::max();
@@ -83,10 +90,11 @@
         tooLarge = queued.work_.value_;
         return false;
     };
-    while (queue.size_ > 0) {
-        const auto next = popRequest(queue, fits);
+    for (std::size_t i = 0; i < state.limits_.maxBegunAtOnce_ && mayBeginMore(state, now); ++i) {
+        const auto next = queue.size_ > 0 ? popRequest(queue, fits) : std::nullopt;
         if (!next)
             return;
+        recordDrained(rate, next->work_, now);
         Context &context = state.requests_.at(exchangeOf(*next));
         context.queued_ = false;
         context.nextFilter_ = endpointFilterIndex();
@@ -99,9 +107,14 @@
     if (!listIsFresh(view, now))
         return;
     for (auto &[target, queues] : state.queues_) {
-        dispatchFromQueue(state, view, queues.onTime_, now);
-        if (queues.onTime_.size_ == 0)
-            dispatchFromQueue(state, view, queues.overdue_, now);
+        dispatchFromQueue(state, view, queues.onTime_, queues.drained_, now);
+        if (queues.onTime_.size_ > 0)
+            continue;
+        // In an overload the queue is emptied by refusals, too.
+        if (!state.loopWindow_.size_)
+            queues.drained_ = {};
+        DrainRate ignored;
+        dispatchFromQueue(state, view, queues.overdue_, ignored, now);
     }
 }
 
@@ -368,8 +381,6 @@
 //! Checks the time limits of a request, what it is suspected of, and its stream.
 void checkRequest(GatewayTraffic &state, const GatewayView &view, Context &context, TimePoint now)
 {
-    const Duration overdueAfter
-            = scaled(context.route_.latencyTarget_, state.limits_.overdueFactor_);
     if (now >= context.deadline_)
         return endRequest(state, context, GatewayRefusal::Overloaded, GatewayRefusal::TimedOut,
                           "deadline", now);
@@ -380,7 +391,7 @@
                           now);
     if (context.queued_ && checkBlame(state, view, context, now))
         return;
-    const bool isOverdue = hasWaitedLongerThan(context, overdueAfter, now);
+    const bool isOverdue = hasWaitedLongerThan(context, overdueAfter(context, state), now);
     if (isOverdue && !listIsFresh(view, now)
         && now - state.heldUpUntil_ > state.limits_.maxNewsWait_)
         return endRequest(state, context, GatewayRefusal::Unready, GatewayRefusal::TimedOut,
@@ -393,6 +404,14 @@
         checkStream(state, view, context, now);
 }
 
+//! Time for which a request may have lain unread that is read now. Short of a lasting overload it
+//! isn't known: after a hold-up it may have come a moment ago.
+Duration unreadTime(const GatewayTraffic &state, TimePoint now)
+{
+    return state.loopWindow_.size_ ? std::max(Duration(), currentDelay(state.loopDelay_, now))
+                                   : Duration();
+}
+
 } // namespace
 } // namespace detail
 
@@ -405,8 +424,9 @@
     const ExchangeId exchange = request.exchange_;
     GatewayContext &context = state.requests_[exchange];
     context.request_ = std::move(request);
-    context.arrivedAt_ = now;
-    context.deadline_ = now + context.request_.timeout_.value_or(state.limits_.defaultTimeout_);
+    context.arrivedAt_ = now - detail::unreadTime(state, now);
+    context.deadline_ = context.arrivedAt_
+                        + context.request_.timeout_.value_or(state.limits_.defaultTimeout_);
     detail::noteRequestId(state, context);
     detail::runFilters(state, view, context, now);
     detail::dispatchQueued(state, view, now);
@@ -562,6 +582,22 @@
     detail::dispatchQueued(state, view, now);
 }
 
+void onLoopTick(GatewayTraffic &state, Duration delay, TimePoint now)
+{
+    noteTick(state.loopDelay_, delay);
+    state.loopDelay_.nextDueAt_ = now + GatewayTickInterval;
+    const bool wasLimited = state.loopWindow_.size_.has_value();
+    adjustWindow(state.loopWindow_, state.limits_.loopWindow_, delay,
+                 state.exchangesByDispatch_.size(), now);
+    if (state.loopWindow_.size_.has_value() != wasLimited)
+        detail::emit(state,
+                     logEvent(LogLevel::Warning,
+                              LogLine(wasLimited ? "overload-ended" : "overload-began")
+                                      .add("late_ms", delay)
+                                      .add("in_progress",
+                                           std::uint64_t {state.exchangesByDispatch_.size()})));
+}
+
 void stopDispatching(GatewayTraffic &state, TimePoint from)
 {
     state.dispatchUntil_ = from;
--- a/src/gateway/traffic.h
+++ b/src/gateway/traffic.h
@@ -43,6 +43,10 @@
 void onGatewayTick(GatewayTraffic &state, const GatewayView &view, TimePoint now);
 inline constexpr Duration GatewayTickInterval = std::chrono::milliseconds(25);
 
+//! To be called with each tick of the thread's loop, and with how late it is. While all ticks are
+//! late, fewer requests are dispatched.
+void onLoopTick(GatewayTraffic &state, Duration delay, TimePoint now);
+
 //! From the given time on only requests that have been dispatched go on; all others are refused as
 //! not run, so that none is cut off when the process ends.
 void stopDispatching(GatewayTraffic &state, TimePoint from);
--- a/src/policy/tests/tst_limits.cpp
+++ b/src/policy/tests/tst_limits.cpp
@@ -5,6 +5,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "policy/admission.h"
+#include "policy/loopwindow.h"
 #include "policy/retry.h"
 #include "policy/stopplan.h"
 #include "policy/subset.h"
@@ -296,3 +297,57 @@
     BOOST_TEST((plan.acceptUntil_ - Start <= LastThatMayBeAborted - RequestTransitTime));
     BOOST_TEST((plan.acceptUntil_ - Start >= std::min(BalancerNoticeTime, grace / 2)));
 }
+
+namespace {
+
+//! Ticks of a loop, and the window of requests in progress after them; -1: no limit.
+struct LoopWindowCase
+{
+    const char *name_;
+    //! How late each tick is.
+    std::vector<int> delaysMs_;
+    std::size_t inProgress_;
+    double before_;
+    double after_;
+};
+
+std::ostream &operator<<(std::ostream &out, const LoopWindowCase &test)
+{
+    return out << test.name_;
+}
+
+const std::vector<int> OnTime(8, 1);
+const std::vector<int> Late(8, 30);
+
+const LoopWindowCase LoopWindowCases[] = {
+        {"a loop that keeps up", OnTime, 100, -1, -1},
+        {"one hold-up", {0, 0, 0, 2000, 0, 0, 0, 0}, 100, -1, -1},
+        {"two late ticks of eight", {0, 30, 0, 0, 30, 0, 0, 0}, 100, -1, -1},
+        {"every other tick is late", {0, 30, 0, 30, 0, 30, 0, 30}, 100, -1, 80},
+        {"a late loop", Late, 100, -1, 80},
+        {"a late loop with few requests", Late, 5, -1, 8},
+        {"a late loop with more in progress than the window", Late, 100, 60, 48},
+        {"a late loop with less in progress than the window", Late, 50, 60, 40},
+        {"a loop that keeps up with a full window", OnTime, 60, 60, 66},
+        {"a loop that keeps up with half of its window", OnTime, 30, 60, 66},
+        {"a loop that keeps up with less than that", OnTime, 29, 60, -1},
+};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(windowFollowsTheDelayOfTheLoop, LoopWindowCases, test)
+{
+    constexpr std::chrono::milliseconds TickInterval {25};
+    LoopWindow window;
+    window.adjustedAt_ = Start;
+    if (test.before_ >= 0)
+        window.size_ = test.before_;
+    TimePoint now = Start;
+    for (const int delayMs : test.delaysMs_) {
+        now += TickInterval;
+        adjustWindow(window, {}, std::chrono::milliseconds(delayMs), test.inProgress_, now);
+    }
+    BOOST_TEST(window.size_.value_or(-1) == test.after_, boost::test_tools::tolerance(1e-9));
+    BOOST_TEST(hasRoom(window, 7) == true);
+    BOOST_TEST(hasRoom(window, 1000) == (test.after_ < 0));
+}
