A planned stop waits until callers have acknowledged their answers

SIGTERM while six clients receive 6 MB each at 1 MB/s; the gateway ends 2.9 s later, five seconds before its grace period is over, and all six are cut at 4.6 to 5.2 MB.

Cause: a request counts as ended once its answer has been handed to the connection; nobody asked whether the connection had passed it on. Class: a stop that looks at its own books and not at what is on its way.

Change: the process is idle only when no connection has bytes that are unsent or that the kernel holds unacknowledged; a connection that is closed in a stop lingers for as long. The end of the grace period stays the limit.

Ruled out: the entry's and the agent's stop (http/server.cpp) have the same form and aren't started on the platform; their answers are small.

--- a/src/app/internal/gatewaytraffic.h
+++ b/src/app/internal/gatewaytraffic.h
@@ -35,7 +35,11 @@
     void beginStop(TimePoint dispatchUntil);
     //! Takes no connection any more.
     void stopAccepting();
-    bool isIdle() const { return isGatewayIdle(traffic_) && exchanges_.empty(); }
+    //! True when no request is in progress and all callers have received their responses.
+    bool isIdle() const
+    {
+        return isGatewayIdle(traffic_) && exchanges_.empty() && !server_.hasUndelivered();
+    }
     //! Ends the requests that are still in hand; their number.
     std::size_t cutRequests();
     //! Counters as of the last tick; safe from any thread.
--- a/src/http/internal/relayserver.cpp
+++ b/src/http/internal/relayserver.cpp
@@ -8,7 +8,9 @@
 #include <boost/beast/http.hpp>
 
 #include "relayconnection.h"
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 
 namespace gypsumcroft::http {
 
@@ -20,6 +22,8 @@
 
 //! Time for a caller to receive the last response while bytes that it still sends are discarded.
 constexpr std::chrono::milliseconds LingerTime {500};
+//! Interval between checks whether the caller has all of its response.
+constexpr std::chrono::milliseconds DeliveryCheckInterval {20};
 //! Interval between checks for stalled and disconnected callers.
 constexpr std::chrono::milliseconds CheckInterval {250};
 constexpr std::uint16_t StatusTimeout = 408;
@@ -96,17 +100,41 @@
     co_await connection.wakeTimer_.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
 }
 
+//! Bytes that the kernel holds for the caller; 0 where it doesn't tell.
+std::size_t unacknowledgedBytes(RelayConnection &connection)
+{
+    int bytes = 0;
+    const bool isTold = !connection.closed_
+                        && ioctl(connection.socket_.native_handle(), SIOCOUTQ, &bytes) == 0;
+    return isTold && bytes > 0 ? static_cast<std::size_t>(bytes) : 0;
+}
+
+bool isDelivered(RelayConnection &connection)
+{
+    return connection.closed_
+           || (!connection.writing_ && connection.unsentBytes_ == 0
+               && unacknowledgedBytes(connection) == 0);
+}
+
 //! Shuts down sending and discards received bytes for a while. Closing a socket with unread bytes
 //! would reset the connection, and the caller could lose the last response.
+//! While the server stops, the connection is kept until the caller has everything: nothing is left
+//! to send it once the process is gone.
 asio::awaitable<void> linger(RelayConnection &connection)
 {
     boost::system::error_code ignored;
     connection.socket_.shutdown(tcp::socket::shutdown_send, ignored);
     const auto until = Clock::now() + LingerTime;
-    while (!connection.closed_ && Clock::now() < until) {
+    const auto untilDelivered = Clock::now() + connection.shared_->limits_.sendTimeout_;
+    const auto isOver = [&] {
+        const auto now = Clock::now();
+        const bool mustWait = connection.shared_->acceptingStopped_ && !isDelivered(connection);
+        return connection.closed_ || now >= (mustWait ? untilDelivered : until);
+    };
+    while (!isOver()) {
         connection.buffer_.clear();
         connection.startRead();
-        co_await waitForWake(connection, until);
+        co_await waitForWake(connection, std::max(until, Clock::now() + DeliveryCheckInterval));
     }
 }
 
@@ -234,7 +262,7 @@
         if (!connection->keepAlive_)
             break;
     }
-    if (!connection->closed_ && !connection->keepAlive_)
+    if (!connection->closed_ && (!connection->keepAlive_ || !isDelivered(*connection)))
         co_await linger(*connection);
     connection->close();
 }
@@ -544,6 +572,13 @@
     return impl_->shared_->connections_.size();
 }
 
+bool RelayServer::hasUndelivered() const
+{
+    const auto &connections = impl_->shared_->connections_;
+    return std::any_of(connections.begin(), connections.end(),
+                       [](auto *connection) { return !detail::isDelivered(*connection); });
+}
+
 std::size_t RelayServer::bufferedBytes() const
 {
     return impl_->shared_->unsentBytes_ + impl_->shared_->incompleteRequestBytes_;
--- a/src/http/relayserver.h
+++ b/src/http/relayserver.h
@@ -91,6 +91,8 @@
     //! Stops accepting connections and closes those without a request in progress.
     void stopAccepting();
     std::size_t connectionCount() const;
+    //! True while bytes of responses haven't been acknowledged by their callers.
+    bool hasUndelivered() const;
     //! Bytes waiting to be sent plus bytes of incomplete requests, on all connections.
     std::size_t bufferedBytes() const;
 
--- a/standins/platform/platformstandin.cpp
+++ b/standins/platform/platformstandin.cpp
@@ -126,6 +126,7 @@
     int breakAfter_ = -1;
     StreamBreak breakHow_ = StreamBreak::Closed;
     std::chrono::milliseconds longestWork_ {0};
+    std::size_t answerBytes_ = 0;
     std::chrono::milliseconds eventGap_ = DefaultEventGap;
     std::jthread thread_;
 };
@@ -301,11 +302,13 @@
 void PlatformStandin::Impl::work(const ExchangePtr &exchange, const http::ResponseHead &head,
                                  const std::string &id)
 {
+    std::string body = "done " + id;
+    body.resize(std::max(body.size(), answerBytes_), '.');
     const auto longest = static_cast<std::uint64_t>(longestWork_.count());
     if (longest == 0)
-        return exchange->respond(head, "done " + id);
+        return exchange->respond(head, body);
     after(std::chrono::milliseconds(hashText(id) % longest),
-          [exchange, head, id] { exchange->respond(head, "done " + id); });
+          [exchange, head, body = std::move(body)] { exchange->respond(head, body); });
 }
 
 void PlatformStandin::Impl::onModel(Server &server, const http::RelayRequest &request,
@@ -585,4 +588,9 @@
     impl_->locked([&] { impl_->longestWork_ = longest; });
 }
 
+void PlatformStandin::setAnswerBytes(std::size_t bytes)
+{
+    impl_->locked([&] { impl_->answerBytes_ = bytes; });
+}
+
 } // namespace gypsumcroft::standins
--- a/standins/platform/platformstandin.h
+++ b/standins/platform/platformstandin.h
@@ -79,6 +79,8 @@
     void setEntryAddress(const std::string &server, const Address &address);
     //! Plain servers work on each request for a time of its own below this one.
     void setLongestWork(std::chrono::milliseconds longest);
+    //! Plain servers pad their answers to this size.
+    void setAnswerBytes(std::size_t bytes);
     void setEventGap(std::chrono::milliseconds gap);
 
 private:
