A process ends in time though nobody reads its log

Cause: the end of logging waits for the thread that writes the lines, which hangs in a full pipe.

Change: the last lines get 0.3 s; after that the process ends without them, with the same exit code. Lines are dropped while the buffer is full, as before.

--- a/lab/tests/tst_plannedstop.cpp
+++ b/lab/tests/tst_plannedstop.cpp
@@ -100,3 +100,31 @@
     for (const std::size_t bytes : got)
         BOOST_TEST(bytes > test.answerBytes_);
 }
+
+// Whoever reads the log may have stopped reading.
+BOOST_FIXTURE_TEST_CASE(aStopEndsThoughNobodyReadsTheLog, Fixture)
+{
+    constexpr int PipeBytes = 4096;
+    constexpr int Requests = 200;
+    GatewayProgram &gateway = *gateways_[0];
+    BOOST_REQUIRE(lab::tests::stop(gateway) == 0);
+    const std::string log = folder_ + "/g1.log";
+    std::filesystem::remove(log);
+    BOOST_REQUIRE(mkfifo(log.c_str(), 0600) == 0);
+    const int reader = open(log.c_str(), O_RDWR | O_NONBLOCK | O_CLOEXEC);
+    BOOST_REQUIRE(fcntl(reader, F_SETPIPE_SZ, PipeBytes) >= 0);
+    gateway.restart();
+    BOOST_REQUIRE(waitFor([&] { return gateway.isReady(); }));
+    int served = 0;
+    for (int i = 0; i < Requests; ++i)
+        served += ask(gateway.callers_, "GET", "/look/x", "look-" + std::to_string(i), "key")
+                                          .status_
+                                  == "HTTP/1.1 200"
+                          ? 1
+                          : 0;
+    BOOST_TEST(served == Requests);
+    const auto signalled = Clock::now();
+    BOOST_TEST(lab::tests::stop(gateway) == 0);
+    BOOST_TEST((Clock::now() - signalled < Grace));
+    close(reader);
+}
--- a/src/app/internal/log.cpp
+++ b/src/app/internal/log.cpp
@@ -1,6 +1,10 @@
 #include "app/log.h"
 
+#include <chrono>
+#include <future>
 #include <iostream>
+#include <memory>
+#include <thread>
 
 #include <boost/core/null_deleter.hpp>
 #include <boost/date_time/posix_time/posix_time.hpp>
@@ -20,6 +24,8 @@
 namespace detail {
 
 constexpr std::size_t MaxWaitingLines = 100000;
+//! Time for the last lines to be written.
+constexpr std::chrono::milliseconds FlushTime {300};
 
 using Backend = logging::sinks::text_ostream_backend;
 using Sink = logging::sinks::asynchronous_sink<
@@ -67,14 +73,21 @@
     logging::core::get()->set_filter(logging::expressions::attr<LogLevel>("Severity") >= least);
 }
 
-void stopLogging()
+bool stopLogging()
 {
     if (!detail::sink())
-        return;
-    detail::sink()->stop();
-    detail::sink()->flush();
+        return true;
+    const auto flushed = std::make_shared<std::promise<void>>();
+    std::thread([flushed, sink = detail::sink()] {
+        sink->stop();
+        sink->flush();
+        flushed->set_value();
+    }).detach();
+    if (flushed->get_future().wait_for(detail::FlushTime) != std::future_status::ready)
+        return false;
     logging::core::get()->remove_sink(detail::sink());
     detail::sink().reset();
+    return true;
 }
 
 void writeLog(LogLevel level, const std::string &text)
--- a/src/app/internal/main.cpp
+++ b/src/app/internal/main.cpp
@@ -89,7 +89,9 @@
         return 1;
     startLogging(levelOf(FLAGS_level));
     const int code = run(*settings);
-    stopLogging();
+    // A thread that can't write the last lines would keep the process from ending.
+    if (!stopLogging())
+        std::_Exit(code);
     return code;
 }
 
--- a/src/app/log.h
+++ b/src/app/log.h
@@ -9,8 +9,8 @@
 
 //! Sends lines of this level and above to the standard output. Call once.
 void startLogging(LogLevel least);
-//! Writes what is still waiting.
-void stopLogging();
+//! Writes what is still waiting, for as long as someone reads it; false if lines were left.
+bool stopLogging();
 //! Writes a line with time and level in front. Never blocks: a full buffer drops lines.
 void writeLog(LogLevel level, const std::string &text);
 
