A gateway that others keep from running still begins requests

With every tick 0.2 s late nothing was begun and all was refused.

Change: a turn is too long by how long its next tick has been overdue, not by how late the last one came, so that each tick may begin something; and what can begin at once (nothing waits, the window has room) is not refused, as in the entry's admission.

All rows of overloadLeavesWhatCanBeServed still hold.

--- a/src/filters/gatewaystate.h
+++ b/src/filters/gatewaystate.h
@@ -325,7 +325,7 @@
     //! A load reported by an endpoint is ignored once it is older than this.
     Duration maxReportedLoadAge_ = std::chrono::milliseconds(300);
     LoopWindowLimits loopWindow_;
-    //! A turn of the loop that is later than this begins no more dispatches.
+    //! While a tick is overdue for longer than this, no more dispatches are begun.
     Duration maxTurn_ = std::chrono::milliseconds(30);
     //! Dispatches from one queue between two looks at how late the turn is.
     std::size_t maxBegunAtOnce_ = 32;
--- a/src/filters/internal/gatewayfilters.cpp
+++ b/src/filters/internal/gatewayfilters.cpp
@@ -155,7 +155,7 @@
 }
 
 //! While this process is overloaded, refuses a request at once that would wait so long that it
-//! isn't expected to meet its latency target.
+//! isn't expected to meet its latency target. What can begin at once is never refused.
 GatewayFilterResult admitRequest(GatewayContext &context, const GatewayView &,
                                  GatewayTraffic &state, TimePoint now)
 {
@@ -163,6 +163,8 @@
     if (!state.loopWindow_.size_ || found == state.queues_.end())
         return proceedGateway();
     const TargetQueues &queues = found->second;
+    if (queues.onTime_.size_ == 0 && hasRoom(state.loopWindow_, state.exchangesByDispatch_.size()))
+        return proceedGateway();
     if (!queues.drained_.known_ && !hasRoom(state.loopWindow_, queues.onTime_.size_))
         return refuseGateway(GatewayRefusal::Overloaded);
     const Tokens ahead = workAhead(queues.onTime_, toQueuedRequest(context));
--- a/src/gateway/internal/traffic.cpp
+++ b/src/gateway/internal/traffic.cpp
@@ -68,10 +68,11 @@
     return exchange;
 }
 
-//! False while this process has as much work as it can carry.
+//! False while this process has as much work as it can carry. Each tick may begin some, however
+//! late it is itself: a process that others keep from running must not stand still.
 bool mayBeginMore(const GatewayTraffic &state, TimePoint now)
 {
-    return currentDelay(state.loopDelay_, now) <= state.limits_.maxTurn_
+    return overdueTime(state.loopDelay_, now) <= state.limits_.maxTurn_
            && hasRoom(state.loopWindow_, state.exchangesByDispatch_.size());
 }
 
--- a/src/gateway/tests/tst_overload.cpp
+++ b/src/gateway/tests/tst_overload.cpp
@@ -192,3 +192,20 @@
     BOOST_TEST(served >= LeastPart * FullLoad * test.seconds_);
     BOOST_TEST(gateway.inTime_.at(loadEnds + 2) >= FullLoad / 2 - 1);
 }
+
+// Other processes may take the processor, so that every tick is late whatever this one does.
+BOOST_AUTO_TEST_CASE(lateTicksStillBeginRequests)
+{
+    constexpr int Ticks = 100;
+    constexpr Duration Late = milliseconds(200);
+    BusyGateway gateway;
+    for (int i = 0; i < Ticks; ++i) {
+        gateway.now_ = gateway.tickDueAt_ + Late;
+        const TimePoint turn = gateway.now_;
+        readRequest(gateway, turn);
+        tickIfDue(gateway);
+        takeAnswers(gateway, turn);
+    }
+    BOOST_TEST(gateway.traffic_.counters_.dispatches_ >= Ticks - 1);
+    BOOST_TEST(gateway.traffic_.counters_.refused_ == 0U);
+}
--- a/src/policy/loopdelay.h
+++ b/src/policy/loopdelay.h
@@ -26,11 +26,17 @@
     delay.longest_ = std::max(delay.longest_, delay.last_);
 }
 
+//! For how long the next tick has been overdue.
+inline Duration overdueTime(const LoopDelay &delay, TimePoint now)
+{
+    return delay.nextDueAt_ ? std::max(Duration(), now - *delay.nextDueAt_) : Duration();
+}
+
 //! By how much the loop is late now. After a hold-up other events may come before the tick that is
 //! overdue.
 inline Duration currentDelay(const LoopDelay &delay, TimePoint now)
 {
-    return delay.nextDueAt_ ? std::max(delay.last_, now - *delay.nextDueAt_) : delay.last_;
+    return std::max(delay.last_, overdueTime(delay, now));
 }
 
 inline Duration takeLongest(LoopDelay &delay)
