Requests aren't refused for an overload while its window has room

Two hold-ups with few ticks between passed for an overload (`overload-began late_ms=695 in_progress=0`); the requests waited for the list, and were refused on arrival (`refusal=overloaded ms=695`) as if for this process's load.

Change: the refusal on arrival applies only while the window is full.

--- a/src/filters/internal/gatewayfilters.cpp
+++ b/src/filters/internal/gatewayfilters.cpp
@@ -163,7 +163,8 @@
     if (!state.loopWindow_.size_ || found == state.queues_.end())
         return proceedGateway();
     const TargetQueues &queues = found->second;
-    if (queues.onTime_.size_ == 0 && hasRoom(state.loopWindow_, state.exchangesByDispatch_.size()))
+    // While the window has room, requests wait for something else than this process's load.
+    if (hasRoom(state.loopWindow_, state.exchangesByDispatch_.size()))
         return proceedGateway();
     if (!queues.drained_.known_ && !hasRoom(state.loopWindow_, queues.onTime_.size_))
         return refuseGateway(GatewayRefusal::Overloaded);
