Digests have fields for capacity, demand by rank and endpoint speeds

Cause: the parts of docs/HARDLOAD.md share these messages; without them each would change the codec on its own. Nothing fills or reads the fields yet, so behaviour is unchanged; an empty list costs eight bytes.

--- a/src/core/messages.h
+++ b/src/core/messages.h
@@ -342,6 +342,16 @@
     std::uint64_t incarnation_ = 0;
 };
 
+//! What the machine of a gateway can carry; zeros when its settings don't say. Ordered by the link
+//! first, which what one gateway does for others fills first.
+struct GatewayCapacity
+{
+    std::uint32_t linkMbps_ = 0;
+    //! Thousandths of a core.
+    std::uint32_t milliCores_ = 0;
+    auto operator<=>(const GatewayCapacity &) const = default;
+};
+
 //! Another gateway whose digests the sender receives.
 struct GatewayMemberReport
 {
@@ -349,6 +359,32 @@
     FailureDomainId domain_;
     //! Time since its last digest arrived at the sender.
     Duration age_ {};
+    //! As GatewayDigestMessage::capacity_.
+    std::uint32_t capacity_ = 0;
+};
+
+//! Demand of one rank for one target at the sender, or at all gateways of its domain.
+struct RankDemandReport
+{
+    TargetName target_;
+    Rank rank_ = Rank::Standard;
+    //! Expected work of the requests that wait, in tokens.
+    double waitingTokens_ = 0;
+    //! Expected work of the requests that arrived and of those that were dispatched, in tokens per
+    //! second.
+    double arrivingTokensPerSecond_ = 0;
+    double startedTokensPerSecond_ = 0;
+};
+
+//! Measured slowness of an endpoint; only endpoints that differ from their kind are reported.
+struct EndpointSpeedReport
+{
+    EndpointId endpoint_;
+    std::uint64_t incarnation_ = 0;
+    //! Time that a step takes, as a multiple of the usual time of the endpoint's kind.
+    double slowdown_ = 1;
+    //! Time since the measurement.
+    Duration age_ {};
 };
 
 //! Returns the recipient's own clock reading to it, so that it can tell how old the sender's news
@@ -445,6 +481,11 @@
     std::vector<GatewayMemberReport> members_;
     std::vector<TraitReport> traits_;
     std::optional<StoreNews> storeNews_;
+    //! What the sender's machine can carry, in Mbit/s of link and thousandths of a core, whichever
+    //! is less; 0 when its settings don't say.
+    std::uint32_t capacity_ = 0;
+    std::vector<RankDemandReport> demand_;
+    std::vector<EndpointSpeedReport> speeds_;
 };
 
 //! Messages sent over UDP between processes.
--- a/src/wire/internal/codec.cpp
+++ b/src/wire/internal/codec.cpp
@@ -175,10 +175,29 @@
     archive(leaving.endpoint_, leaving.incarnation_);
 }
 
+template <typename Archive>
+void serialize(Archive &archive, GatewayCapacity &capacity)
+{
+    archive(capacity.linkMbps_, capacity.milliCores_);
+}
+
 template <typename Archive>
 void serialize(Archive &archive, GatewayMemberReport &member)
 {
-    archive(member.address_, member.domain_, member.age_);
+    archive(member.address_, member.domain_, member.age_, member.capacity_);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, RankDemandReport &demand)
+{
+    archive(demand.target_, demand.rank_, demand.waitingTokens_, demand.arrivingTokensPerSecond_,
+            demand.startedTokensPerSecond_);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, EndpointSpeedReport &speed)
+{
+    archive(speed.endpoint_, speed.incarnation_, speed.slowdown_, speed.age_);
 }
 
 template <typename Archive>
@@ -228,7 +247,8 @@
     archive(digest.sentAt_, digest.settled_, digest.stopping_, digest.storeNews_);
     archive(digest.instance_, digest.gateway_, digest.incarnation_, digest.sequence_, digest.loads_,
             digest.loadedLayers_, digest.layerMoves_, digest.downEndpoints_,
-            digest.leavingEndpoints_, digest.members_, digest.traits_);
+            digest.leavingEndpoints_, digest.members_, digest.traits_, digest.capacity_,
+            digest.demand_, digest.speeds_);
 }
 
 template <typename Archive>
