Further copies of layers are loaded only where they are needed

Cause: placement loads every empty endpoint. Ruled out: unneeded moves of loaded endpoints; each order went to an empty one. Change: once a gateway has dispatched a request, an empty endpoint loads a copy only if its domain has a layer with fewer than three copies, or the busiest layer (KV capacity, or the slots of the endpoints that begin paths) is more than half in use. Before the first request all are loaded. Conclusion: fleets with fewer than three copies are placed as before.

--- a/src/controllers/internal/peers.cpp
+++ b/src/controllers/internal/peers.cpp
@@ -11,15 +11,8 @@
 
 void addLoads(EndpointLoads &sums, const std::vector<EndpointLoad> &loads)
 {
-    for (const EndpointLoad &load : loads) {
-        EndpointLoad &sum = sums[load.endpoint_];
-        sum.endpoint_ = load.endpoint_;
-        sum.kvUsed_ += load.kvUsed_;
-        sum.pendingPrefill_ += load.pendingPrefill_;
-        sum.streams_ += load.streams_;
-        sum.begun_ += load.begun_;
-        sum.calls_ += load.calls_;
-    }
+    for (const EndpointLoad &load : loads)
+        addLoad(sums, load);
 }
 
 //! What a digest says of the endpoints, as of now.
@@ -124,6 +117,17 @@
         state.newestSums_.clear();
 }
 
+void addLoad(EndpointLoads &sums, const EndpointLoad &load)
+{
+    EndpointLoad &sum = sums[load.endpoint_];
+    sum.endpoint_ = load.endpoint_;
+    sum.kvUsed_ += load.kvUsed_;
+    sum.pendingPrefill_ += load.pendingPrefill_;
+    sum.streams_ += load.streams_;
+    sum.begun_ += load.begun_;
+    sum.calls_ += load.calls_;
+}
+
 std::shared_ptr<const EndpointLoads> totalPeerLoads(const PeersState &state)
 {
     auto sums = std::make_shared<EndpointLoads>();
--- a/src/controllers/internal/placement.cpp
+++ b/src/controllers/internal/placement.cpp
@@ -36,8 +36,8 @@
 }
 
 std::vector<PlacementNode> placementNodes(const PlacementState &state, const TargetName &target,
-                                          const EndpointListState &list,
-                                          const std::set<EndpointId> &lost, TimePoint now)
+                                          const EndpointListState &list, const FleetUse &use,
+                                          TimePoint now)
 {
     std::vector<PlacementNode> nodes;
     for (const auto &[id, known] : list.endpoints_) {
@@ -45,8 +45,13 @@
             continue;
         PlacementNode node {id, known.listed_.domain_, known.listed_.accelerator_,
                             known.listed_.layers_};
-        node.available_ = known.listed_.state_ == ListedState::Ready && !lost.contains(id);
+        node.available_ = known.listed_.state_ == ListedState::Ready && !use.lost_.contains(id);
         node.assignable_ = node.available_ && now >= known.pausedUntil_;
+        const auto load = use.loads_.find(id);
+        if (load != use.loads_.end()) {
+            node.kvUsed_ = load->second.kvUsed_;
+            node.begun_ = load->second.begun_;
+        }
         const auto step = state.steps_.find(id);
         if (step != state.steps_.end()) {
             if (isInProgress(step->second))
@@ -123,13 +128,14 @@
 }
 
 void plan(PlacementState &state, const EngineSpec &engine, const TargetName &target,
-          const EndpointListState &list, const std::set<EndpointId> &lost, TimePoint now)
+          const EndpointListState &list, const FleetUse &use, TimePoint now)
 {
     const std::size_t busy = stepsInProgress(state);
     if (busy >= engine.concurrentLoads_)
         return;
-    const auto moves = planPlacement(engine, placementNodes(state, target, list, lost, now),
-                                     engine.concurrentLoads_ - busy);
+    const auto moves = planPlacement(engine, placementNodes(state, target, list, use, now),
+                                     engine.concurrentLoads_ - busy,
+                                     use.hasTraffic_ ? CopyRule::WhenNeeded : CopyRule::Always);
     for (const PlacementMove &move : moves) {
         PlacementStep &step = state.steps_[move.endpoint_];
         step.phase_ = PlacementPhase::AwaitingReport;
@@ -162,7 +168,7 @@
 } // namespace detail
 
 void tickPlacement(PlacementState &state, const EngineSpec &engine, const TargetName &target,
-                   const EndpointListState &list, const std::set<EndpointId> &lost, TimePoint now)
+                   const EndpointListState &list, const FleetUse &use, TimePoint now)
 {
     std::erase_if(state.steps_,
                   [&](const auto &entry) { return !list.endpoints_.contains(entry.first); });
@@ -172,7 +178,7 @@
         return;
     state.lastPlanAt_ = now;
     if (detail::mayPlan(state, target, list, now))
-        detail::plan(state, engine, target, list, lost, now);
+        detail::plan(state, engine, target, list, use, now);
 }
 
 void stopPlacement(PlacementState &state)
--- a/src/controllers/peers.h
+++ b/src/controllers/peers.h
@@ -58,6 +58,9 @@
 
 void removeSilentPeers(PeersState &state, TimePoint now);
 
+//! Adds the load of one report to the sum of its endpoint.
+void addLoad(EndpointLoads &sums, const EndpointLoad &load);
+
 //! Load on each endpoint, summed over all peers and the other domains.
 std::shared_ptr<const EndpointLoads> totalPeerLoads(const PeersState &state);
 
--- a/src/controllers/placement.h
+++ b/src/controllers/placement.h
@@ -3,6 +3,8 @@
 
 #include <map>
 #include <optional>
+#include <set>
+#include <unordered_map>
 #include <variant>
 #include <vector>
 
@@ -108,10 +110,20 @@
     std::vector<PlacementEffect> effects_;
 };
 
-//! Advances all steps and plans new ones. To be called only while this process holds the lease. The
-//! layers of lost endpoints, see lostEndpoints(), count as missing.
+//! What placement knows of the endpoints beside their list.
+struct FleetUse
+{
+    //! Endpoints that don't respond, see lostEndpoints(); their layers count as missing.
+    std::set<EndpointId> lost_;
+    //! Load of all gateways' requests.
+    std::unordered_map<EndpointId, EndpointLoad> loads_;
+    //! A gateway has dispatched a request since this process started.
+    bool hasTraffic_ = false;
+};
+
+//! Advances all steps and plans new ones. To be called only while this process holds the lease.
 void tickPlacement(PlacementState &state, const EngineSpec &engine, const TargetName &target,
-                   const EndpointListState &list, const std::set<EndpointId> &lost, TimePoint now);
+                   const EndpointListState &list, const FleetUse &use, TimePoint now);
 
 //! Drops all steps but those whose order was already sent, because this process no longer holds the
 //! lease.
--- a/src/controllers/tests/tst_placement.cpp
+++ b/src/controllers/tests/tst_placement.cpp
@@ -154,7 +154,7 @@
         const TimePoint now = at(step.atMs_);
         switch (step.event_) {
         case Event::Tick:
-            tickPlacement(state, engine(), {"model"}, list, test.lost_, now);
+            tickPlacement(state, engine(), {"model"}, list, {test.lost_, {}, false}, now);
             break;
         case Event::Report:
             onEndpointReport(state, endpoint, step.report_, now);
--- a/src/gateway/control.h
+++ b/src/gateway/control.h
@@ -117,6 +117,8 @@
     //! This process reads the store regularly, for itself and others.
     bool readsStore_ = false;
     std::vector<EndpointLoad> ownLoads_;
+    //! Some gateway has sent a request to an endpoint since this process started.
+    bool trafficSeen_ = false;
     std::shared_ptr<const EndpointLoads> reportedLoads_ = std::make_shared<EndpointLoads>();
     std::uint64_t digestSequence_ = 0;
     TimePoint lastDigestAt_;
--- a/src/gateway/internal/control.cpp
+++ b/src/gateway/internal/control.cpp
@@ -278,14 +278,25 @@
     return true;
 }
 
+FleetUse fleetUse(const GatewayControl &state)
+{
+    FleetUse use;
+    use.lost_ = lostEndpoints(state.probes_, state.endpoints_);
+    use.loads_ = *totalPeerLoads(state.peers_);
+    for (const EndpointLoad &load : state.ownLoads_)
+        addLoad(use.loads_, load);
+    use.hasTraffic_ = state.trafficSeen_;
+    return use;
+}
+
 void tickTargets(GatewayControl &state, TimePoint now)
 {
-    const auto lost = lostEndpoints(state.probes_, state.endpoints_);
+    const FleetUse use = fleetUse(state);
     for (const TargetSpec &target : state.routes_.table_->state_.targets_) {
         if (!target.engine_)
             continue;
         PlacementState &placing = state.placement_[target.name_];
-        tickPlacement(placing, *target.engine_, target.name_, state.endpoints_, lost, now);
+        tickPlacement(placing, *target.engine_, target.name_, state.endpoints_, use, now);
         emitPlacementEffects(state, placing, now);
     }
 }
@@ -514,6 +525,7 @@
 void onOwnLoads(GatewayControl &state, OwnEndpointLoads loads)
 {
     state.ownLoads_ = std::move(loads.loads_);
+    state.trafficSeen_ = state.trafficSeen_ || !state.ownLoads_.empty();
 }
 
 void onGatewayDigest(GatewayControl &state, GatewayDigestMessage digest, TimePoint now)
@@ -529,6 +541,7 @@
     const Duration delay = noteClock(state.relay_, digest, now);
     ++state.digestFigures_.count_;
     state.digestFigures_.longestDelay_ = std::max(state.digestFigures_.longestDelay_, delay);
+    state.trafficSeen_ = state.trafficSeen_ || !digest.loads_.empty();
     const bool isNear = digest.domain_ == state.members_.domain_;
     const auto news = isNear ? digest.storeNews_ : std::nullopt;
     if (!detail::takeLoads(state, std::move(digest), now))
--- a/src/policy/internal/placement.cpp
+++ b/src/policy/internal/placement.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 #include <tuple>
 
 #include "policy/pathplan.h"
@@ -19,6 +20,13 @@
 //! Factor between two successive candidate sizes of the reserved KV capacity.
 constexpr double ReserveStep = 1.05;
 
+//! Copies of a layer in a failure domain up to which an empty endpoint always loads a further one:
+//! two may be lost at once, for instance with a rack.
+constexpr std::uint32_t EnoughCopies = 3;
+//! Utilisation of a domain's busiest layer above which further copies are loaded. A load takes
+//! seconds, so it has to begin well before the layer is full.
+constexpr double BusyUtilisation = 0.5;
+
 //! Number of copies of each layer.
 using Coverage = std::vector<std::uint32_t>;
 
@@ -29,6 +37,9 @@
     Tokens reservedTokens_;
     std::map<FailureDomainId, Coverage> byDomain_;
     Coverage allDomains_;
+    CopyRule copies_ = CopyRule::Always;
+    //! Domains whose busiest layer is above BusyUtilisation.
+    std::set<FailureDomainId> busyDomains_;
 };
 
 const AcceleratorSpec *acceleratorOf(const EngineSpec &engine, const PlacementNode &node)
@@ -70,6 +81,42 @@
     }
 }
 
+//! KV capacity and slots that a domain has for each layer, and the part of them in use.
+struct LayerUse
+{
+    double capacity_ = 0;
+    double used_ = 0;
+};
+
+//! Utilisation of the busiest layer of a domain. A request takes a slot at its first endpoint only,
+//! so the slots count for the first layer.
+double busiestLayer(const EngineSpec &engine, const std::vector<PlacementNode> &nodes,
+                    const FailureDomainId &domain)
+{
+    std::vector<LayerUse> layers(engine.layers_);
+    LayerUse slots;
+    for (const PlacementNode &node : nodes) {
+        const AcceleratorSpec *kind = acceleratorOf(engine, node);
+        if (node.domain_ != domain || !node.layers_ || !node.available_ || kind == nullptr)
+            continue;
+        const std::uint32_t end = std::min(node.layers_->end_.value_, engine.layers_);
+        const std::uint32_t first = std::min(node.layers_->first_.value_, end);
+        for (std::uint32_t layer = first; layer < end; ++layer) {
+            layers[layer].capacity_ += kvCapacity(engine, *kind, end - first) / (end - first);
+            layers[layer].used_ += node.kvUsed_ / (end - first);
+        }
+        if (first == 0)
+            slots = {slots.capacity_ + engine.slots_, slots.used_ + node.begun_};
+    }
+    layers.push_back(slots);
+    double busiest = 0;
+    for (const LayerUse &layer : layers) {
+        if (layer.capacity_ > 0)
+            busiest = std::max(busiest, layer.used_ / layer.capacity_);
+    }
+    return busiest;
+}
+
 bool isRedundant(const PlanningState &state, const PlacementNode &node)
 {
     const Coverage &domain = state.byDomain_.at(node.domain_);
@@ -170,15 +217,23 @@
     return {node.endpoint_, *node.layers_, reason};
 }
 
+bool mayLoadCopy(const PlanningState &state, const FailureDomainId &domain)
+{
+    const Coverage &coverage = state.byDomain_.at(domain);
+    return state.copies_ == CopyRule::Always || state.busyDomains_.contains(domain)
+           || *std::min_element(coverage.begin(), coverage.end()) < EnoughCopies;
+}
+
 //! Returns the most urgent move of a domain, or nothing if none is needed or no endpoint can be
 //! moved.
 std::optional<PlacementMove> nextMove(PlanningState &state, const FailureDomainId &domain)
 {
-    if (PlacementNode *node = emptyNode(state, domain)) {
-        const bool gap = hasMissingLayer(state.byDomain_.at(domain));
+    const bool gap = hasMissingLayer(state.byDomain_.at(domain));
+    if (!gap && !mayLoadCopy(state, domain))
+        return std::nullopt;
+    if (PlacementNode *node = emptyNode(state, domain))
         return move(state, *node, gap ? "gap" : "copy");
-    }
-    if (!hasMissingLayer(state.byDomain_.at(domain)))
+    if (!gap)
         return std::nullopt;
     PlacementNode *node = redundantNode(state, domain);
     if (node == nullptr)
@@ -223,15 +278,19 @@
 }
 
 std::vector<PlacementMove> planPlacement(const EngineSpec &engine, std::vector<PlacementNode> nodes,
-                                         std::size_t limit)
+                                         std::size_t limit, CopyRule copies)
 {
     const Tokens kvTokens = kvTokensToReserve(engine, nodes);
     detail::PlanningState state {
-            engine, std::move(nodes), kvTokens, {}, detail::Coverage(engine.layers_)};
+            engine, std::move(nodes), kvTokens, {}, detail::Coverage(engine.layers_), copies, {}};
     for (const PlacementNode &node : state.nodes_)
         state.byDomain_.try_emplace(node.domain_, engine.layers_);
     for (const PlacementNode &node : state.nodes_)
         detail::countCopies(state, node, 1);
+    for (const auto &[domain, coverage] : state.byDomain_) {
+        if (detail::busiestLayer(engine, state.nodes_, domain) > detail::BusyUtilisation)
+            state.busyDomains_.insert(domain);
+    }
     std::vector<PlacementMove> moves;
     bool moved = true;
     while (moved && moves.size() < limit) {
--- a/src/policy/placement.h
+++ b/src/policy/placement.h
@@ -1,6 +1,7 @@
 //! Decides which endpoints should load which layers of a model.
 #pragma once
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <vector>
@@ -21,6 +22,18 @@
     bool available_ = true;
     //! It may be sent a load order now.
     bool assignable_ = true;
+    //! KV capacity in use by all gateways' requests, in tokens times layers.
+    double kvUsed_ = 0;
+    //! Requests whose path begins here.
+    double begun_ = 0;
+};
+
+//! When an empty endpoint loads a further copy of layers that its failure domain has already.
+enum class CopyRule : std::uint8_t {
+    //! Always: before the first request a load costs little and delays nobody.
+    Always,
+    //! Only of layers with few copies or in a domain that is short of capacity.
+    WhenNeeded,
 };
 
 //! Layers that an endpoint should load, and why. reason_ is "gap" for an empty endpoint in a
@@ -47,8 +60,9 @@
 
 //! Returns at most limit moves towards a complete set of layers in every failure domain. Missing
 //! layers go to empty endpoints first, then to endpoints whose layers have another copy in the
-//! domain. Further empty endpoints load the layers with the fewest copies.
+//! domain. Further empty endpoints load the layers with the fewest copies, as far as the rule
+//! allows.
 std::vector<PlacementMove> planPlacement(const EngineSpec &engine, std::vector<PlacementNode> nodes,
-                                         std::size_t limit);
+                                         std::size_t limit, CopyRule copies = CopyRule::Always);
 
 } // namespace gypsumcroft
--- a/src/policy/tests/tst_placement.cpp
+++ b/src/policy/tests/tst_placement.cpp
@@ -139,6 +139,31 @@
     return out << test.name_;
 }
 
+struct CopyCase
+{
+    const char *name_;
+    CopyRule rule_;
+    std::uint32_t copies_;
+    double kvUsedByEach_;
+    double begunByEach_;
+    std::size_t moves_;
+    friend std::ostream &operator<<(std::ostream &out, const CopyCase &test)
+    {
+        return out << test.name_;
+    }
+};
+
+//! Empty endpoints of a fleet that has every layer so many times. Guards against loads without end
+//! once callers pay for them: a fleet of a thousand endpoints made 747 in half a minute.
+const CopyCase CopyCases[] = {
+        {"before the first request all are loaded", CopyRule::Always, 5, 0, 0, 4},
+        {"few copies are not enough", CopyRule::WhenNeeded, 2, 0, 0, 1},
+        {"enough copies and little use", CopyRule::WhenNeeded, 3, 0, 0, 0},
+        {"KV capacity in use", CopyRule::WhenNeeded, 3, 25'000, 0, 4},
+        {"slots in use", CopyRule::WhenNeeded, 3, 0, 5, 4},
+        {"less than half in use", CopyRule::WhenNeeded, 3, 10'000, 3, 0},
+};
+
 const CapacityCase CapacityCases[] = {
         {"many endpoints: KV capacity for all slots",
          {node("b1", "a", "big"), node("b2", "a", "big"), node("b3", "a", "big")},
@@ -158,6 +183,22 @@
                == test.moves_);
 }
 
+BOOST_DATA_TEST_CASE(copiesAreLoadedWhereNeeded, CopyCases, test)
+{
+    EngineSpec engine = engineOfFixedCapacity();
+    engine.accelerators_[{"big"}].memory_ = {4'400'000'000};
+    std::vector<PlacementNode> nodes;
+    for (std::uint32_t i = 0; i < test.copies_; ++i) {
+        PlacementNode loaded = holds(node(("l" + std::to_string(i)).c_str(), "a", "big"), 0, 4);
+        loaded.kvUsed_ = test.kvUsedByEach_;
+        loaded.begun_ = test.begunByEach_;
+        nodes.push_back(loaded);
+    }
+    for (const char *empty : {"e1", "e2", "e3", "e4"})
+        nodes.push_back(node(empty, "a", "big"));
+    BOOST_TEST(planPlacement(engine, nodes, 100, test.rule_).size() == test.moves_);
+}
+
 BOOST_DATA_TEST_CASE(reservedCapacityFollowsTheFleet, CapacityCases, test)
 {
     const EngineSpec engine = engineOf(8);
