The store is asked by few while it fails, and not for each change of a quick succession

Change: the pause after a failure doubles, up to 300 ms for the first two of a domain, whose news the others take, and up to 2.4 s for the others. A gateway that lacks something in the news reads again after a quarter of the time within which it must take effect, 300 ms at the least. Conclusion: an outage costs a few calls a second and domain beyond its readers.

--- a/src/controllers/internal/storerelay.cpp
+++ b/src/controllers/internal/storerelay.cpp
@@ -164,6 +164,7 @@
                     Duration interval, TimePoint now)
 {
     read.inFlight_ = false;
+    read.failures_ = 0;
     read.behindUntil_.reset();
     // What is known ages during this read and, presumably as long, during the next one.
     const Duration slowness = std::max(Duration(), now - requestedAt - limits.quickRead_);
@@ -171,10 +172,21 @@
     read.confirmedAt_ = std::max(read.confirmedAt_.value_or(requestedAt), requestedAt);
 }
 
-void onReadFailed(StoreRead &read, const StoreRelayLimits &limits, TimePoint now)
+void onReadFailed(StoreRead &read, const StoreRelayLimits &limits, const ReaderRole &role,
+                  TimePoint now)
 {
+    constexpr std::uint32_t MaxDoublings = 8;
+    const bool isReader = role.rank_ < limits.readers_;
+    const Duration most = isReader ? limits.maxReaderRetryDelay_ : limits.maxRetryDelay_;
+    const std::uint32_t doublings = std::min(read.failures_++, MaxDoublings);
     read.inFlight_ = false;
-    read.nextAt_ = now + limits.retryDelay_;
+    read.nextAt_ = now + std::min(most, limits.retryDelay_ * (std::int64_t {1} << doublings));
+}
+
+Duration minReadInterval(const StoreRelayLimits &limits, Duration inForceWithin)
+{
+    const auto part = limits.minIntervalPart_ * static_cast<double>(inForceWithin.count());
+    return std::max(limits.minInterval_, Duration(static_cast<std::int64_t>(part)));
 }
 
 bool noteListRead(StoreRelayState &state, const std::vector<ListedEndpoint> &listed,
--- a/src/controllers/storerelay.h
+++ b/src/controllers/storerelay.h
@@ -35,15 +35,23 @@
     Duration ownConfigWait_ = std::chrono::milliseconds(1400);
     //! Time that a read may take without shortening the pause after it.
     Duration quickRead_ = std::chrono::milliseconds(100);
-    //! Least interval of reads by a gateway that lacks something in the news of others.
+    //! Least interval of reads by a gateway that lacks something in the news of others, and the
+    //! same as a part of the time within which news has to take effect: of changes in quick
+    //! succession each gateway reads some only.
     Duration minInterval_ = std::chrono::milliseconds(300);
+    double minIntervalPart_ = 0.25;
     //! Time after which a read without any end is given up; longer than all its timeouts.
     Duration lostAfter_ = std::chrono::seconds(5);
     //! Time for which a gateway that can't derive a newer list waits for other news before it reads
     //! the list itself: two readers tell of the same change from different lists.
     Duration listBehindWait_ = std::chrono::milliseconds(500);
-    //! Pause after a failed read.
+    //! Pause after a failed read. It doubles with each failure up to a bound, which is high for the
+    //! gateways that others read for: the store is asked by a few until it answers.
     Duration retryDelay_ = std::chrono::milliseconds(150);
+    Duration maxReaderRetryDelay_ = std::chrono::milliseconds(300);
+    Duration maxRetryDelay_ = std::chrono::milliseconds(2400);
+    //! Gateways of a domain that count as its readers here.
+    std::size_t readers_ = 2;
     //! Time for which digests tell what was read.
     Duration newsFor_ = std::chrono::seconds(3);
     //! Entries in the changes of the list that digests carry; recipients read more for themselves.
@@ -65,6 +73,8 @@
     //! The last read failed for a reason that lies with the platform, and nothing has been
     //! confirmed since.
     bool failed_ = false;
+    //! Failures since the last success.
+    std::uint32_t failures_ = 0;
     //! Earliest time of the next read.
     TimePoint nextAt_;
     //! When the newest successful read of this process was sent.
@@ -125,7 +135,11 @@
 void onReadAnswered(StoreRead &read, const StoreRelayLimits &limits, TimePoint requestedAt,
                     Duration interval, TimePoint now);
 
-void onReadFailed(StoreRead &read, const StoreRelayLimits &limits, TimePoint now);
+void onReadFailed(StoreRead &read, const StoreRelayLimits &limits, const ReaderRole &role,
+                  TimePoint now);
+
+//! Least interval of reads of what has to take effect within the given time.
+Duration minReadInterval(const StoreRelayLimits &limits, Duration inForceWithin);
 
 //! Notes a list that this process read. Returns false if a newer one is known.
 bool noteListRead(StoreRelayState &state, const std::vector<ListedEndpoint> &listed,
--- a/src/gateway/internal/control.cpp
+++ b/src/gateway/internal/control.cpp
@@ -148,7 +148,7 @@
     const StoreRelayLimits &limits = state.relay_.limits_;
     const ReaderRole role = readerRole(state, now);
     if (role.rank_ > 0 && now >= read.readOnUntil_)
-        return limits.minInterval_;
+        return minReadInterval(limits, state.bounds_.freshness_.maxListAge_);
     return role.hasListeners_ ? limits.sharedInterval_ : limits.ownInterval_;
 }
 
@@ -184,7 +184,7 @@
         || storeKeptSilent(state, read.sentAt_ + read.wait_, now))
         read.failed_ = true;
     state.viewStale_ = true;
-    onReadFailed(read, state.relay_.limits_, now);
+    onReadFailed(read, state.relay_.limits_, readerRole(state, now), now);
 }
 
 void confirmState(GatewayControl &state, TimePoint requestedAt)
@@ -333,7 +333,10 @@
     StoreRead &read = state.relay_.config_;
     const bool isOwnTask = detail::readerRole(state, now).rank_ == 0 || now < read.readOnUntil_;
     onReadAnswered(read, state.relay_.limits_, confirmedAt,
-                   isOwnTask ? Duration() : state.relay_.limits_.minInterval_, now);
+                   isOwnTask ? Duration()
+                             : minReadInterval(state.relay_.limits_,
+                                               state.bounds_.freshness_.maxStateAge_),
+                   now);
     detail::sendStoreNews(state, now);
     detail::readStore(state, now);
 }
--- a/src/gateway/tests/tst_storerelay.cpp
+++ b/src/gateway/tests/tst_storerelay.cpp
@@ -28,6 +28,8 @@
     ThirdRefused,
     //! Nobody reaches the store for four seconds.
     StoreDown,
+    //! The store refuses everybody at once for four seconds.
+    StoreRefuses,
     //! One domain and the others don't reach each other.
     DomainCut,
     RestartAll,
@@ -66,6 +68,7 @@
         {"readers end while links lose", 70, 5, 0.03, Trouble::ReadersEnd, 4 * OneReader},
         {"a third is refused by the store", 70, 5, 0, Trouble::ThirdRefused, 16 * OneReader},
         {"the store is down", 70, 5, 0, Trouble::StoreDown, OneReader},
+        {"the store refuses all", 70, 5, 0, Trouble::StoreRefuses, OneReader},
         {"a domain is cut off", 70, 5, 0, Trouble::DomainCut, OneReader},
         {"all restart", 70, 5, 0, Trouble::RestartAll, OneReader},
         {"a lone gateway's store is down", 1, 1, 0, Trouble::StoreDown, OneReader},
@@ -121,6 +124,7 @@
     Random random_ {11};
     bool domainCut_ = false;
     int calmCalls_ = 0;
+    int troubleCalls_ = 0;
     std::uint64_t incarnations_ = 0;
 };
 
@@ -219,6 +223,8 @@
 {
     if (ms >= calmAt(fleet.test_))
         ++fleet.calmCalls_;
+    if (ms >= TroubleAtMs && ms < HealAtMs)
+        ++fleet.troubleCalls_;
     const bool down
             = fleet.test_.trouble_ == Trouble::StoreDown && ms >= TroubleAtMs && ms < HealAtMs;
     if (fleet.refused_[index])
@@ -325,6 +331,8 @@
     const Trouble trouble = fleet.test_.trouble_;
     if (ms == HealAtMs) {
         fleet.domainCut_ = false;
+        if (trouble == Trouble::StoreRefuses)
+            std::fill(fleet.refused_.begin(), fleet.refused_.end(), false);
         std::fill(fleet.frozen_.begin(), fleet.frozen_.end(), false);
     }
     if (ms != TroubleAtMs)
@@ -338,6 +346,8 @@
     for (std::size_t i = 0; i < fleet.gateways_.size(); ++i) {
         if (trouble == Trouble::ThirdRefused)
             fleet.refused_[i] = i % 3 == 0;
+        if (trouble == Trouble::StoreRefuses)
+            fleet.refused_[i] = true;
         if (trouble == Trouble::RestartAll)
             start(fleet, i);
     }
@@ -364,8 +374,9 @@
 
 void judge(const Fleet &fleet, Verdict &verdict, int ms)
 {
-    const bool storeWasDown = fleet.test_.trouble_ == Trouble::StoreDown && ms >= TroubleAtMs
-                              && ms < HealAtMs + AllowedMs;
+    const bool isStoreTrouble = fleet.test_.trouble_ == Trouble::StoreDown
+                                || fleet.test_.trouble_ == Trouble::StoreRefuses;
+    const bool storeWasDown = isStoreTrouble && ms >= TroubleAtMs && ms < HealAtMs + AllowedMs;
     const bool restarted = fleet.test_.trouble_ == Trouble::RestartAll && ms >= TroubleAtMs
                            && ms < TroubleAtMs + AllowedMs;
     for (std::size_t i = 0; i < fleet.gateways_.size(); ++i) {
@@ -435,6 +446,15 @@
     BOOST_TEST(verdict.falseConfirmations_ == 0);
     BOOST_TEST(verdict.wentBack_ == 0);
     BOOST_TEST(verdict.late_ == 0);
+    // Two readers a domain ask 3.4 times a second each for the state and for the list; the other
+    // gateways ask less and less often.
+    const double troubleSeconds = (HealAtMs - TroubleAtMs) / 1000.0;
+    const double mostCalls
+            = 4 / 0.3
+              + 3.0 * static_cast<double>(test.gateways_) / static_cast<double>(test.domains_);
+    if (test.trouble_ == Trouble::StoreRefuses)
+        BOOST_TEST(fleet.troubleCalls_ / troubleSeconds / static_cast<double>(test.domains_)
+                   <= mostCalls);
     const double seconds = (endOf(test) - calmAt(test)) / 1000.0;
     BOOST_TEST(fleet.calmCalls_ / seconds / static_cast<double>(test.domains_)
                <= test.callsPerDomain_);
