A failure domain loads complete copies of the model where its memory allows several

The bottleneck layer decides what a domain carries. Change: policy/chains picks copies and KV capacity for each domain by throughput; an empty endpoint fills the first range with the fewest copies and ends where it ends. Domains that are best with one copy are placed as before.

--- /dev/null
+++ b/src/policy/internal/chains.cpp
@@ -0,0 +1,74 @@
+#include "policy/chains.h"
+
+#include <algorithm>
+
+#include "policy/placement.h"
+
+namespace gypsumcroft {
+
+namespace detail {
+namespace {
+
+//! Factor between two successive candidate sizes of the KV capacity.
+constexpr double TokensStep = 1.03;
+
+double typicalRequest(const EngineSpec &engine)
+{
+    return static_cast<double>(
+            std::max<std::int64_t>(1, engine.typicalPrompt_.value_ + engine.typicalOutput_.value_));
+}
+
+//! Tokens per second of all copies, in units of the endpoints' speed: each runs as many requests at
+//! once as its KV capacity and slots allow, and a step takes longer the more there are.
+double throughputOf(const EngineSpec &engine, std::uint32_t chains, double kvTokens)
+{
+    const double batch = std::min<double>(engine.slots_, kvTokens / typicalRequest(engine));
+    const double step = toMilliseconds(engine.decodeStepTime_)
+                        + toMilliseconds(engine.decodeStepTimePerSequence_) * batch;
+    return step <= 0 ? 0 : chains * batch / step;
+}
+
+} // namespace
+} // namespace detail
+
+std::uint32_t completeChains(const EngineSpec &engine, const std::vector<KindCount> &kinds,
+                             Tokens kvTokens)
+{
+    std::vector<std::uint32_t> capacities;
+    for (const KindCount &kind : kinds)
+        capacities.insert(capacities.end(), kind.endpoints_,
+                          layersThatFit(engine, kind.kind_, kvTokens));
+    // Large ones first, so that little of the last endpoint of a copy is left over.
+    std::sort(capacities.rbegin(), capacities.rend());
+    std::uint32_t chains = 0;
+    std::uint32_t layers = 0;
+    for (const std::uint32_t capacity : capacities) {
+        layers += capacity;
+        if (layers < engine.layers_)
+            continue;
+        ++chains;
+        layers = 0;
+    }
+    return engine.layers_ == 0 ? 0 : chains;
+}
+
+std::optional<ChainPlan> planChains(const EngineSpec &engine, const std::vector<KindCount> &kinds,
+                                    Tokens minTokens)
+{
+    const auto least = static_cast<double>(minTokens.value_);
+    std::optional<ChainPlan> best;
+    double bestThroughput = 0;
+    for (double tokens = std::max(least, engine.slots_ * detail::typicalRequest(engine));
+         tokens >= least; tokens /= detail::TokensStep) {
+        const Tokens kvTokens {static_cast<std::int64_t>(tokens)};
+        const std::uint32_t chains = completeChains(engine, kinds, kvTokens);
+        const double throughput = detail::throughputOf(engine, chains, tokens);
+        if (throughput <= bestThroughput)
+            continue;
+        bestThroughput = throughput;
+        best = ChainPlan {chains, kvTokens};
+    }
+    return best && best->chains_ >= 2 ? best : std::nullopt;
+}
+
+} // namespace gypsumcroft
--- a/src/policy/internal/placement.cpp
+++ b/src/policy/internal/placement.cpp
@@ -5,6 +5,7 @@
 #include <set>
 #include <tuple>
 
+#include "policy/chains.h"
 #include "policy/pathplan.h"
 
 namespace gypsumcroft {
@@ -34,7 +35,10 @@
 {
     const EngineSpec &engine_;
     std::vector<PlacementNode> nodes_;
+    //! KV capacity that endpoints keep, in domains without a chain plan.
     Tokens reservedTokens_;
+    //! Domains whose endpoints load complete copies of the model.
+    std::map<FailureDomainId, ChainPlan> chains_;
     std::map<FailureDomainId, Coverage> byDomain_;
     Coverage allDomains_;
     CopyRule copies_ = CopyRule::Always;
@@ -54,11 +58,32 @@
     return kind == nullptr ? 0 : layersThatFit(engine, *kind, kvTokens);
 }
 
+//! Number of layers that an endpoint may load by the plan of its domain.
+std::uint32_t capacityOf(const PlanningState &state, const PlacementNode &node)
+{
+    const auto chains = state.chains_.find(node.domain_);
+    return capacityOf(state.engine_, node,
+                      chains == state.chains_.end() ? state.reservedTokens_
+                                                    : chains->second.kvTokens_);
+}
+
 Tokens tokensOf(double count)
 {
     return {static_cast<std::int64_t>(count)};
 }
 
+double typicalRequest(const EngineSpec &engine)
+{
+    return static_cast<double>(
+            std::max<std::int64_t>(1, engine.typicalPrompt_.value_ + engine.typicalOutput_.value_));
+}
+
+//! Least KV capacity that an endpoint reserves.
+Tokens minTokens(const EngineSpec &engine)
+{
+    return tokensOf(MinRequests * typicalRequest(engine));
+}
+
 //! Total number of layers that the endpoints of each domain can load.
 std::map<FailureDomainId, std::uint32_t>
 layersByDomain(const EngineSpec &engine, const std::vector<PlacementNode> &nodes, Tokens kvTokens)
@@ -173,14 +198,48 @@
     return std::tuple(speed(left), left.endpoint_) < std::tuple(speed(right), right.endpoint_);
 }
 
+//! Layers from the first one with the fewest copies up to the next one with more.
+LayerRange thinnestRange(const Coverage &domain)
+{
+    const auto first = std::min_element(domain.begin(), domain.end());
+    const auto end = std::find_if(first, domain.end(),
+                                  [&](std::uint32_t copies) { return copies != *first; });
+    return {{static_cast<std::uint32_t>(first - domain.begin())},
+            {static_cast<std::uint32_t>(end - domain.begin())}};
+}
+
+std::uint32_t sizeOf(const LayerRange &range)
+{
+    return range.end_.value_ - range.first_.value_;
+}
+
+//! Orders the endpoints for a range that is to be filled: the smallest that can load all of it
+//! first, then the largest. So little capacity is left over where a copy ends.
+bool fitsBetter(const PlanningState &state, const PlacementNode &left, const PlacementNode &right,
+                std::uint32_t size)
+{
+    const auto place = [&](const PlacementNode &node) {
+        const std::uint32_t capacity = capacityOf(state, node);
+        const bool fills = capacity >= size;
+        return std::pair(!fills, fills ? capacity : state.engine_.layers_ - capacity);
+    };
+    const auto leftPlace = place(left);
+    const auto rightPlace = place(right);
+    return leftPlace != rightPlace ? leftPlace < rightPlace : precedes(state, left, right);
+}
+
+//! Returns the empty endpoint to load next, or null.
 PlacementNode *emptyNode(PlanningState &state, const FailureDomainId &domain)
 {
+    const bool inChains = state.chains_.contains(domain);
+    const std::uint32_t size = sizeOf(thinnestRange(state.byDomain_.at(domain)));
     PlacementNode *best = nullptr;
     for (PlacementNode &node : state.nodes_) {
         if (node.domain_ != domain || node.layers_ || !node.available_ || !node.assignable_
-            || capacityOf(state.engine_, node, state.reservedTokens_) == 0)
+            || capacityOf(state, node) == 0)
             continue;
-        if (best == nullptr || precedes(state, node, *best))
+        if (best == nullptr
+            || (inChains ? fitsBetter(state, node, *best, size) : precedes(state, node, *best)))
             best = &node;
     }
     return best;
@@ -192,8 +251,7 @@
     PlacementNode *best = nullptr;
     for (PlacementNode &node : state.nodes_) {
         if (node.domain_ != domain || !node.layers_ || !node.available_ || !node.assignable_
-            || capacityOf(state.engine_, node, state.reservedTokens_) == 0
-            || !isRedundant(state, node))
+            || capacityOf(state, node) == 0 || !isRedundant(state, node))
             continue;
         if (best == nullptr || precedes(state, *best, node))
             best = &node;
@@ -206,17 +264,47 @@
     return std::find(domain.begin(), domain.end(), 0U) != domain.end();
 }
 
+//! Layers that the endpoint should load next. In a domain with complete copies it fills the first
+//! range with the fewest copies and goes no further, so that copies end where others do.
+LayerRange rangeFor(const PlanningState &state, const PlacementNode &node)
+{
+    const Coverage &domain = state.byDomain_.at(node.domain_);
+    const std::uint32_t size = std::min(capacityOf(state, node), state.engine_.layers_);
+    if (!state.chains_.contains(node.domain_))
+        return bestRange(state, domain, size);
+    const LayerRange thinnest = thinnestRange(domain);
+    return {thinnest.first_, {thinnest.first_.value_ + std::min(size, sizeOf(thinnest))}};
+}
+
 PlacementMove move(PlanningState &state, PlacementNode &node, const char *reason)
 {
     countCopies(state, node, -1);
-    const std::uint32_t size = std::min(capacityOf(state.engine_, node, state.reservedTokens_),
-                                        state.engine_.layers_);
-    node.layers_ = bestRange(state, state.byDomain_.at(node.domain_), size);
+    node.layers_ = rangeFor(state, node);
     node.assignable_ = false;
     countCopies(state, node, 1);
     return {node.endpoint_, *node.layers_, reason};
 }
 
+//! Chain plans of the domains that are large enough for more than one copy of the model.
+std::map<FailureDomainId, ChainPlan> planChainsByDomain(const EngineSpec &engine,
+                                                        const std::vector<PlacementNode> &nodes)
+{
+    std::map<FailureDomainId, std::map<AcceleratorKind, std::uint32_t>> counts;
+    for (const PlacementNode &node : nodes) {
+        if (node.available_ && acceleratorOf(engine, node) != nullptr)
+            ++counts[node.domain_][node.kind_];
+    }
+    std::map<FailureDomainId, ChainPlan> plans;
+    for (const auto &[domain, kinds] : counts) {
+        std::vector<KindCount> fleet;
+        for (const auto &[kind, count] : kinds)
+            fleet.push_back({engine.accelerators_.at(kind), count});
+        if (const auto plan = planChains(engine, fleet, minTokens(engine)))
+            plans.emplace(domain, *plan);
+    }
+    return plans;
+}
+
 bool mayLoadCopy(const PlanningState &state, const FailureDomainId &domain)
 {
     const Coverage &coverage = state.byDomain_.at(domain);
@@ -259,8 +347,7 @@
 
 Tokens kvTokensToReserve(const EngineSpec &engine, const std::vector<PlacementNode> &nodes)
 {
-    const double request = static_cast<double>(
-            std::max<std::int64_t>(1, engine.typicalPrompt_.value_ + engine.typicalOutput_.value_));
+    const double request = detail::typicalRequest(engine);
     const double least = detail::MinRequests * request;
     double kvTokens = std::max(least, engine.slots_ * request);
     const auto possible = detail::layersByDomain(engine, nodes, detail::tokensOf(least));
@@ -282,7 +369,9 @@
 {
     const Tokens kvTokens = kvTokensToReserve(engine, nodes);
     detail::PlanningState state {
-            engine, std::move(nodes), kvTokens, {}, detail::Coverage(engine.layers_), copies, {}};
+            engine, std::move(nodes), kvTokens, {}, {}, detail::Coverage(engine.layers_), copies,
+            {}};
+    state.chains_ = detail::planChainsByDomain(engine, state.nodes_);
     for (const PlacementNode &node : state.nodes_)
         state.byDomain_.try_emplace(node.domain_, engine.layers_);
     for (const PlacementNode &node : state.nodes_)
