--- a/src/controllers/tests/tst_gatewaystate.cpp
+++ b/src/controllers/tests/tst_gatewaystate.cpp
@@ -574,7 +574,7 @@
                     {{"near by name", 7000}, {"a"}, seconds(5), {}},
                     {{"near long ago", 7000}, {"a"}, seconds(20), {}},
                     {{"never", 7000}, {"a"}, seconds(100), {}},
-                    {{"future", 7000}, {"a"}, -seconds(1)}};
+                    {{"future", 7000}, {"a"}, -seconds(1), {}}};
     state.limits_.settleTime_ = test.settled_ ? Duration() : seconds(2);
     for (const GatewayDigestMessage &message : {near, far, seeking})
         applyMemberDigest(state, message, at(0));
