Less urgent ranks leave a part of each path free for more urgent ones

Cause: all ranks filled an endpoint's KV capacity and slots to 1.0, and each gateway orders only its own queue. When capacity is below demand, an urgent request therefore waits for the end of a stream while gateways elsewhere give what gets free to less urgent ones. Ruled out: one limit for each request size; a limit only in the queue's order, which says nothing about what other gateways dispatch. Found on the way: a less urgent request that exceeded its rank's limit on pending prefill kept more urgent requests of the same size from being tried in that pass (`tooLarge`). The size is now kept by rank. Change: policy/rankroom limits the utilisation of a path to 1.0, 0.93 and 0.85 by rank, if the target has routes of a more urgent rank. A rank below its minimum share, or of which the gateway started nothing for two seconds, has 1.0. The ranks of a target come with the route table. The path planner prefers paths within the limit of the request's rank. A request that alone exceeds the limit (an endpoint with one slot) may have an empty path.

--- a/src/controllers/internal/routetable.cpp
+++ b/src/controllers/internal/routetable.cpp
@@ -25,6 +25,9 @@
     for (std::size_t i = 0; i < desired.routes_.size(); ++i) {
         const RouteRule &route = desired.routes_[i];
         table->byPrefix_.emplace(detail::prefixKey(route.host_, route.pathPrefix_), i);
+        for (const WeightedTarget &target : route.targets_)
+            table->ranks_[target.target_].at(static_cast<std::size_t>(rankOf(route.priority_)))
+                    = true;
     }
     for (std::size_t i = 0; i < desired.organisations_.size(); ++i) {
         for (const std::string &key : desired.organisations_[i].apiKeys_)
@@ -61,6 +64,12 @@
     return found == table.byTarget_.end() ? nullptr : &table.state_.targets_[found->second];
 }
 
+RanksPresent ranksOfTarget(const RouteTable &table, const TargetName &target)
+{
+    const auto found = table.ranks_.find(target);
+    return found == table.ranks_.end() ? RanksPresent {} : found->second;
+}
+
 bool applyDesiredState(RouteTableState &state, DesiredState desired, TimePoint now)
 {
     if (state.table_ && desired.version_ <= state.table_->state_.version_)
--- a/src/controllers/routetable.h
+++ b/src/controllers/routetable.h
@@ -8,6 +8,7 @@
 #include <unordered_map>
 
 #include "core/routes.h"
+#include "policy/rankroom.h"
 
 namespace gypsumcroft {
 
@@ -20,6 +21,8 @@
     //! Indexes of organisations by API key.
     std::unordered_map<std::string, std::size_t> byApiKey_;
     std::unordered_map<TargetName, std::size_t> byTarget_;
+    //! Ranks of the routes to each target.
+    std::unordered_map<TargetName, RanksPresent> ranks_;
 };
 
 std::shared_ptr<const RouteTable> buildRouteTable(DesiredState state);
@@ -32,6 +35,9 @@
 
 const TargetSpec *findTarget(const RouteTable &table, const TargetName &target);
 
+//! Ranks of the routes to a target; none for an unknown target.
+RanksPresent ranksOfTarget(const RouteTable &table, const TargetName &target);
+
 //! The active desired state and when it was last known to be the newest one.
 struct RouteTableState
 {
--- a/src/filters/gatewaystate.h
+++ b/src/filters/gatewaystate.h
@@ -25,6 +25,7 @@
 #include "policy/loopwindow.h"
 #include "policy/pathplan.h"
 #include "policy/patience.h"
+#include "policy/rankroom.h"
 #include "policy/retry.h"
 #include "policy/retrydecision.h"
 #include "policy/retryshare.h"
@@ -267,6 +268,8 @@
     FairQueue overdue_;
     //! Rate at which onTime_ is dispatched; known only while requests wait in it all the time.
     DrainRate drained_;
+    //! When a request of each rank was dispatched last from either queue.
+    std::array<std::optional<TimePoint>, RankCount> startedAt_;
 };
 
 struct GatewayCounters
@@ -312,9 +315,8 @@
     //! A tick that comes this late shows that the process was held up; the time doesn't count as
     //! silence of endpoints, whose events may be waiting to be read.
     Duration heldUpAfter_ = std::chrono::milliseconds(250);
-    //! Highest utilisation of an endpoint's KV capacity, by this gateway's estimate, at which a
-    //! request is dispatched.
-    double maxUtilisation_ = 1.0;
+    //! Highest utilisation of a path, by this gateway's estimate, at which a request is dispatched.
+    RankRoomLimits rankRoom_;
     //! A request is dispatched only while the prefill pending before it takes at most this fraction
     //! of its latency target, by rank. Lower limits of less urgent ranks leave prefill time for
     //! more urgent requests.
--- a/src/filters/internal/gatewayfilters.cpp
+++ b/src/filters/internal/gatewayfilters.cpp
@@ -135,11 +135,6 @@
                                                      : proceedGateway();
 }
 
-Rank rankOf(Priority priority)
-{
-    return AllRanks.at(std::min<std::size_t>(priority.value_, RankCount - 1));
-}
-
 QueuedRequest toQueuedRequest(const GatewayContext &context)
 {
     QueuedRequest queued;
@@ -267,6 +262,23 @@
     return nodes;
 }
 
+//! Highest utilisation of a path to which the request may raise it.
+double maxUtilisationOf(const GatewayContext &context, const GatewayView &view,
+                        const GatewayTraffic &state, TimePoint now)
+{
+    const Rank rank = rankOf(context.priority_);
+    RankService service;
+    const auto found = state.queues_.find(context.target_);
+    if (found != state.queues_.end()) {
+        const TargetQueues &queues = found->second;
+        service.belowMinShare_
+                = isBelowMinShare(context.overdue_ ? queues.overdue_ : queues.onTime_, rank);
+        service.startedAt_ = queues.startedAt_.at(static_cast<std::size_t>(rank));
+    }
+    return maxUtilisation(state.limits_.rankRoom_, ranksOfTarget(*view.table_, context.target_),
+                          rank, service, now);
+}
+
 std::optional<PlannedPath> planFor(const GatewayContext &context, const GatewayView &view,
                                    const EngineSpec &engine, GatewayTraffic &state, TimePoint now)
 {
@@ -276,7 +288,8 @@
                              context.request_.promptTokens_,
                              {context.request_.expectedOutput_.value_ / 2},
                              hasCrossDomainBudget(state.crossDomainBudgets_[context.target_],
-                                                  engine, view.gatewayCount_, now)};
+                                                  engine, view.gatewayCount_, now),
+                             maxUtilisationOf(context, view, state, now)};
     return planPath(engine, pathNodes(context, view, engine, state, now), demand);
 }
 
@@ -314,7 +327,7 @@
     if (!choice)
         return refuseGateway(GatewayRefusal::NoEndpoint);
     const ListedEndpoint &listed = view.endpoints_->endpoints_[choice->index_];
-    context.plan_ = PlannedPath {{{listed.id_, listed.address_, {}}}, {}, 0, 0};
+    context.plan_ = PlannedPath {{{listed.id_, listed.address_, {}}}};
     return proceedGateway();
 }
 
@@ -457,14 +470,18 @@
 }};
 constexpr std::size_t EndpointFilter = 7;
 
-//! True if the planned path has free KV capacity and its pending prefill is within the limit of the
-//! request's rank.
-bool hasCapacityOnPath(const GatewayContext &context, const GatewayLimits &limits)
+//! True if the planned path has capacity free for the request's rank and its pending prefill is
+//! within the limit of that rank.
+bool hasCapacityOnPath(const GatewayContext &context, const GatewayLimits &limits,
+                       double maxUtilisation)
 {
     const double part
             = limits.maxPendingPrefill_.at(static_cast<std::size_t>(rankOf(context.priority_)));
     const double maxPrefill = part * static_cast<double>(context.route_.latencyTarget_.count());
-    return context.plan_->utilisation_ <= limits.maxUtilisation_
+    // A request that alone exceeds its rank's limit may have an empty path, or it would never run.
+    const double alone
+            = std::min(context.plan_->ownUtilisation_, limits.rankRoom_.maxUtilisation_.front());
+    return context.plan_->utilisation_ <= std::max(maxUtilisation, alone)
            && static_cast<double>(context.plan_->pendingPrefill_.count()) <= maxPrefill;
 }
 
@@ -505,7 +522,9 @@
     if (const EngineSpec *engine = detail::engineOf(context, view)) {
         context.plan_ = detail::planFor(context, view, *engine, state, now);
         context.plannedAt_ = now;
-        return context.plan_ && detail::hasCapacityOnPath(context, state.limits_);
+        return context.plan_
+               && detail::hasCapacityOnPath(context, state.limits_,
+                                            detail::maxUtilisationOf(context, view, state, now));
     }
     const auto choice = detail::chooseService(context, view, state, now);
     return choice && choice->freeSlots_ + detail::MaxWaitingAtService > 0;
--- a/src/gateway/internal/traffic.cpp
+++ b/src/gateway/internal/traffic.cpp
@@ -1,6 +1,7 @@
 #include "gateway/traffic.h"
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <limits>
 #include <utility>
@@ -76,19 +77,30 @@
            && hasRoom(state.loopWindow_, state.exchangesByDispatch_.size());
 }
 
+//! Smallest work of each rank that exceeded the free capacity.
+using TooLarge = std::array<std::int64_t, RankCount>;
+
+//! A request at least as large as one of its own rank or of the most urgent one that exceeded the
+//! free capacity exceeds it too. Other ranks may have lower limits, so that theirs say nothing.
+bool isTooLarge(const TooLarge &tooLarge, const QueuedRequest &queued)
+{
+    return queued.work_.value_
+           >= std::min(tooLarge.front(), tooLarge.at(static_cast<std::size_t>(queued.rank_)));
+}
+
 //! Dispatches queued requests while endpoints have capacity for them.
-void dispatchFromQueue(GatewayTraffic &state, const GatewayView &view, FairQueue &queue,
-                       DrainRate &rate, TimePoint now)
+void dispatchFromQueue(GatewayTraffic &state, const GatewayView &view, TargetQueues &queues,
+                       FairQueue &queue, DrainRate &rate, TimePoint now)
 {
-    // A request at least as large as one that exceeded the free capacity exceeds it too.
-    std::int64_t tooLarge = std::numeric_limits<std::int64_t>::max();
+    TooLarge tooLarge;
+    tooLarge.fill(std::numeric_limits<std::int64_t>::max());
     const auto fits = [&](const QueuedRequest &queued) {
         Context &context = state.requests_.at(exchangeOf(queued));
-        if (queued.work_.value_ >= tooLarge || !mayBeDispatched(context, view, state, now))
+        if (isTooLarge(tooLarge, queued) || !mayBeDispatched(context, view, state, now))
             return false;
         if (hasCapacity(context, view, state, now))
             return true;
-        tooLarge = queued.work_.value_;
+        tooLarge.at(static_cast<std::size_t>(queued.rank_)) = queued.work_.value_;
         return false;
     };
     for (std::size_t i = 0; i < state.limits_.maxBegunAtOnce_ && mayBeginMore(state, now); ++i) {
@@ -96,6 +108,7 @@
         if (!next)
             return;
         recordDrained(rate, next->work_, now);
+        queues.startedAt_.at(static_cast<std::size_t>(next->rank_)) = now;
         Context &context = state.requests_.at(exchangeOf(*next));
         context.queued_ = false;
         context.nextFilter_ = endpointFilterIndex();
@@ -108,14 +121,14 @@
     if (!listIsFresh(view, now))
         return;
     for (auto &[target, queues] : state.queues_) {
-        dispatchFromQueue(state, view, queues.onTime_, queues.drained_, now);
+        dispatchFromQueue(state, view, queues, queues.onTime_, queues.drained_, now);
         if (queues.onTime_.size_ > 0)
             continue;
         // In an overload the queue is emptied by refusals, too.
         if (!state.loopWindow_.size_)
             queues.drained_ = {};
         DrainRate ignored;
-        dispatchFromQueue(state, view, queues.overdue_, ignored, now);
+        dispatchFromQueue(state, view, queues, queues.overdue_, ignored, now);
     }
 }
 
--- a/src/policy/internal/pathplan.cpp
+++ b/src/policy/internal/pathplan.cpp
@@ -18,7 +18,7 @@
 //! for.
 constexpr double CrossDomainHopMs = 200;
 //! Cost of a full endpoint in ms. It grows with the square of the utilisation of its KV capacity or
-//! its slots, and above 1 additionally with the excess.
+//! its slots, and above the request's limit additionally with the excess.
 constexpr double FullEndpointMs = 60;
 constexpr double OverloadMs = 2000;
 constexpr double MsPerSecond = 1000;
@@ -86,10 +86,10 @@
     return node.slots_ == 0 ? 0 : (node.begun_ + 1) / node.slots_;
 }
 
-double utilisationMs(double utilisation)
+double utilisationMs(double utilisation, const PathDemand &demand)
 {
-    return FullEndpointMs * utilisation * utilisation
-           + (utilisation > 1 ? OverloadMs * (utilisation - 1) : 0);
+    const double excess = std::max(0.0, utilisation - demand.maxUtilisation_);
+    return FullEndpointMs * utilisation * utilisation + OverloadMs * excess;
 }
 
 double hopMs(const EngineSpec &engine, const FailureDomainId &from, const FailureDomainId &to,
@@ -216,9 +216,9 @@
              to < search.boundaries_.size() && search.boundaries_[to] <= layers.end_.value_; ++to) {
             const double count = search.boundaries_[to] - layer;
             const double utilisation = cost.utilisation_ + cost.utilisationPerLayer_ * count;
-            starts.segments_.push_back(
-                    {to, utilisation,
-                     cost.fixedMs_ + cost.msPerLayer_ * count + utilisationMs(utilisation)});
+            starts.segments_.push_back({to, utilisation,
+                                        cost.fixedMs_ + cost.msPerLayer_ * count
+                                                + utilisationMs(utilisation, search.demand_)});
         }
         starts.nodes_.push_back({n, first, starts.segments_.size()});
     }
@@ -243,9 +243,9 @@
             continue;
         const double slots
                 = before == nullptr ? slotUtilisationWith(search.nodes_[start.node_]) : 0;
-        const double hop = before == nullptr
-                                   ? search.domains_.entryMs_[domain] + utilisationMs(slots)
-                                   : search.domains_.hopMs_[from][domain];
+        const double hop = before == nullptr ? search.domains_.entryMs_[domain]
+                                                       + utilisationMs(slots, search.demand_)
+                                             : search.domains_.hopMs_[from][domain];
         for (std::size_t i = start.firstSegment_; i < start.endSegment_; ++i) {
             const Segment &segment = starts.segments_[i];
             const double total = cost + hop + segment.cost_;
@@ -272,6 +272,11 @@
             && search.nodes_[part->previous_->node_].domain_ != node.domain_)
             ++planned.crossDomainHops_;
         planned.path_.push_back({node.endpoint_, node.address_, {{part->firstLayer_}, {end}}});
+        planned.ownUtilisation_ = std::max(planned.ownUtilisation_,
+                                           search.costs_[part->node_].utilisationPerLayer_
+                                                   * static_cast<double>(end - part->firstLayer_));
+        if (part->previous_ == nullptr && node.slots_ > 0)
+            planned.ownUtilisation_ = std::max(planned.ownUtilisation_, 1.0 / node.slots_);
         end = part->firstLayer_;
     }
     std::reverse(planned.path_.begin(), planned.path_.end());
--- a/src/policy/pathplan.h
+++ b/src/policy/pathplan.h
@@ -42,6 +42,9 @@
     Tokens answer_;
     //! Whether the path may send activations from one failure domain to another.
     bool allowCrossDomain_ = true;
+    //! Utilisation above which the request may not raise an endpoint's; paths below it are
+    //! preferred at nearly any cost.
+    double maxUtilisation_ = 1;
 };
 
 struct PlannedPath
@@ -51,6 +54,8 @@
     //! Highest utilisation of the first endpoint's slots and of the path's KV capacity, including
     //! this request. 1 is full.
     double utilisation_ = 0;
+    //! The same for this request alone, on endpoints without other requests.
+    double ownUtilisation_ = 0;
     //! Number of hops from one failure domain to another.
     std::uint32_t crossDomainHops_ = 0;
     //! Longest prefill queued ahead of this request at an endpoint of the path.
