--- a/src/app/internal/gatewaytraffic.cpp
+++ b/src/app/internal/gatewaytraffic.cpp
@@ -102,7 +102,7 @@
     if (now - sharesToldAt_ < SharesInterval)
         return;
     sharesToldAt_ = now;
-    note_(ownEndpointLoads(traffic_));
+    note_(ownEndpointLoads(traffic_, now));
 }
 
 void GatewayTrafficLoop::logLoad(TimePoint now)
--- a/src/controllers/gatewayview.h
+++ b/src/controllers/gatewayview.h
@@ -47,6 +47,8 @@
     std::shared_ptr<const EndpointIndex> endpoints_ = std::make_shared<EndpointIndex>();
     //! Load of other gateways' requests on the endpoints.
     std::shared_ptr<const EndpointLoads> peerLoads_ = std::make_shared<EndpointLoads>();
+    //! Demand at the other gateways, by target; empty for a target while it is unknown.
+    std::shared_ptr<const FleetDemand> peerDemand_ = std::make_shared<FleetDemand>();
     //! Load of this gateway's requests on the endpoints, as reported in its last digest.
     std::shared_ptr<const EndpointLoads> lastDigestLoads_ = std::make_shared<EndpointLoads>();
     //! Endpoints that did not respond to their last probe.
@@ -91,10 +93,12 @@
     std::optional<TimePoint> pausedUntil_;
 };
 
-//! Message from traffic to control: current load of this gateway's requests on the endpoints.
+//! Message from traffic to control: current load of this gateway's requests on the endpoints, and
+//! the demand for each target.
 struct OwnEndpointLoads
 {
     std::vector<EndpointLoad> loads_;
+    std::vector<RankDemandReport> demand_;
 };
 
 //! True while the desired state is recent enough that every revoked key is known.
--- a/src/controllers/internal/peers.cpp
+++ b/src/controllers/internal/peers.cpp
@@ -44,6 +44,22 @@
     }
 }
 
+//! Demand at the gateways of the own domain, by reports that are recent enough for its sum.
+std::vector<RankDemandReport> demandOfDomain(const PeersState &state,
+                                             const GatewayDigestMessage &own, TimePoint now)
+{
+    FleetDemand sums;
+    addDemand(sums, own.demand_);
+    for (const auto &[instance, peer] : state.peers_) {
+        if (now - peer.receivedAt_ <= state.limits_.maxDemandAgeInSum_)
+            addDemand(sums, peer.digest_.demand_);
+    }
+    std::vector<RankDemandReport> reports;
+    for (const auto &[target, demand] : sums)
+        appendReports(reports, target, demand);
+    return reports;
+}
+
 } // namespace
 } // namespace detail
 
@@ -103,6 +119,7 @@
     sum.downEndpoints_.assign(news.down_.begin(), news.down_.end());
     for (const auto &[endpoint, incarnation] : news.leaving_)
         sum.leavingEndpoints_.push_back({endpoint, incarnation});
+    sum.demand_ = detail::demandOfDomain(state, own, now);
     return sum;
 }
 
@@ -138,4 +155,19 @@
     return sums;
 }
 
+std::shared_ptr<const FleetDemand> totalPeerDemand(const PeersState &state, TimePoint now)
+{
+    const PeerLimits &limits = state.limits_;
+    auto sums = std::make_shared<FleetDemand>();
+    for (const auto &[instance, peer] : state.peers_) {
+        if (now - peer.receivedAt_ <= limits.maxDemandAge_)
+            addDemand(*sums, peer.digest_.demand_);
+    }
+    for (const auto &[domain, sum] : state.domains_) {
+        if (now - sum.receivedAt_ <= limits.maxDemandAge_ - limits.maxDemandAgeInSum_)
+            addDemand(*sums, sum.digest_.demand_);
+    }
+    return sums;
+}
+
 } // namespace gypsumcroft
--- a/src/controllers/peers.h
+++ b/src/controllers/peers.h
@@ -9,6 +9,7 @@
 
 #include "core/messages.h"
 #include "core/units.h"
+#include "policy/fleetwait.h"
 
 namespace gypsumcroft {
 
@@ -20,6 +21,10 @@
     Duration removeAfter_ = std::chrono::milliseconds(1500);
     //! The same for a peer's part in the sum over the domain, which takes longer to arrive.
     Duration leaveOutAfter_ = std::chrono::milliseconds(1000);
+    //! Time for which a gateway's demand counts, and the part of it for which it may enter the sum
+    //! over its domain: the sum itself takes the rest to reach the other domains.
+    Duration maxDemandAge_ = std::chrono::milliseconds(1500);
+    Duration maxDemandAgeInSum_ = std::chrono::milliseconds(700);
 };
 
 struct PeerGateway
@@ -64,4 +69,7 @@
 //! Load on each endpoint, summed over all peers and the other domains.
 std::shared_ptr<const EndpointLoads> totalPeerLoads(const PeersState &state);
 
+//! Demand for each target, summed over all peers and the other domains.
+std::shared_ptr<const FleetDemand> totalPeerDemand(const PeersState &state, TimePoint now);
+
 } // namespace gypsumcroft
--- a/src/filters/gatewayfilters.h
+++ b/src/filters/gatewayfilters.h
@@ -52,8 +52,12 @@
 //! Subtracts the dispatch's remaining prefill time from the endpoints of its path.
 void releasePendingPrefill(GatewayContext &context, GatewayTraffic &state);
 
-//! Load that this gateway's requests place on the endpoints.
-OwnEndpointLoads ownEndpointLoads(const GatewayTraffic &state);
+//! Load that this gateway's requests place on the endpoints, and the demand for each target.
+OwnEndpointLoads ownEndpointLoads(const GatewayTraffic &state, TimePoint now);
+
+//! Notes that a request left the queue for an endpoint, or that its dispatch was not run.
+void countStarted(const GatewayContext &context, GatewayTraffic &state, TimePoint now);
+void countNotRun(const GatewayContext &context, GatewayTraffic &state, TimePoint now);
 
 //! Time since arrival after which a queued request isn't expected to meet its latency target.
 Duration overdueAfter(const GatewayContext &context, const GatewayTraffic &state);
--- a/src/filters/gatewaystate.h
+++ b/src/filters/gatewaystate.h
@@ -21,6 +21,7 @@
 #include "policy/endpointhealth.h"
 #include "policy/endpointpause.h"
 #include "policy/fairqueue.h"
+#include "policy/fleetwait.h"
 #include "policy/loopdelay.h"
 #include "policy/loopwindow.h"
 #include "policy/pathplan.h"
@@ -345,6 +346,7 @@
     //! Request of each dispatch in progress.
     std::unordered_map<DispatchId, ExchangeId> exchangesByDispatch_;
     std::map<TargetName, TargetQueues> queues_;
+    std::map<TargetName, DemandMeter> demand_;
     std::unordered_map<EndpointId, EndpointUsage> endpointUsage_;
     std::map<TargetName, RetryShare> retryShares_;
     std::map<TargetName, CrossDomainBudget> crossDomainBudgets_;
--- a/src/filters/internal/gatewayfilters.cpp
+++ b/src/filters/internal/gatewayfilters.cpp
@@ -135,6 +135,13 @@
                                                      : proceedGateway();
 }
 
+//! Expected work of a request, for the queue's shares and the demand.
+Tokens workOf(const GatewayContext &context)
+{
+    return {std::max<std::int64_t>(1, context.request_.promptTokens_.value_
+                                              + context.request_.expectedOutput_.value_)};
+}
+
 QueuedRequest toQueuedRequest(const GatewayContext &context)
 {
     QueuedRequest queued;
@@ -143,17 +150,31 @@
     // A suspect request that has to wait must not hold up the others of its organisation.
     queued.caller_ = {queued.organisation_.value_ + (context.suspect_ ? "/suspect" : "")};
     queued.rank_ = rankOf(context.priority_);
-    queued.work_ = {std::max<std::int64_t>(1, context.request_.promptTokens_.value_
-                                                      + context.request_.expectedOutput_.value_)};
+    queued.work_ = workOf(context);
     queued.deadline_ = context.deadline_;
     return queued;
 }
 
+//! Demand for a target at this gateway; nothing until its rates are known.
+std::optional<TargetDemand> ownDemand(const TargetName &target, const GatewayTraffic &state,
+                                      TimePoint now)
+{
+    const auto meter = state.demand_.find(target);
+    if (meter == state.demand_.end())
+        return std::nullopt;
+    std::array<Tokens, RankCount> waiting {};
+    const auto queues = state.queues_.find(target);
+    for (std::size_t rank = 0; queues != state.queues_.end() && rank < RankCount; ++rank)
+        waiting.at(rank) = waitingWork(queues->second.onTime_, AllRanks.at(rank));
+    return measuredDemand(meter->second, waiting, now);
+}
+
 //! While this process is overloaded, refuses a request at once that would wait so long that it
 //! isn't expected to meet its latency target. What can begin at once is never refused.
 GatewayFilterResult admitRequest(GatewayContext &context, const GatewayView &,
                                  GatewayTraffic &state, TimePoint now)
 {
+    noteArrived(state.demand_[context.target_], rankOf(context.priority_), workOf(context), now);
     const auto found = state.queues_.find(context.target_);
     if (!state.loopWindow_.size_ || found == state.queues_.end())
         return proceedGateway();
@@ -595,7 +616,7 @@
     context.dispatch_.reset();
 }
 
-OwnEndpointLoads ownEndpointLoads(const GatewayTraffic &state)
+OwnEndpointLoads ownEndpointLoads(const GatewayTraffic &state, TimePoint now)
 {
     OwnEndpointLoads own;
     for (const auto &[endpoint, usage] : state.endpointUsage_) {
@@ -604,9 +625,25 @@
         own.loads_.push_back(usage.load_);
         own.loads_.back().endpoint_ = endpoint;
     }
+    for (const auto &[target, meter] : state.demand_) {
+        if (const auto demand = detail::ownDemand(target, state, now))
+            appendReports(own.demand_, target, *demand);
+    }
     return own;
 }
 
+void countStarted(const GatewayContext &context, GatewayTraffic &state, TimePoint now)
+{
+    noteStarted(state.demand_[context.target_], rankOf(context.priority_), detail::workOf(context),
+                now);
+}
+
+void countNotRun(const GatewayContext &context, GatewayTraffic &state, TimePoint now)
+{
+    noteNotRun(state.demand_[context.target_], rankOf(context.priority_), detail::workOf(context),
+               now);
+}
+
 RequestId queueId(ExchangeId exchange)
 {
     return {std::to_string(exchange.value_)};
--- a/src/gateway/control.h
+++ b/src/gateway/control.h
@@ -78,6 +78,8 @@
     Duration noPeersInterval_ = std::chrono::seconds(1);
     //! Minimum time between two log lines on the number of gateways.
     Duration gatewaysLogInterval_ = std::chrono::seconds(1);
+    //! The same on dropped reports of demand.
+    Duration droppedDemandLogInterval_ = std::chrono::seconds(1);
     //! Time for which digests include an endpoint's report of its loaded layers.
     Duration reportForwardTime_ = std::chrono::seconds(2);
     EndpointPauseLimits pause_;
@@ -117,6 +119,10 @@
     //! This process reads the store regularly, for itself and others.
     bool readsStore_ = false;
     std::vector<EndpointLoad> ownLoads_;
+    std::vector<RankDemandReport> ownDemand_;
+    //! Reports of demand that were dropped since the last log line about it.
+    std::uint64_t droppedDemand_ = 0;
+    TimePoint droppedDemandLoggedAt_;
     //! Some gateway has sent a request to an endpoint since this process started.
     bool trafficSeen_ = false;
     std::shared_ptr<const EndpointLoads> reportedLoads_ = std::make_shared<EndpointLoads>();
--- a/src/gateway/internal/control.cpp
+++ b/src/gateway/internal/control.cpp
@@ -278,6 +278,21 @@
     return true;
 }
 
+//! Drops reports of demand that can't be true, so that they neither count here nor in the sum over
+//! this domain.
+void dropImplausibleDemand(GatewayControl &state, GatewayDigestMessage &digest, TimePoint now)
+{
+    state.droppedDemand_ += removeImplausible(digest.demand_);
+    if (state.droppedDemand_ == 0
+        || now - state.droppedDemandLoggedAt_ < state.bounds_.droppedDemandLogInterval_)
+        return;
+    state.droppedDemandLoggedAt_ = now;
+    state.effects_.emplace_back(logEvent(
+            LogLevel::Warning, LogLine("demand-dropped")
+                                       .add("reports", std::exchange(state.droppedDemand_, 0))
+                                       .add("from", digest.instance_)));
+}
+
 FleetUse fleetUse(const GatewayControl &state)
 {
     FleetUse use;
@@ -525,11 +540,13 @@
 void onOwnLoads(GatewayControl &state, OwnEndpointLoads loads)
 {
     state.ownLoads_ = std::move(loads.loads_);
+    state.ownDemand_ = std::move(loads.demand_);
     state.trafficSeen_ = state.trafficSeen_ || !state.ownLoads_.empty();
 }
 
 void onGatewayDigest(GatewayControl &state, GatewayDigestMessage digest, TimePoint now)
 {
+    detail::dropImplausibleDemand(state, digest, now);
     detail::takeTraitReports(state, digest, now);
     if (digest.scope_ == DigestScope::CrashNews || digest.scope_ == DigestScope::RelayedCrashNews)
         return;
@@ -605,6 +622,7 @@
     view.endpoints_ = state.endpointIndex_;
     view.blame_ = state.crashes_.verdicts_;
     view.peerLoads_ = totalPeerLoads(state.peers_);
+    view.peerDemand_ = totalPeerDemand(state.peers_, now);
     view.lastDigestLoads_ = state.reportedLoads_;
     view.downEndpoints_ = downEndpoints(state.probes_);
     for (const auto &[endpoint, known] : state.endpoints_.endpoints_) {
--- a/src/gateway/internal/digests.cpp
+++ b/src/gateway/internal/digests.cpp
@@ -25,6 +25,7 @@
 {
     GatewayDigestMessage part = digest;
     part.loads_.clear();
+    part.demand_.clear();
     part.loadedLayers_.clear();
     part.layerMoves_.clear();
     part.downEndpoints_.clear();
@@ -50,6 +51,7 @@
     digest.traits_
             = reportTraits(state.crashes_.blame_, state.crashes_.limits_.maxTraitsInDigest_, now);
     digest.loads_ = state.ownLoads_;
+    digest.demand_ = state.ownDemand_;
     digest.loadedLayers_ = recentReports(state, now);
     digest.downEndpoints_ = {down.begin(), down.end()};
     digest.leavingEndpoints_ = leavingToReport(state.endpoints_, now);
--- a/src/gateway/internal/traffic.cpp
+++ b/src/gateway/internal/traffic.cpp
@@ -110,6 +110,7 @@
         recordDrained(rate, next->work_, now);
         queues.startedAt_.at(static_cast<std::size_t>(next->rank_)) = now;
         Context &context = state.requests_.at(exchangeOf(*next));
+        countStarted(context, state, now);
         context.queued_ = false;
         context.nextFilter_ = endpointFilterIndex();
         runFilters(state, view, context, now);
@@ -158,7 +159,9 @@
     facts.outcome_ = outcome;
     facts.responseStarted_ = context.streamStarted_;
     facts.earlierAttemptMayHaveRun_ = context.mayHaveRun_;
-    if (outcome != AttemptOutcome::NotRun) {
+    if (outcome == AttemptOutcome::NotRun) {
+        countNotRun(context, state, now);
+    } else {
         ++context.possibleRuns_;
         context.mayHaveRun_ = true;
     }
@@ -480,6 +483,7 @@
                                                   .add("reason", "endpoint")));
     detail::emit(state, CancelDispatch {dispatch});
     releaseDispatch(*context, state);
+    countNotRun(*context, state, now);
     enqueue(*context, state, true);
     detail::dispatchQueued(state, view, now);
     return false;
--- a/src/gateway/tests/tst_crashes.cpp
+++ b/src/gateway/tests/tst_crashes.cpp
@@ -454,7 +454,7 @@
                            {static_cast<std::uint64_t>(fleet.nowMs_ + 1)}, now, now);
         }
         if (fleet.nowMs_ % 100 == 0) {
-            onOwnLoads(gateway.control_, ownEndpointLoads(gateway.traffic_));
+            onOwnLoads(gateway.control_, ownEndpointLoads(gateway.traffic_, now));
             onGatewayControlTick(gateway.control_, now);
         }
         carryOutControl(fleet, i);
--- a/src/policy/fairqueue.h
+++ b/src/policy/fairqueue.h
@@ -105,6 +105,9 @@
 //! Work that will be served before a new request of this caller, in tokens.
 Tokens workAhead(const FairQueue &queue, const QueuedRequest &request);
 
+//! Work of the rank's queued requests.
+Tokens waitingWork(const FairQueue &queue, Rank rank);
+
 //! True if the rank has requests and recently got less than its minimum share.
 bool isBelowMinShare(const FairQueue &queue, Rank rank);
 
--- a/src/policy/internal/fairqueue.cpp
+++ b/src/policy/internal/fairqueue.cpp
@@ -323,6 +323,11 @@
     return {ahead + own + others};
 }
 
+Tokens waitingWork(const FairQueue &queue, Rank rank)
+{
+    return {queue.ranks_[detail::rankIndex(rank)].work_};
+}
+
 bool isBelowMinShare(const FairQueue &queue, Rank rank)
 {
     constexpr double Whole = 1000;
