Requests whose expected wait is too long are refused on arrival

Cause: with demand above capacity, requests that never reached an endpoint were refused when the queue timeout ended, with a constant Retry-After of 0.4 s, and their retries in the same way. Ruled out: lifting a rank's limit by the fleet's shares over one second instead of the gateway's own count. Change: filter admit refuses a request as not run if its expected wait exceeds what is left of the queue timeout or the deadline, unless nothing of its rank waits here and there is capacity. It does so only with reports of other gateways, or in a gateway that knows it is the only one. The rule for a gateway whose own loop is overloaded stays. Retry-After of requests refused for want of capacity is the expected wait less the queue timeout, at least 0.4 s, spread over half of its length, at most a third of the time left. The refusal's line has the figures; metrics count refusals on arrival by rank. A rank's wait is never longer than its own waiting work takes at its minimum share.

--- a/src/app/internal/gatewayprocess.cpp
+++ b/src/app/internal/gatewayprocess.cpp
@@ -72,6 +72,11 @@
     auto &received = metrics_.gauge("requests_received", "Requests that callers sent");
     auto &answered = metrics_.gauge("requests_answered", "Requests answered by an endpoint");
     auto &refused = metrics_.gauge("requests_refused_not_run", "Requests refused, not run");
+    std::array<prometheus::Gauge *, RankCount> onArrival {};
+    for (const Rank rank : AllRanks)
+        onArrival.at(static_cast<std::size_t>(rank))
+                = &metrics_.gauge("requests_refused_on_arrival_" + std::string(rankName(rank)),
+                                  "Refused on arrival for want of capacity, of this rank");
     auto &quarantined = metrics_.gauge("requests_quarantined",
                                        "Refused, as endpoints crashed under such requests");
     auto &failed = metrics_.gauge("requests_failed", "Requests that ended without a whole answer");
@@ -92,6 +97,8 @@
         received.Set(static_cast<double>(counters->received_));
         answered.Set(static_cast<double>(counters->answered_));
         refused.Set(static_cast<double>(counters->refused_));
+        for (std::size_t rank = 0; rank < RankCount; ++rank)
+            onArrival.at(rank)->Set(static_cast<double>(counters->refusedOnArrival_.at(rank)));
         quarantined.Set(static_cast<double>(counters->quarantined_));
         failed.Set(static_cast<double>(counters->failed_));
         gone.Set(static_cast<double>(counters->callersDisconnected_));
--- a/src/filters/gatewayfilters.h
+++ b/src/filters/gatewayfilters.h
@@ -12,6 +12,8 @@
 {
     FilterAction action_ = FilterAction::Continue;
     GatewayRefusal refusal_ = GatewayRefusal::Unready;
+    //! For the log.
+    const char *reason_ = "filter";
 };
 
 using GatewayFilter = Filter<GatewayContext, GatewayView, GatewayTraffic, GatewayFilterResult>;
@@ -55,10 +57,6 @@
 //! Load that this gateway's requests place on the endpoints, and the demand for each target.
 OwnEndpointLoads ownEndpointLoads(const GatewayTraffic &state, TimePoint now);
 
-//! Notes that a request left the queue for an endpoint, or that its dispatch was not run.
-void countStarted(const GatewayContext &context, GatewayTraffic &state, TimePoint now);
-void countNotRun(const GatewayContext &context, GatewayTraffic &state, TimePoint now);
-
 //! Time since arrival after which a queued request isn't expected to meet its latency target.
 Duration overdueAfter(const GatewayContext &context, const GatewayTraffic &state);
 
--- a/src/filters/gatewaystate.h
+++ b/src/filters/gatewaystate.h
@@ -237,6 +237,8 @@
     std::optional<PlannedPath> plan_;
     TimePoint plannedAt_;
     std::vector<RequestTrait> traits_;
+    //! Set when the request arrived, and again before it is refused for want of capacity.
+    std::optional<WaitEstimate> expectedWait_;
     //! One of the traits was suspect when the request was last queued.
     bool suspect_ = false;
     TimePoint quarantinedUntil_;
@@ -278,6 +280,8 @@
     std::uint64_t received_ = 0;
     std::uint64_t answered_ = 0;
     std::uint64_t refused_ = 0;
+    //! Part of them that was refused on arrival for want of capacity, by rank.
+    std::array<std::uint64_t, RankCount> refusedOnArrival_ {};
     std::uint64_t failed_ = 0;
     std::uint64_t callersDisconnected_ = 0;
     //! Refused because endpoints crashed that ran requests like them.
@@ -322,8 +326,8 @@
     //! of its latency target, by rank. Lower limits of less urgent ranks leave prefill time for
     //! more urgent requests.
     std::array<double, RankCount> maxPendingPrefill_ = {0.1, 0.08, 0.03};
-    //! Delay before a retry that is suggested to a refused caller; none is suggested for an unknown
-    //! route or an unauthorised caller.
+    //! Delay before a retry that is suggested to a refused caller, at least; none is suggested for
+    //! an unknown route or an unauthorised caller.
     Duration retryAfter_ = std::chrono::milliseconds(400);
     //! A load reported by an endpoint is ignored once it is older than this.
     Duration maxReportedLoadAge_ = std::chrono::milliseconds(300);
--- a/src/filters/internal/gatewayfilters.cpp
+++ b/src/filters/internal/gatewayfilters.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "core/hash.h"
+#include "filters/rankdemand.h"
 #include "policy/leastload.h"
 
 namespace gypsumcroft {
@@ -20,10 +21,6 @@
 constexpr std::uint64_t PromptPartSeed = 0x70617274;
 //! Requests that may wait at a plain service in addition to those in its slots.
 constexpr std::int64_t MaxWaitingAtService = 2;
-//! Minimum share of a target's work by rank: keeps the less urgent ranks served under overload.
-constexpr std::array<PerMille, RankCount> RankMinShares
-        = {PerMille {0}, PerMille {80}, PerMille {80}};
-
 GatewayFilterResult proceedGateway()
 {
     return {};
@@ -135,13 +132,6 @@
                                                      : proceedGateway();
 }
 
-//! Expected work of a request, for the queue's shares and the demand.
-Tokens workOf(const GatewayContext &context)
-{
-    return {std::max<std::int64_t>(1, context.request_.promptTokens_.value_
-                                              + context.request_.expectedOutput_.value_)};
-}
-
 QueuedRequest toQueuedRequest(const GatewayContext &context)
 {
     QueuedRequest queued;
@@ -155,39 +145,58 @@
     return queued;
 }
 
-//! Demand for a target at this gateway; nothing until its rates are known.
-std::optional<TargetDemand> ownDemand(const TargetName &target, const GatewayTraffic &state,
-                                      TimePoint now)
+GatewayFilterResult refuseOnArrival(const GatewayContext &context, GatewayTraffic &state,
+                                    const char *reason)
 {
-    const auto meter = state.demand_.find(target);
-    if (meter == state.demand_.end())
-        return std::nullopt;
-    std::array<Tokens, RankCount> waiting {};
-    const auto queues = state.queues_.find(target);
-    for (std::size_t rank = 0; queues != state.queues_.end() && rank < RankCount; ++rank)
-        waiting.at(rank) = waitingWork(queues->second.onTime_, AllRanks.at(rank));
-    return measuredDemand(meter->second, waiting, now);
+    ++state.counters_.refusedOnArrival_.at(static_cast<std::size_t>(rankOf(context.priority_)));
+    return {FilterAction::Refuse, GatewayRefusal::Overloaded, reason};
 }
 
-//! While this process is overloaded, refuses a request at once that would wait so long that it
-//! isn't expected to meet its latency target. What can begin at once is never refused.
-GatewayFilterResult admitRequest(GatewayContext &context, const GatewayView &,
-                                 GatewayTraffic &state, TimePoint now)
+//! True if nothing of the request's rank or a more urgent one waits here, and there is capacity for
+//! the request. The fleet's figures are older than that.
+bool canBeginAtOnce(GatewayContext &context, const GatewayView &view, GatewayTraffic &state,
+                    TimePoint now)
+{
+    const auto queues = state.queues_.find(context.target_);
+    for (std::size_t rank = 0; queues != state.queues_.end()
+                               && rank <= static_cast<std::size_t>(rankOf(context.priority_));
+         ++rank) {
+        if (waitingWork(queues->second.onTime_, AllRanks.at(rank)).value_ > 0)
+            return false;
+    }
+    return mayBeDispatched(context, view, state, now) && hasCapacity(context, view, state, now);
+}
+
+//! While this process is overloaded, true for a request that would wait so long that it isn't
+//! expected to meet its latency target. What can begin at once is never refused.
+bool exceedsOwnLoop(const GatewayContext &context, const GatewayTraffic &state, TimePoint now)
 {
-    noteArrived(state.demand_[context.target_], rankOf(context.priority_), workOf(context), now);
     const auto found = state.queues_.find(context.target_);
     if (!state.loopWindow_.size_ || found == state.queues_.end())
-        return proceedGateway();
+        return false;
     const TargetQueues &queues = found->second;
     // While the window has room, requests wait for something else than this process's load.
     if (hasRoom(state.loopWindow_, state.exchangesByDispatch_.size()))
-        return proceedGateway();
+        return false;
     if (!queues.drained_.known_ && !hasRoom(state.loopWindow_, queues.onTime_.size_))
-        return refuseGateway(GatewayRefusal::Overloaded);
+        return true;
     const Tokens ahead = workAhead(queues.onTime_, toQueuedRequest(context));
     const Duration wait = now - context.arrivedAt_ + expectedWait(queues.drained_, ahead);
-    return wait <= overdueAfter(context, state) ? proceedGateway()
-                                                : refuseGateway(GatewayRefusal::Overloaded);
+    return wait > overdueAfter(context, state);
+}
+
+//! Refuses a request at once that would be refused after it has waited: its caller can come back
+//! when there is capacity.
+GatewayFilterResult admitRequest(GatewayContext &context, const GatewayView &view,
+                                 GatewayTraffic &state, TimePoint now)
+{
+    countArrived(context, state, now);
+    estimateWait(context, view, state, now);
+    if (exceedsOwnLoop(context, state, now))
+        return refuseOnArrival(context, state, "filter");
+    if (hasTooLongWait(context, state.limits_, now) && !canBeginAtOnce(context, view, state, now))
+        return refuseOnArrival(context, state, "expected wait");
+    return proceedGateway();
 }
 
 GatewayFilterResult queueRequest(GatewayContext &context, const GatewayView &,
@@ -625,25 +634,10 @@
         own.loads_.push_back(usage.load_);
         own.loads_.back().endpoint_ = endpoint;
     }
-    for (const auto &[target, meter] : state.demand_) {
-        if (const auto demand = detail::ownDemand(target, state, now))
-            appendReports(own.demand_, target, *demand);
-    }
+    own.demand_ = ownDemandReports(state, now);
     return own;
 }
 
-void countStarted(const GatewayContext &context, GatewayTraffic &state, TimePoint now)
-{
-    noteStarted(state.demand_[context.target_], rankOf(context.priority_), detail::workOf(context),
-                now);
-}
-
-void countNotRun(const GatewayContext &context, GatewayTraffic &state, TimePoint now)
-{
-    noteNotRun(state.demand_[context.target_], rankOf(context.priority_), detail::workOf(context),
-               now);
-}
-
 RequestId queueId(ExchangeId exchange)
 {
     return {std::to_string(exchange.value_)};
--- a/src/gateway/internal/requestend.cpp
+++ b/src/gateway/internal/requestend.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "filters/gatewayfilters.h"
+#include "filters/rankdemand.h"
 
 namespace gypsumcroft::detail {
 
@@ -18,9 +19,19 @@
         state.byRequestId_.erase(own);
 }
 
+//! Delay after which capacity is expected for a refused request.
+Duration untilCapacity(GatewayTraffic &state, const GatewayContext &context, TimePoint now)
+{
+    const Duration least = state.limits_.retryAfter_;
+    if (!context.expectedWait_ || context.expectedWait_->wait_ <= Duration())
+        return least;
+    return retryDelayFor(context.expectedWait_->wait_, queueTimeout(context.route_, state.limits_),
+                         least, context.deadline_ - now, state.random_);
+}
+
 //! Delay before a retry that the caller of a refused request is told.
-Duration retryAfter(const GatewayTraffic &state, const GatewayContext &context,
-                    GatewayRefusal refusal, TimePoint now)
+Duration retryAfter(GatewayTraffic &state, const GatewayContext &context, GatewayRefusal refusal,
+                    TimePoint now)
 {
     switch (refusal) {
     case GatewayRefusal::UnknownRoute:
@@ -28,11 +39,24 @@
         return {};
     case GatewayRefusal::Quarantined:
         return std::max(Duration(), context.quarantinedUntil_ - now);
+    case GatewayRefusal::Overloaded:
+        return untilCapacity(state, context, now);
     default:
         return state.limits_.retryAfter_;
     }
 }
 
+//! Adds the figures by which a request was refused for want of capacity.
+void addExpectedWait(LogLine &line, const GatewayContext &context)
+{
+    const WaitEstimate &estimate = *context.expectedWait_;
+    line.add("expected_wait_ms", estimate.wait_)
+            .add("rank", rankName(rankOf(context.priority_)))
+            .add("ahead_tokens", estimate.aheadTokens_)
+            .add("tokens_per_s", estimate.tokensPerSecond_)
+            .add("started_per_s", estimate.startedPerSecond_);
+}
+
 } // namespace
 
 void emit(GatewayTraffic &state, GatewayEffect effect)
@@ -81,14 +105,18 @@
 {
     const bool unknown = refusal == GatewayRefusal::TimedOut || refusal == GatewayRefusal::Failed;
     ++(unknown ? state.counters_.failed_ : state.counters_.refused_);
-    emit(state, logEvent(LogLevel::Info, requestLine("refused", context, now)
-                                                 .add("refusal", gatewayRefusalName(refusal))
-                                                 .add("run", unknown ? "unknown" : "not-run")
-                                                 .add("reason", reason)));
+    const Duration comeBackAfter = retryAfter(state, context, refusal, now);
+    LogLine line = requestLine("refused", context, now);
+    line.add("refusal", gatewayRefusalName(refusal))
+            .add("run", unknown ? "unknown" : "not-run")
+            .add("reason", reason)
+            .add("retry_after_ms", comeBackAfter);
+    if (refusal == GatewayRefusal::Overloaded && context.expectedWait_)
+        addExpectedWait(line, context);
+    emit(state, logEvent(LogLevel::Info, line));
     if (refusal == GatewayRefusal::Quarantined)
         ++state.counters_.quarantined_;
-    emit(state, RefuseRequest {context.request_.exchange_, refusal,
-                               retryAfter(state, context, refusal, now)});
+    emit(state, RefuseRequest {context.request_.exchange_, refusal, comeBackAfter});
     removeRequest(state, context);
 }
 
--- a/src/gateway/internal/traffic.cpp
+++ b/src/gateway/internal/traffic.cpp
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "filters/gatewayfilters.h"
+#include "filters/rankdemand.h"
 #include "gateway/internal/requestblame.h"
 #include "gateway/internal/requestend.h"
 
@@ -58,7 +59,7 @@
     if (context.streamStarted_)
         return abortResponse(state, context, "no endpoint to fail over to", now);
     refuse(state, context, mayHaveRun ? GatewayRefusal::Failed : result.refusal_,
-           mayHaveRun ? "no endpoint for a retry" : "filter", now);
+           mayHaveRun ? "no endpoint for a retry" : result.reason_, now);
 }
 
 ExchangeId exchangeOf(const QueuedRequest &queued)
@@ -194,6 +195,7 @@
         enqueue(context, state, true);
         return;
     case RetryDecision::RefuseNotRun:
+        estimateWait(context, view, state, now);
         return refuse(state, context, GatewayRefusal::Overloaded, reason, now);
     case RetryDecision::FailUnknown:
         return refuse(state, context,
@@ -292,17 +294,9 @@
     return context.queued_ && !context.streamStarted_ && now - context.arrivedAt_ > limit;
 }
 
-//! Time for which a request may wait in the queue.
-Duration queueTimeout(const RouteRule &route, const GatewayLimits &limits)
-{
-    if (!route.isStream_)
-        return scaled(route.latencyTarget_, limits.queueTimeoutFactor_);
-    return scaled(streamPatience(route.latencyTarget_, route.eventGapTarget_),
-                  limits.queueTimeoutPart_);
-}
-
-void onQueueTimeout(GatewayTraffic &state, Context &context, TimePoint now)
+void onQueueTimeout(GatewayTraffic &state, const GatewayView &view, Context &context, TimePoint now)
 {
+    estimateWait(context, view, state, now);
     refuse(state, context,
            context.mayHaveRun_ ? GatewayRefusal::TimedOut : GatewayRefusal::Overloaded, "queue",
            now);
@@ -414,7 +408,7 @@
         return endRequest(state, context, GatewayRefusal::Unready, GatewayRefusal::TimedOut,
                           "endpoint list", now);
     if (hasWaitedLongerThan(context, queueTimeout(context.route_, state.limits_), now))
-        onQueueTimeout(state, context, now);
+        onQueueTimeout(state, view, context, now);
     else if (!context.overdue_ && isOverdue)
         markOverdue(state, context);
     else if (context.dispatch_ && context.route_.isStream_)
--- a/src/policy/fleetwait.h
+++ b/src/policy/fleetwait.h
@@ -85,13 +85,12 @@
     double startedPerSecond_ = 0;
 };
 
-//! Expected wait of a new request of the rank. Zero if nothing is started, so that no rate is
+//! Expected wait of a new request of the rank: until the work of this rank and more urgent ones is
+//! done at the rate that more urgent arrivals leave, or until that of this rank alone is done at
+//! the rank's minimum share, whichever is sooner. Zero if nothing is started, so that no rate is
 //! known, and while less work waits than is started in 100 ms.
 WaitEstimate expectedFleetWait(const TargetDemand &demand, Rank rank, PerMille minShare);
 
-//! True if work of the rank waits and less than its minimum share of the started work is its own.
-bool isBelowMinShare(const TargetDemand &demand, Rank rank, PerMille minShare);
-
 //! Delay after which a refused caller should come back: when its wait is expected to be as short as
 //! allowed, but not earlier than least. Spread over half of its length, so that callers refused
 //! together don't come back together. At most a third of the time left: callers don't wait longer.
--- a/src/policy/internal/fleetwait.cpp
+++ b/src/policy/internal/fleetwait.cpp
@@ -63,6 +63,13 @@
     return waiting;
 }
 
+WaitEstimate estimateOf(double ahead, double rate, double started)
+{
+    const double seconds
+            = ahead <= rate * MaxWaitSeconds ? ahead / std::max(rate, 1.0) : MaxWaitSeconds;
+    return {Duration(static_cast<std::int64_t>(seconds * MicrosPerSecond)), ahead, rate, started};
+}
+
 } // namespace
 } // namespace detail
 
@@ -162,31 +169,19 @@
 WaitEstimate expectedFleetWait(const TargetDemand &demand, Rank rank, PerMille minShare)
 {
     const double started = detail::startedWork(demand);
-    WaitEstimate estimate {{}, 0, started, started};
     if (started <= 0 || detail::waitingWork(demand) < started * detail::LittleWorkSeconds)
-        return estimate;
+        return {{}, 0, started, started};
     const std::size_t own = detail::indexOf(rank);
-    double moreUrgent = 0;
+    double ahead = demand.at(own).waiting_;
+    double left = started;
     for (std::size_t other = 0; other < own; ++other) {
-        estimate.aheadTokens_ += demand[other].waiting_;
-        moreUrgent += demand[other].arriving_;
+        ahead += demand[other].waiting_;
+        left -= demand[other].arriving_;
     }
-    estimate.aheadTokens_ += demand.at(own).waiting_;
-    estimate.tokensPerSecond_
-            = std::max(started - moreUrgent, started * minShare.value_ / detail::Whole);
-    if (estimate.tokensPerSecond_ <= 0)
-        return estimate;
-    const double seconds
-            = std::min(detail::MaxWaitSeconds, estimate.aheadTokens_ / estimate.tokensPerSecond_);
-    estimate.wait_ = Duration(static_cast<std::int64_t>(seconds * detail::MicrosPerSecond));
-    return estimate;
-}
-
-bool isBelowMinShare(const TargetDemand &demand, Rank rank, PerMille minShare)
-{
-    const RankDemand &own = demand.at(detail::indexOf(rank));
-    return own.waiting_ > 0
-           && own.started_ * detail::Whole < detail::startedWork(demand) * minShare.value_;
+    const WaitEstimate inOrder = detail::estimateOf(ahead, left, started);
+    const WaitEstimate byShare = detail::estimateOf(
+            demand.at(own).waiting_, started * minShare.value_ / detail::Whole, started);
+    return byShare.wait_ < inOrder.wait_ ? byShare : inOrder;
 }
 
 Duration retryDelayFor(Duration wait, Duration allowed, Duration least, Duration timeLeft,
