--- a/src/filters/gatewayfilters.h
+++ b/src/filters/gatewayfilters.h
@@ -12,6 +12,8 @@
 {
     FilterAction action_ = FilterAction::Continue;
     GatewayRefusal refusal_ = GatewayRefusal::Unready;
+    //! For the log.
+    const char *reason_ = "filter";
 };
 
 using GatewayFilter = Filter<GatewayContext, GatewayView, GatewayTraffic, GatewayFilterResult>;
@@ -52,8 +54,8 @@
 //! Subtracts the dispatch's remaining prefill time from the endpoints of its path.
 void releasePendingPrefill(GatewayContext &context, GatewayTraffic &state);
 
-//! Load that this gateway's requests place on the endpoints.
-OwnEndpointLoads ownEndpointLoads(const GatewayTraffic &state);
+//! Load that this gateway's requests place on the endpoints, and the demand for each target.
+OwnEndpointLoads ownEndpointLoads(const GatewayTraffic &state, TimePoint now);
 
 //! Time since arrival after which a queued request isn't expected to meet its latency target.
 Duration overdueAfter(const GatewayContext &context, const GatewayTraffic &state);
--- a/src/filters/gatewaystate.h
+++ b/src/filters/gatewaystate.h
@@ -21,10 +21,12 @@
 #include "policy/endpointhealth.h"
 #include "policy/endpointpause.h"
 #include "policy/fairqueue.h"
+#include "policy/fleetwait.h"
 #include "policy/loopdelay.h"
 #include "policy/loopwindow.h"
 #include "policy/pathplan.h"
 #include "policy/patience.h"
+#include "policy/rankroom.h"
 #include "policy/retry.h"
 #include "policy/retrydecision.h"
 #include "policy/retryshare.h"
@@ -235,6 +237,8 @@
     std::optional<PlannedPath> plan_;
     TimePoint plannedAt_;
     std::vector<RequestTrait> traits_;
+    //! Set when the request arrived, and again before it is refused for want of capacity.
+    std::optional<WaitEstimate> expectedWait_;
     //! One of the traits was suspect when the request was last queued.
     bool suspect_ = false;
     TimePoint quarantinedUntil_;
@@ -267,6 +271,8 @@
     FairQueue overdue_;
     //! Rate at which onTime_ is dispatched; known only while requests wait in it all the time.
     DrainRate drained_;
+    //! When a request of each rank was dispatched last from either queue.
+    std::array<std::optional<TimePoint>, RankCount> startedAt_;
 };
 
 struct GatewayCounters
@@ -274,6 +280,8 @@
     std::uint64_t received_ = 0;
     std::uint64_t answered_ = 0;
     std::uint64_t refused_ = 0;
+    //! Part of them that was refused on arrival for want of capacity, by rank.
+    std::array<std::uint64_t, RankCount> refusedOnArrival_ {};
     std::uint64_t failed_ = 0;
     std::uint64_t callersDisconnected_ = 0;
     //! Refused because endpoints crashed that ran requests like them.
@@ -312,15 +320,14 @@
     //! A tick that comes this late shows that the process was held up; the time doesn't count as
     //! silence of endpoints, whose events may be waiting to be read.
     Duration heldUpAfter_ = std::chrono::milliseconds(250);
-    //! Highest utilisation of an endpoint's KV capacity, by this gateway's estimate, at which a
-    //! request is dispatched.
-    double maxUtilisation_ = 1.0;
+    //! Highest utilisation of a path, by this gateway's estimate, at which a request is dispatched.
+    RankRoomLimits rankRoom_;
     //! A request is dispatched only while the prefill pending before it takes at most this fraction
     //! of its latency target, by rank. Lower limits of less urgent ranks leave prefill time for
     //! more urgent requests.
     std::array<double, RankCount> maxPendingPrefill_ = {0.1, 0.08, 0.03};
-    //! Delay before a retry that is suggested to a refused caller; none is suggested for an unknown
-    //! route or an unauthorised caller.
+    //! Delay before a retry that is suggested to a refused caller, at least; none is suggested for
+    //! an unknown route or an unauthorised caller.
     Duration retryAfter_ = std::chrono::milliseconds(400);
     //! A load reported by an endpoint is ignored once it is older than this.
     Duration maxReportedLoadAge_ = std::chrono::milliseconds(300);
@@ -343,6 +350,7 @@
     //! Request of each dispatch in progress.
     std::unordered_map<DispatchId, ExchangeId> exchangesByDispatch_;
     std::map<TargetName, TargetQueues> queues_;
+    std::map<TargetName, DemandMeter> demand_;
     std::unordered_map<EndpointId, EndpointUsage> endpointUsage_;
     std::map<TargetName, RetryShare> retryShares_;
     std::map<TargetName, CrossDomainBudget> crossDomainBudgets_;
--- a/src/filters/internal/gatewayfilters.cpp
+++ b/src/filters/internal/gatewayfilters.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "core/hash.h"
+#include "filters/rankdemand.h"
 #include "policy/leastload.h"
 
 namespace gypsumcroft {
@@ -20,10 +21,6 @@
 constexpr std::uint64_t PromptPartSeed = 0x70617274;
 //! Requests that may wait at a plain service in addition to those in its slots.
 constexpr std::int64_t MaxWaitingAtService = 2;
-//! Minimum share of a target's work by rank: keeps the less urgent ranks served under overload.
-constexpr std::array<PerMille, RankCount> RankMinShares
-        = {PerMille {0}, PerMille {80}, PerMille {80}};
-
 GatewayFilterResult proceedGateway()
 {
     return {};
@@ -135,11 +132,6 @@
                                                      : proceedGateway();
 }
 
-Rank rankOf(Priority priority)
-{
-    return AllRanks.at(std::min<std::size_t>(priority.value_, RankCount - 1));
-}
-
 QueuedRequest toQueuedRequest(const GatewayContext &context)
 {
     QueuedRequest queued;
@@ -148,30 +140,63 @@
     // A suspect request that has to wait must not hold up the others of its organisation.
     queued.caller_ = {queued.organisation_.value_ + (context.suspect_ ? "/suspect" : "")};
     queued.rank_ = rankOf(context.priority_);
-    queued.work_ = {std::max<std::int64_t>(1, context.request_.promptTokens_.value_
-                                                      + context.request_.expectedOutput_.value_)};
+    queued.work_ = workOf(context);
     queued.deadline_ = context.deadline_;
     return queued;
 }
 
-//! While this process is overloaded, refuses a request at once that would wait so long that it
-//! isn't expected to meet its latency target. What can begin at once is never refused.
-GatewayFilterResult admitRequest(GatewayContext &context, const GatewayView &,
-                                 GatewayTraffic &state, TimePoint now)
+GatewayFilterResult refuseOnArrival(const GatewayContext &context, GatewayTraffic &state,
+                                    const char *reason)
+{
+    ++state.counters_.refusedOnArrival_.at(static_cast<std::size_t>(rankOf(context.priority_)));
+    return {FilterAction::Refuse, GatewayRefusal::Overloaded, reason};
+}
+
+//! True if nothing of the request's rank or a more urgent one waits here, and there is capacity for
+//! the request. The fleet's figures are older than that.
+bool canBeginAtOnce(GatewayContext &context, const GatewayView &view, GatewayTraffic &state,
+                    TimePoint now)
+{
+    const auto queues = state.queues_.find(context.target_);
+    for (std::size_t rank = 0; queues != state.queues_.end()
+                               && rank <= static_cast<std::size_t>(rankOf(context.priority_));
+         ++rank) {
+        if (waitingWork(queues->second.onTime_, AllRanks.at(rank)).value_ > 0)
+            return false;
+    }
+    return mayBeDispatched(context, view, state, now) && hasCapacity(context, view, state, now);
+}
+
+//! While this process is overloaded, true for a request that would wait so long that it isn't
+//! expected to meet its latency target. What can begin at once is never refused.
+bool exceedsOwnLoop(const GatewayContext &context, const GatewayTraffic &state, TimePoint now)
 {
     const auto found = state.queues_.find(context.target_);
     if (!state.loopWindow_.size_ || found == state.queues_.end())
-        return proceedGateway();
+        return false;
     const TargetQueues &queues = found->second;
     // While the window has room, requests wait for something else than this process's load.
     if (hasRoom(state.loopWindow_, state.exchangesByDispatch_.size()))
-        return proceedGateway();
+        return false;
     if (!queues.drained_.known_ && !hasRoom(state.loopWindow_, queues.onTime_.size_))
-        return refuseGateway(GatewayRefusal::Overloaded);
+        return true;
     const Tokens ahead = workAhead(queues.onTime_, toQueuedRequest(context));
     const Duration wait = now - context.arrivedAt_ + expectedWait(queues.drained_, ahead);
-    return wait <= overdueAfter(context, state) ? proceedGateway()
-                                                : refuseGateway(GatewayRefusal::Overloaded);
+    return wait > overdueAfter(context, state);
+}
+
+//! Refuses a request at once that would be refused after it has waited: its caller can come back
+//! when there is capacity.
+GatewayFilterResult admitRequest(GatewayContext &context, const GatewayView &view,
+                                 GatewayTraffic &state, TimePoint now)
+{
+    countArrived(context, state, now);
+    estimateWait(context, view, state, now);
+    if (exceedsOwnLoop(context, state, now))
+        return refuseOnArrival(context, state, "filter");
+    if (hasTooLongWait(context, state.limits_, now) && !canBeginAtOnce(context, view, state, now))
+        return refuseOnArrival(context, state, "expected wait");
+    return proceedGateway();
 }
 
 GatewayFilterResult queueRequest(GatewayContext &context, const GatewayView &,
@@ -267,6 +292,23 @@
     return nodes;
 }
 
+//! Highest utilisation of a path to which the request may raise it.
+double maxUtilisationOf(const GatewayContext &context, const GatewayView &view,
+                        const GatewayTraffic &state, TimePoint now)
+{
+    const Rank rank = rankOf(context.priority_);
+    RankService service;
+    const auto found = state.queues_.find(context.target_);
+    if (found != state.queues_.end()) {
+        const TargetQueues &queues = found->second;
+        service.belowMinShare_
+                = isBelowMinShare(context.overdue_ ? queues.overdue_ : queues.onTime_, rank);
+        service.startedAt_ = queues.startedAt_.at(static_cast<std::size_t>(rank));
+    }
+    return maxUtilisation(state.limits_.rankRoom_, ranksOfTarget(*view.table_, context.target_),
+                          rank, service, now);
+}
+
 std::optional<PlannedPath> planFor(const GatewayContext &context, const GatewayView &view,
                                    const EngineSpec &engine, GatewayTraffic &state, TimePoint now)
 {
@@ -276,7 +318,8 @@
                              context.request_.promptTokens_,
                              {context.request_.expectedOutput_.value_ / 2},
                              hasCrossDomainBudget(state.crossDomainBudgets_[context.target_],
-                                                  engine, view.gatewayCount_, now)};
+                                                  engine, view.gatewayCount_, now),
+                             maxUtilisationOf(context, view, state, now)};
     return planPath(engine, pathNodes(context, view, engine, state, now), demand);
 }
 
@@ -314,7 +357,7 @@
     if (!choice)
         return refuseGateway(GatewayRefusal::NoEndpoint);
     const ListedEndpoint &listed = view.endpoints_->endpoints_[choice->index_];
-    context.plan_ = PlannedPath {{{listed.id_, listed.address_, {}}}, {}, 0, 0};
+    context.plan_ = PlannedPath {{{listed.id_, listed.address_, {}}}};
     return proceedGateway();
 }
 
@@ -457,14 +500,18 @@
 }};
 constexpr std::size_t EndpointFilter = 7;
 
-//! True if the planned path has free KV capacity and its pending prefill is within the limit of the
-//! request's rank.
-bool hasCapacityOnPath(const GatewayContext &context, const GatewayLimits &limits)
+//! True if the planned path has capacity free for the request's rank and its pending prefill is
+//! within the limit of that rank.
+bool hasCapacityOnPath(const GatewayContext &context, const GatewayLimits &limits,
+                       double maxUtilisation)
 {
     const double part
             = limits.maxPendingPrefill_.at(static_cast<std::size_t>(rankOf(context.priority_)));
     const double maxPrefill = part * static_cast<double>(context.route_.latencyTarget_.count());
-    return context.plan_->utilisation_ <= limits.maxUtilisation_
+    // A request that alone exceeds its rank's limit may have an empty path, or it would never run.
+    const double alone
+            = std::min(context.plan_->ownUtilisation_, limits.rankRoom_.maxUtilisation_.front());
+    return context.plan_->utilisation_ <= std::max(maxUtilisation, alone)
            && static_cast<double>(context.plan_->pendingPrefill_.count()) <= maxPrefill;
 }
 
@@ -505,7 +552,9 @@
     if (const EngineSpec *engine = detail::engineOf(context, view)) {
         context.plan_ = detail::planFor(context, view, *engine, state, now);
         context.plannedAt_ = now;
-        return context.plan_ && detail::hasCapacityOnPath(context, state.limits_);
+        return context.plan_
+               && detail::hasCapacityOnPath(context, state.limits_,
+                                            detail::maxUtilisationOf(context, view, state, now));
     }
     const auto choice = detail::chooseService(context, view, state, now);
     return choice && choice->freeSlots_ + detail::MaxWaitingAtService > 0;
@@ -576,7 +625,7 @@
     context.dispatch_.reset();
 }
 
-OwnEndpointLoads ownEndpointLoads(const GatewayTraffic &state)
+OwnEndpointLoads ownEndpointLoads(const GatewayTraffic &state, TimePoint now)
 {
     OwnEndpointLoads own;
     for (const auto &[endpoint, usage] : state.endpointUsage_) {
@@ -585,6 +634,7 @@
         own.loads_.push_back(usage.load_);
         own.loads_.back().endpoint_ = endpoint;
     }
+    own.demand_ = ownDemandReports(state, now);
     return own;
 }
 
--- a/src/gateway/internal/traffic.cpp
+++ b/src/gateway/internal/traffic.cpp
@@ -1,11 +1,13 @@
 #include "gateway/traffic.h"
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <limits>
 #include <utility>
 
 #include "filters/gatewayfilters.h"
+#include "filters/rankdemand.h"
 #include "gateway/internal/requestblame.h"
 #include "gateway/internal/requestend.h"
 
@@ -57,7 +59,7 @@
     if (context.streamStarted_)
         return abortResponse(state, context, "no endpoint to fail over to", now);
     refuse(state, context, mayHaveRun ? GatewayRefusal::Failed : result.refusal_,
-           mayHaveRun ? "no endpoint for a retry" : "filter", now);
+           mayHaveRun ? "no endpoint for a retry" : result.reason_, now);
 }
 
 ExchangeId exchangeOf(const QueuedRequest &queued)
@@ -76,19 +78,30 @@
            && hasRoom(state.loopWindow_, state.exchangesByDispatch_.size());
 }
 
+//! Smallest work of each rank that exceeded the free capacity.
+using TooLarge = std::array<std::int64_t, RankCount>;
+
+//! A request at least as large as one of its own rank or of the most urgent one that exceeded the
+//! free capacity exceeds it too. Other ranks may have lower limits, so that theirs say nothing.
+bool isTooLarge(const TooLarge &tooLarge, const QueuedRequest &queued)
+{
+    return queued.work_.value_
+           >= std::min(tooLarge.front(), tooLarge.at(static_cast<std::size_t>(queued.rank_)));
+}
+
 //! Dispatches queued requests while endpoints have capacity for them.
-void dispatchFromQueue(GatewayTraffic &state, const GatewayView &view, FairQueue &queue,
-                       DrainRate &rate, TimePoint now)
+void dispatchFromQueue(GatewayTraffic &state, const GatewayView &view, TargetQueues &queues,
+                       FairQueue &queue, DrainRate &rate, TimePoint now)
 {
-    // A request at least as large as one that exceeded the free capacity exceeds it too.
-    std::int64_t tooLarge = std::numeric_limits<std::int64_t>::max();
+    TooLarge tooLarge;
+    tooLarge.fill(std::numeric_limits<std::int64_t>::max());
     const auto fits = [&](const QueuedRequest &queued) {
         Context &context = state.requests_.at(exchangeOf(queued));
-        if (queued.work_.value_ >= tooLarge || !mayBeDispatched(context, view, state, now))
+        if (isTooLarge(tooLarge, queued) || !mayBeDispatched(context, view, state, now))
             return false;
         if (hasCapacity(context, view, state, now))
             return true;
-        tooLarge = queued.work_.value_;
+        tooLarge.at(static_cast<std::size_t>(queued.rank_)) = queued.work_.value_;
         return false;
     };
     for (std::size_t i = 0; i < state.limits_.maxBegunAtOnce_ && mayBeginMore(state, now); ++i) {
@@ -96,7 +109,9 @@
         if (!next)
             return;
         recordDrained(rate, next->work_, now);
+        queues.startedAt_.at(static_cast<std::size_t>(next->rank_)) = now;
         Context &context = state.requests_.at(exchangeOf(*next));
+        countStarted(context, state, now);
         context.queued_ = false;
         context.nextFilter_ = endpointFilterIndex();
         runFilters(state, view, context, now);
@@ -108,14 +123,14 @@
     if (!listIsFresh(view, now))
         return;
     for (auto &[target, queues] : state.queues_) {
-        dispatchFromQueue(state, view, queues.onTime_, queues.drained_, now);
+        dispatchFromQueue(state, view, queues, queues.onTime_, queues.drained_, now);
         if (queues.onTime_.size_ > 0)
             continue;
         // In an overload the queue is emptied by refusals, too.
         if (!state.loopWindow_.size_)
             queues.drained_ = {};
         DrainRate ignored;
-        dispatchFromQueue(state, view, queues.overdue_, ignored, now);
+        dispatchFromQueue(state, view, queues, queues.overdue_, ignored, now);
     }
 }
 
@@ -145,7 +160,9 @@
     facts.outcome_ = outcome;
     facts.responseStarted_ = context.streamStarted_;
     facts.earlierAttemptMayHaveRun_ = context.mayHaveRun_;
-    if (outcome != AttemptOutcome::NotRun) {
+    if (outcome == AttemptOutcome::NotRun) {
+        countNotRun(context, state, now);
+    } else {
         ++context.possibleRuns_;
         context.mayHaveRun_ = true;
     }
@@ -178,6 +195,7 @@
         enqueue(context, state, true);
         return;
     case RetryDecision::RefuseNotRun:
+        estimateWait(context, view, state, now);
         return refuse(state, context, GatewayRefusal::Overloaded, reason, now);
     case RetryDecision::FailUnknown:
         return refuse(state, context,
@@ -276,17 +294,9 @@
     return context.queued_ && !context.streamStarted_ && now - context.arrivedAt_ > limit;
 }
 
-//! Time for which a request may wait in the queue.
-Duration queueTimeout(const RouteRule &route, const GatewayLimits &limits)
-{
-    if (!route.isStream_)
-        return scaled(route.latencyTarget_, limits.queueTimeoutFactor_);
-    return scaled(streamPatience(route.latencyTarget_, route.eventGapTarget_),
-                  limits.queueTimeoutPart_);
-}
-
-void onQueueTimeout(GatewayTraffic &state, Context &context, TimePoint now)
+void onQueueTimeout(GatewayTraffic &state, const GatewayView &view, Context &context, TimePoint now)
 {
+    estimateWait(context, view, state, now);
     refuse(state, context,
            context.mayHaveRun_ ? GatewayRefusal::TimedOut : GatewayRefusal::Overloaded, "queue",
            now);
@@ -398,7 +408,7 @@
         return endRequest(state, context, GatewayRefusal::Unready, GatewayRefusal::TimedOut,
                           "endpoint list", now);
     if (hasWaitedLongerThan(context, queueTimeout(context.route_, state.limits_), now))
-        onQueueTimeout(state, context, now);
+        onQueueTimeout(state, view, context, now);
     else if (!context.overdue_ && isOverdue)
         markOverdue(state, context);
     else if (context.dispatch_ && context.route_.isStream_)
@@ -467,6 +477,7 @@
                                                   .add("reason", "endpoint")));
     detail::emit(state, CancelDispatch {dispatch});
     releaseDispatch(*context, state);
+    countNotRun(*context, state, now);
     enqueue(*context, state, true);
     detail::dispatchQueued(state, view, now);
     return false;
