Paths avoid endpoints that are slower than their kind

Cause: an endpoint that runs 3 to 12 times slower for seconds answers probes, so nothing made paths leave it; all streams over it were late until it recovered. Ruled out: excluding slow endpoints (the layers may have no other copy) and treating slowness as a failure (a cooldown says nothing about how slow it is, and streams would fail over that are merely late). Change: policy/endpointspeed learns slowdowns from gaps between events, relative to the usual ratio of gap and planned decode step (a median), and attributes a deviation to the path's endpoints by multiplicative reconstruction. A suspicious gap or estimate asks the endpoints for a report (RequestProbe::forSpeed_), whose `pace` settles the attribution. controllers/speeds keeps the newest slowdown, asks a slow endpoint again after 2 to 2.8 s, and shares slow endpoints in digests and in the domain's sum. pathNodes() multiplies the decode and prefill factors by the slowdown; after a recovery it fades over a second. RequestProbe is passed whole to onProbeRequested(). Conclusion: whole for gaps and reports; the time to the first event isn't used.

--- a/src/app/internal/gatewaycontrol.cpp
+++ b/src/app/internal/gatewaycontrol.cpp
@@ -72,7 +72,7 @@
 void GatewayControlLoop::note(TrafficNote note)
 {
     if (const auto *doubt = std::get_if<RequestProbe>(&note))
-        onProbeRequested(control_, doubt->endpoint_, monotonicNow());
+        onProbeRequested(control_, *doubt, monotonicNow());
     else if (auto *shares = std::get_if<OwnEndpointLoads>(&note))
         onOwnLoads(control_, std::move(*shares));
     else if (const auto *notice = std::get_if<EndpointNoticeSeen>(&note))
--- a/src/controllers/gatewayview.h
+++ b/src/controllers/gatewayview.h
@@ -12,6 +12,7 @@
 #include "controllers/endpointlist.h"
 #include "controllers/peers.h"
 #include "controllers/routetable.h"
+#include "policy/endpointspeed.h"
 #include "policy/retryshare.h"
 
 namespace gypsumcroft {
@@ -53,6 +54,8 @@
     std::set<EndpointId> downEndpoints_;
     //! Endpoints that asked for no requests until the given time.
     std::unordered_map<EndpointId, TimePoint> pausedUntil_;
+    //! Slowdowns of endpoints that were measured lately, here or at other gateways.
+    std::shared_ptr<const EndpointSpeeds> speeds_ = std::make_shared<EndpointSpeeds>();
     //! What requests are suspected of crashing endpoints.
     std::shared_ptr<const BlameVerdicts> blame_ = std::make_shared<BlameVerdicts>();
     //! When the desired state was last confirmed to be the newest one.
@@ -78,6 +81,8 @@
 struct RequestProbe
 {
     EndpointId endpoint_;
+    //! The stream is only slow, and the endpoint's speed is asked for.
+    bool forSpeed_ = false;
 };
 
 //! Message from traffic to control: what an endpoint said in a response.
@@ -95,6 +100,8 @@
 struct OwnEndpointLoads
 {
     std::vector<EndpointLoad> loads_;
+    //! Endpoints that are slow by the gaps of this gateway's streams.
+    std::vector<EstimatedSpeed> speeds_;
 };
 
 //! True while the desired state is recent enough that every revoked key is known.
--- a/src/controllers/internal/peers.cpp
+++ b/src/controllers/internal/peers.cpp
@@ -22,8 +22,20 @@
     std::map<EndpointId, LayerMoveReport> moves_;
     std::set<EndpointId> down_;
     std::map<EndpointId, std::uint64_t> leaving_;
+    std::map<EndpointId, EndpointSpeedReport> speeds_;
 };
 
+//! Keeps the newest report of each endpoint's speed.
+void addSpeeds(EndpointNews &news, const std::vector<EndpointSpeedReport> &speeds, Duration age)
+{
+    for (EndpointSpeedReport report : speeds) {
+        report.age_ += age;
+        const auto [known, isNew] = news.speeds_.emplace(report.endpoint_, report);
+        if (!isNew && report.age_ < known->second.age_)
+            known->second = report;
+    }
+}
+
 void addNews(EndpointNews &news, const GatewayDigestMessage &digest, Duration age)
 {
     for (LoadedLayersReport report : digest.loadedLayers_) {
@@ -42,6 +54,7 @@
         std::uint64_t &incarnation = news.leaving_[leaving.endpoint_];
         incarnation = std::max(incarnation, leaving.incarnation_);
     }
+    addSpeeds(news, digest.speeds_, age);
 }
 
 } // namespace
@@ -94,6 +107,7 @@
     sum.loadedLayers_.clear();
     sum.layerMoves_.clear();
     sum.leavingEndpoints_.clear();
+    sum.speeds_.clear();
     for (const auto &[endpoint, load] : sums)
         sum.loads_.push_back(load);
     for (const auto &[endpoint, report] : news.layers_)
@@ -103,6 +117,8 @@
     sum.downEndpoints_.assign(news.down_.begin(), news.down_.end());
     for (const auto &[endpoint, incarnation] : news.leaving_)
         sum.leavingEndpoints_.push_back({endpoint, incarnation});
+    for (const auto &[endpoint, speed] : news.speeds_)
+        sum.speeds_.push_back(speed);
     return sum;
 }
 
--- a/src/controllers/placement.h
+++ b/src/controllers/placement.h
@@ -39,6 +39,9 @@
     bool busy_ = false;
     std::optional<LayerRange> layers_;
     std::uint64_t incarnation_ = 0;
+    //! Factor by which the endpoint is slower than usual for its kind, as reported: it may be any
+    //! number, or NaN for something else than a number. Empty if the report has none.
+    std::optional<double> pace_ {};
 };
 
 enum class OrderOutcome : std::uint8_t {
--- a/src/filters/gatewaystate.h
+++ b/src/filters/gatewaystate.h
@@ -20,6 +20,7 @@
 #include "policy/crossdomainbudget.h"
 #include "policy/endpointhealth.h"
 #include "policy/endpointpause.h"
+#include "policy/endpointspeed.h"
 #include "policy/fairqueue.h"
 #include "policy/loopdelay.h"
 #include "policy/loopwindow.h"
@@ -201,6 +202,9 @@
     DispatchConnection connection_;
     //! KV cache tokens that the dispatch reserves at each endpoint, to be released at its end.
     Tokens reservedTokens_;
+    //! The endpoints' parts of a decode step; empty unless it is a model's stream.
+    std::vector<PathPart> parts_;
+    GapSample gaps_;
 };
 
 struct GatewayContext
@@ -256,6 +260,8 @@
     //! Incarnation that asked for a pause, and the end of that pause.
     std::uint64_t pausedIncarnation_ = 0;
     TimePoint pausedUntil_;
+    //! Last time that its speed was asked for.
+    TimePoint speedAskedAt_;
 };
 
 //! Queued requests of one target.
@@ -331,6 +337,9 @@
     std::size_t maxBegunAtOnce_ = 32;
     EndpointHealthLimits health_;
     EndpointPauseLimits pause_;
+    SpeedLimits speed_;
+    //! Minimum time between two requests for the same endpoint's speed.
+    Duration speedAskInterval_ = std::chrono::seconds(1);
     RetryLimits retry_;
 };
 
@@ -347,6 +356,10 @@
     std::map<TargetName, RetryShare> retryShares_;
     std::map<TargetName, CrossDomainBudget> crossDomainBudgets_;
     TraitHistory traitHistory_;
+    //! Slowdowns by the gaps of this gateway's streams.
+    EndpointSpeeds estimatedSpeeds_;
+    std::map<TargetName, UsualGap> usualGaps_;
+    TimePoint speedsPrunedAt_;
     std::uint64_t nextDispatch_ = 1;
     LoopDelay loopDelay_;
     LoopWindow loopWindow_;
--- a/src/filters/internal/gatewayfilters.cpp
+++ b/src/filters/internal/gatewayfilters.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "core/hash.h"
+#include "filters/pathspeed.h"
 #include "policy/leastload.h"
 
 namespace gypsumcroft {
@@ -250,8 +251,9 @@
             || kind == engine.accelerators_.end())
             continue;
         PathNode node {listed.id_, listed.address_, listed.domain_, *listed.layers_};
-        node.decodeFactor_ = kind->second.decodeFactor_;
-        node.prefillFactor_ = kind->second.prefillFactor_;
+        const double slowdown = slowdownOf(view, state, listed, now);
+        node.decodeFactor_ = kind->second.decodeFactor_ * slowdown;
+        node.prefillFactor_ = kind->second.prefillFactor_ * slowdown;
         const EndpointLoad peers = peerLoad(view, listed.id_);
         node.pendingPrefill_ = usage.load_.pendingPrefill_ + peers.pendingPrefill_;
         node.streams_ = usage.load_.streams_ + peers.streams_;
@@ -390,6 +392,7 @@
                              .add("path", pathText(context.plan_->path_))
                              .add("cost_ms", context.plan_->cost_)
                              .add("fill", context.plan_->utilisation_)
+                             .add("slow", slowdownOfPath(view, state, context.plan_->path_, now))
                              .add("waited_ms", now - context.arrivedAt_)
                              .add("config", view.table_->state_.version_)
                              .add("config_age_ms", now - view.stateConfirmedAt_.value_or(now))
@@ -417,6 +420,8 @@
     noteDispatched(state.traitHistory_, context.traits_);
     if (engine != nullptr) {
         addPendingPrefill(context, active, view, *engine, state);
+        if (context.route_.isStream_)
+            active.parts_ = pathParts(view, state, *engine, active.path_);
         chargeCrossDomainHops(
                 state.crossDomainBudgets_[context.target_], *engine,
                 context.plan_->crossDomainHops_,
@@ -585,6 +590,7 @@
         own.loads_.push_back(usage.load_);
         own.loads_.back().endpoint_ = endpoint;
     }
+    own.speeds_ = slowEstimates(state);
     return own;
 }
 
--- a/src/gateway/control.h
+++ b/src/gateway/control.h
@@ -15,6 +15,7 @@
 #include "controllers/placement.h"
 #include "controllers/probes.h"
 #include "controllers/routetable.h"
+#include "controllers/speeds.h"
 #include "controllers/storerelay.h"
 #include "core/endpointnotice.h"
 #include "core/random.h"
@@ -111,6 +112,9 @@
     std::map<TargetName, PlacementState> placement_;
     ProbeState probes_;
     CrashesState crashes_;
+    SpeedsState speeds_;
+    //! Estimates of the traffic threads, taken with the next tick.
+    std::vector<EstimatedSpeed> estimatedSpeeds_;
     MembersState members_;
     PeersState peers_;
     StoreRelayState relay_;
@@ -194,7 +198,7 @@
                      const EndpointNotice &notice, TimePoint now);
 
 //! Probes an endpoint at the request of the traffic threads or a peer.
-void onProbeRequested(GatewayControl &state, const EndpointId &endpoint, TimePoint now);
+void onProbeRequested(GatewayControl &state, const RequestProbe &request, TimePoint now);
 
 //! Handles the loss of a dispatch's connection before the endpoint began to answer.
 void onDispatchLost(GatewayControl &state, DispatchLost loss, TimePoint now);
--- a/src/gateway/internal/control.cpp
+++ b/src/gateway/internal/control.cpp
@@ -36,6 +36,50 @@
     emitLog(state, state.probes_.log_);
 }
 
+void emitSpeedEffects(GatewayControl &state)
+{
+    for (RequestStatusReport &question : state.speeds_.reportRequests_)
+        state.effects_.emplace_back(std::move(question));
+    state.speeds_.reportRequests_.clear();
+    emitLog(state, state.speeds_.log_);
+}
+
+//! Publishes changed speeds: at once if an endpoint began or ceased to be slow.
+void publishSpeeds(GatewayControl &state, bool changed, std::size_t slowBefore)
+{
+    emitSpeedEffects(state);
+    if (state.speeds_.slow_.size() != slowBefore)
+        publishView(state);
+    else if (changed)
+        state.viewStale_ = true;
+}
+
+void takeReportedSpeed(GatewayControl &state, const EndpointId &endpoint,
+                       const EndpointStatusReport &report, TimePoint now)
+{
+    const std::size_t before = state.speeds_.slow_.size();
+    const bool changed = takeReportedSpeed(state.speeds_, endpoint, report.incarnation_,
+                                           report.pace_, state.random_, now);
+    publishSpeeds(state, changed, before);
+}
+
+void takePeerSpeeds(GatewayControl &state, const std::vector<EndpointSpeedReport> &speeds,
+                    TimePoint now)
+{
+    const std::size_t before = state.speeds_.slow_.size();
+    const bool changed = takeSpeedReports(state.speeds_, state.endpoints_, speeds, now);
+    publishSpeeds(state, changed, before);
+}
+
+void tickSpeeds(GatewayControl &state, TimePoint now)
+{
+    const std::size_t before = state.speeds_.slow_.size();
+    const bool estimated
+            = takeEstimatedSpeeds(state.speeds_, std::exchange(state.estimatedSpeeds_, {}), now);
+    const bool changed = tickSpeeds(state.speeds_, state.endpoints_, now);
+    publishSpeeds(state, changed || estimated, before);
+}
+
 void emitCrashEffects(GatewayControl &state)
 {
     for (CheckEndpoint &check : state.crashes_.checks_)
@@ -442,6 +486,8 @@
         && applyLoadedLayers(state.endpoints_, endpoint, report->layers_, report->incarnation_,
                              requestedAt))
         detail::rebuildEndpointIndex(state);
+    if (report)
+        detail::takeReportedSpeed(state, endpoint, *report, now);
     if (!report && now - requestedAt > state.bounds_.maxReportTime_)
         onProbeVoid(state.probes_, endpoint, now);
     else if (onProbeResult(state.probes_, endpoint, report.has_value(), now))
@@ -489,12 +535,16 @@
     onEndpointNotice(state, seen, now);
 }
 
-void onProbeRequested(GatewayControl &state, const EndpointId &endpoint, TimePoint now)
+void onProbeRequested(GatewayControl &state, const RequestProbe &request, TimePoint now)
 {
-    if (detail::modelOf(state, endpoint) == nullptr)
+    if (detail::modelOf(state, request.endpoint_) == nullptr)
         return;
-    requestProbe(state.probes_, state.endpoints_, endpoint, now);
+    if (request.forSpeed_)
+        requestSpeedCheck(state.speeds_, state.endpoints_, request.endpoint_, now);
+    else
+        requestProbe(state.probes_, state.endpoints_, request.endpoint_, now);
     detail::emitProbeEffects(state);
+    detail::emitSpeedEffects(state);
 }
 
 void onDispatchLost(GatewayControl &state, DispatchLost loss, TimePoint now)
@@ -525,6 +575,7 @@
 void onOwnLoads(GatewayControl &state, OwnEndpointLoads loads)
 {
     state.ownLoads_ = std::move(loads.loads_);
+    state.estimatedSpeeds_ = std::move(loads.speeds_);
     state.trafficSeen_ = state.trafficSeen_ || !state.ownLoads_.empty();
 }
 
@@ -537,6 +588,7 @@
     const std::vector<EndpointId> down = digest.downEndpoints_;
     const std::vector<LayerMoveReport> moves = digest.layerMoves_;
     const std::vector<LeavingEndpointReport> leavingEndpoints = digest.leavingEndpoints_;
+    const std::vector<EndpointSpeedReport> speeds = digest.speeds_;
     applyMemberDigest(state.members_, digest, now);
     const Duration delay = noteClock(state.relay_, digest, now);
     ++state.digestFigures_.count_;
@@ -557,8 +609,9 @@
     for (const LeavingEndpointReport &leaving : leavingEndpoints)
         changed = markLeaving(state.endpoints_, leaving.endpoint_, leaving.incarnation_, false, now)
                   || changed;
+    detail::takePeerSpeeds(state, speeds, now);
     for (const EndpointId &endpoint : down)
-        onProbeRequested(state, endpoint, now);
+        onProbeRequested(state, {endpoint}, now);
     for (const LayerMoveReport &move : moves) {
         if (const TargetSpec *target = detail::modelOf(state, move.endpoint_))
             applyPeerMoves(state.placement_[target->name_], {move}, now);
@@ -584,6 +637,7 @@
     detail::tickPeers(state, now);
     detail::readStore(state, now);
     tickProbes(state.probes_, state.endpoints_, now);
+    detail::tickSpeeds(state, now);
     tickCrashes(state.crashes_, state.endpoints_, now);
     detail::emitCrashEffects(state);
     detail::emitProbeEffects(state);
@@ -607,6 +661,7 @@
     view.peerLoads_ = totalPeerLoads(state.peers_);
     view.lastDigestLoads_ = state.reportedLoads_;
     view.downEndpoints_ = downEndpoints(state.probes_);
+    view.speeds_ = speedsToPublish(state.speeds_);
     for (const auto &[endpoint, known] : state.endpoints_.endpoints_) {
         if (now < known.pausedUntil_)
             view.pausedUntil_[endpoint] = known.pausedUntil_;
--- a/src/gateway/internal/digests.cpp
+++ b/src/gateway/internal/digests.cpp
@@ -29,6 +29,7 @@
     part.layerMoves_.clear();
     part.downEndpoints_.clear();
     part.storeNews_.reset();
+    part.speeds_.clear();
     return part;
 }
 
@@ -53,6 +54,7 @@
     digest.loadedLayers_ = recentReports(state, now);
     digest.downEndpoints_ = {down.begin(), down.end()};
     digest.leavingEndpoints_ = leavingToReport(state.endpoints_, now);
+    digest.speeds_ = speedsToReport(state.speeds_, now);
     for (const auto &[target, placing] : state.placement_) {
         const auto moves = movesInProgress(placing, now);
         digest.layerMoves_.insert(digest.layerMoves_.end(), moves.begin(), moves.end());
--- a/src/gateway/internal/traffic.cpp
+++ b/src/gateway/internal/traffic.cpp
@@ -8,6 +8,7 @@
 #include "filters/gatewayfilters.h"
 #include "gateway/internal/requestblame.h"
 #include "gateway/internal/requestend.h"
+#include "gateway/internal/streampace.h"
 
 namespace gypsumcroft {
 
@@ -487,12 +488,13 @@
     usage.reportedAt_ = now;
 }
 
-void onDispatchEvents(GatewayTraffic &state, const GatewayView &, DispatchId dispatch,
+void onDispatchEvents(GatewayTraffic &state, const GatewayView &view, DispatchId dispatch,
                       std::optional<EventId> last, TimePoint now)
 {
     GatewayContext *context = detail::contextOf(state, dispatch);
     if (context == nullptr)
         return;
+    detail::notePace(state, view, *context, last, now);
     if (context->streamStarted_)
         context->longestPause_ = std::max(context->longestPause_, now - context->lastEventAt_);
     context->lastEventAt_ = now;
@@ -571,6 +573,7 @@
 {
     detail::noteHoldUp(state, now);
     detail::reportAnswers(state, view);
+    detail::pruneSpeeds(state, now);
     std::vector<ExchangeId> ids;
     ids.reserve(state.requests_.size());
     for (const auto &[id, context] : state.requests_)
--- a/src/platform/internal/documents.cpp
+++ b/src/platform/internal/documents.cpp
@@ -1,6 +1,7 @@
 #include "platform/documents.h"
 
 #include <algorithm>
+#include <limits>
 #include <stdexcept>
 
 #include <boost/asio/ip/address.hpp>
@@ -62,6 +63,16 @@
     return object.contains(name) ? number(object, name) : fallback;
 }
 
+//! A malformed pace doesn't make the rest of a report unusable.
+std::optional<double> paceIn(const json::object &object)
+{
+    const json::value *found = object.if_contains("pace");
+    if (found == nullptr)
+        return std::nullopt;
+    return found->is_number() ? found->to_number<double>()
+                              : std::numeric_limits<double>::quiet_NaN();
+}
+
 bool flag(const json::object &object, std::string_view name)
 {
     const json::value *found = object.if_contains(name);
@@ -343,6 +354,7 @@
         facts.acceptedOrders_ = {detail::wholeNumber(object, "Sequence")};
         facts.busy_ = detail::flag(object, "Busy");
         facts.incarnation_ = detail::wholeNumberOr(object, "born", 0);
+        facts.pace_ = detail::paceIn(object);
         ListedEndpoint loaded;
         detail::readModels(object, loaded);
         facts.layers_ = loaded.layers_;
--- a/src/platform/tests/tst_platform.cpp
+++ b/src/platform/tests/tst_platform.cpp
@@ -1,6 +1,9 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <cmath>
+#include <limits>
+
 #include "platform/documents.h"
 #include "platform/forwarding.h"
 
@@ -466,3 +469,42 @@
     BOOST_TEST(report->layers_->end_.value_ == 2U);
     BOOST_TEST(!platform::decodeServerReport("{}"));
 }
+
+namespace {
+
+struct PaceCase
+{
+    const char *pace_;
+    std::optional<double> decoded_;
+};
+
+std::ostream &operator<<(std::ostream &out, const PaceCase &test)
+{
+    return out << test.pace_;
+}
+
+const PaceCase PaceCases[] = {
+        {"", {}},
+        {R"("pace":4.5,)", 4.5},
+        {R"("pace":2,)", 2},
+        {R"("pace":-1,)", -1},
+        {R"("pace":"fast",)", std::numeric_limits<double>::quiet_NaN()},
+        {R"("pace":null,)", std::numeric_limits<double>::quiet_NaN()},
+};
+
+} // namespace
+
+// Guards against a report that is lost, so that its endpoint counts as down, because of a malformed
+// pace. Which figures are dropped is up to the controller.
+BOOST_DATA_TEST_CASE(pacesAreTranslated, boost::unit_test::data::make(PaceCases), test)
+{
+    const auto report = platform::decodeServerReport(std::string("{") + test.pace_
+                                                     + R"("Busy":false,"Sequence":3,"Models":[]})");
+    BOOST_REQUIRE(report);
+    BOOST_TEST(report->pace_.has_value() == test.decoded_.has_value());
+    if (!test.decoded_ || !report->pace_)
+        return;
+    BOOST_TEST(std::isnan(*report->pace_) == std::isnan(*test.decoded_));
+    if (!std::isnan(*test.decoded_))
+        BOOST_TEST(*report->pace_ == *test.decoded_);
+}
--- a/src/policy/internal/pathplan.cpp
+++ b/src/policy/internal/pathplan.cpp
@@ -65,9 +65,7 @@
     const double layers = engine.layers_;
     const double read = toMilliseconds(
             prefillTime(engine, node.prefillFactor_, engine.layers_, demand.prompt_));
-    const double step = (toMilliseconds(engine.decodeStepTime_)
-                         + toMilliseconds(engine.decodeStepTimePerSequence_) * node.streams_)
-                        * node.decodeFactor_;
+    const double step = decodeStepMs(engine, node.decodeFactor_, engine.layers_, node.streams_);
     NodeCost cost;
     cost.fixedMs_ = toMilliseconds(node.pendingPrefill_) + toMilliseconds(node.penalty_);
     cost.msPerLayer_ = (read + step * WeightedDecodeSteps) / layers;
@@ -321,6 +319,14 @@
     return left <= 0 || perTokenLayer <= 0 ? 0 : left / perTokenLayer;
 }
 
+double decodeStepMs(const EngineSpec &engine, double decodeFactor, std::uint32_t count,
+                    std::uint32_t streams)
+{
+    const double whole = toMilliseconds(engine.decodeStepTime_)
+                         + toMilliseconds(engine.decodeStepTimePerSequence_) * streams;
+    return whole * decodeFactor * count / std::max(1U, engine.layers_);
+}
+
 Duration prefillTime(const EngineSpec &engine, double prefillFactor, std::uint32_t count,
                      Tokens prompt)
 {
--- a/src/policy/pathplan.h
+++ b/src/policy/pathplan.h
@@ -65,6 +65,10 @@
 //! KV capacity of an accelerator that is left beside count layers, in tokens times layers.
 double kvCapacity(const EngineSpec &engine, const AcceleratorSpec &kind, std::uint32_t count);
 
+//! Time in ms of a decode step through count layers with this number of streams in the batch.
+double decodeStepMs(const EngineSpec &engine, double decodeFactor, std::uint32_t count,
+                    std::uint32_t streams);
+
 //! Time to prefill a prompt through count layers.
 Duration prefillTime(const EngineSpec &engine, double prefillFactor, std::uint32_t count,
                      Tokens prompt);
