--- a/src/filters/gatewaystate.h
+++ b/src/filters/gatewaystate.h
@@ -20,10 +20,13 @@
 #include "policy/crossdomainbudget.h"
 #include "policy/endpointhealth.h"
 #include "policy/endpointpause.h"
+#include "policy/endpointspeed.h"
 #include "policy/fairqueue.h"
 #include "policy/fleetwait.h"
 #include "policy/loopdelay.h"
 #include "policy/loopwindow.h"
+#include "policy/medianratio.h"
+#include "policy/outputsize.h"
 #include "policy/pathplan.h"
 #include "policy/patience.h"
 #include "policy/rankroom.h"
@@ -56,8 +59,11 @@
     //! How long the caller waits for the response; empty if the caller set no limit.
     std::optional<Duration> timeout_;
     Tokens promptTokens_;
-    //! Expected length of the response.
+    //! Length of the response that the caller expects, or its limit.
     Tokens expectedOutput_;
+    //! The caller's estimate, if it gave one, and the limit that it set; 0 for none.
+    std::optional<Tokens> lengthHint_;
+    Tokens outputLimit_;
     //! Last event of the stream that the caller already has.
     std::optional<EventId> resumeAfter_;
     ContentHash content_;
@@ -203,6 +209,9 @@
     DispatchConnection connection_;
     //! KV cache tokens that the dispatch reserves at each endpoint, to be released at its end.
     Tokens reservedTokens_;
+    //! The endpoints' parts of a decode step; empty unless it is a model's stream.
+    std::vector<PathPart> parts_;
+    GapSample gaps_;
 };
 
 struct GatewayContext
@@ -233,6 +242,10 @@
     //! Longest pause between arrivals of events.
     Duration longestPause_ {};
     std::optional<EventId> lastEvent_;
+    //! Events of the stream that have arrived.
+    std::uint64_t eventCount_ = 0;
+    //! Expected length of the whole response, estimated when the request's target was chosen.
+    Tokens expectedOutput_;
     std::unordered_set<EndpointId> failedEndpoints_;
     std::optional<PlannedPath> plan_;
     TimePoint plannedAt_;
@@ -260,6 +273,8 @@
     //! Incarnation that asked for a pause, and the end of that pause.
     std::uint64_t pausedIncarnation_ = 0;
     TimePoint pausedUntil_;
+    //! Last time that its speed was asked for.
+    TimePoint speedAskedAt_;
 };
 
 //! Queued requests of one target.
@@ -338,6 +353,9 @@
     std::size_t maxBegunAtOnce_ = 32;
     EndpointHealthLimits health_;
     EndpointPauseLimits pause_;
+    SpeedLimits speed_;
+    //! Minimum time between two requests for the same endpoint's speed.
+    Duration speedAskInterval_ = std::chrono::seconds(1);
     RetryLimits retry_;
 };
 
@@ -355,6 +373,12 @@
     std::map<TargetName, RetryShare> retryShares_;
     std::map<TargetName, CrossDomainBudget> crossDomainBudgets_;
     TraitHistory traitHistory_;
+    //! Slowdowns by the gaps of this gateway's streams.
+    EndpointSpeeds estimatedSpeeds_;
+    //! Measured gaps between events relative to the decode steps that are planned for a token.
+    std::map<TargetName, MedianRatio> usualGaps_;
+    OutputSizes outputSizes_;
+    TimePoint speedsPrunedAt_;
     std::uint64_t nextDispatch_ = 1;
     LoopDelay loopDelay_;
     LoopWindow loopWindow_;
--- a/src/filters/internal/gatewayfilters.cpp
+++ b/src/filters/internal/gatewayfilters.cpp
@@ -5,6 +5,8 @@
 #include <utility>
 
 #include "core/hash.h"
+#include "filters/expectedoutput.h"
+#include "filters/pathspeed.h"
 #include "filters/rankdemand.h"
 #include "policy/leastload.h"
 
@@ -106,6 +108,7 @@
         point -= target.weight_;
     }
     countRequest(state.retryShares_[context.target_], view.retry_, now);
+    context.expectedOutput_ = expectedOutputOf(context, view, state);
     return proceedGateway();
 }
 
@@ -275,8 +278,9 @@
             || kind == engine.accelerators_.end())
             continue;
         PathNode node {listed.id_, listed.address_, listed.domain_, *listed.layers_};
-        node.decodeFactor_ = kind->second.decodeFactor_;
-        node.prefillFactor_ = kind->second.prefillFactor_;
+        const double slowdown = slowdownOf(view, state, listed, now);
+        node.decodeFactor_ = kind->second.decodeFactor_ * slowdown;
+        node.prefillFactor_ = kind->second.prefillFactor_ * slowdown;
         const EndpointLoad peers = peerLoad(view, listed.id_);
         node.pendingPrefill_ = usage.load_.pendingPrefill_ + peers.pendingPrefill_;
         node.streams_ = usage.load_.streams_ + peers.streams_;
@@ -313,10 +317,10 @@
                                    const EngineSpec &engine, GatewayTraffic &state, TimePoint now)
 {
     // The KV cache of a response grows token by token, so that it takes half of its final size on
-    // average.
+    // average. Reserving all of it left a sixth of the capacity unused under a flood.
     const PathDemand demand {view.domain_,
                              context.request_.promptTokens_,
-                             {context.request_.expectedOutput_.value_ / 2},
+                             {context.expectedOutput_.value_ / 2},
                              hasCrossDomainBudget(state.crossDomainBudgets_[context.target_],
                                                   engine, view.gatewayCount_, now),
                              maxUtilisationOf(context, view, state, now)};
@@ -433,6 +437,7 @@
                              .add("path", pathText(context.plan_->path_))
                              .add("cost_ms", context.plan_->cost_)
                              .add("fill", context.plan_->utilisation_)
+                             .add("slow", slowdownOfPath(view, state, context.plan_->path_, now))
                              .add("waited_ms", now - context.arrivedAt_)
                              .add("config", view.table_->state_.version_)
                              .add("config_age_ms", now - view.stateConfirmedAt_.value_or(now))
@@ -455,15 +460,17 @@
     active.path_ = context.plan_->path_;
     active.sentAt_ = active.lastProgressAt_ = now;
     active.reservedTokens_
-            = {context.request_.promptTokens_.value_ + context.request_.expectedOutput_.value_ / 2};
+            = {context.request_.promptTokens_.value_ + context.expectedOutput_.value_ / 2};
     addEndpointLoad(active, state, 1);
     noteDispatched(state.traitHistory_, context.traits_);
     if (engine != nullptr) {
         addPendingPrefill(context, active, view, *engine, state);
+        if (context.route_.isStream_)
+            active.parts_ = pathParts(view, state, *engine, active.path_);
         chargeCrossDomainHops(
                 state.crossDomainBudgets_[context.target_], *engine,
                 context.plan_->crossDomainHops_,
-                {context.request_.promptTokens_.value_ + context.request_.expectedOutput_.value_});
+                {context.request_.promptTokens_.value_ + context.expectedOutput_.value_});
     }
     ++context.dispatchCount_;
     ++state.counters_.dispatches_;
@@ -635,6 +642,7 @@
         own.loads_.back().endpoint_ = endpoint;
     }
     own.demand_ = ownDemandReports(state, now);
+    own.speeds_ = slowEstimates(state);
     return own;
 }
 
--- a/src/gateway/internal/traffic.cpp
+++ b/src/gateway/internal/traffic.cpp
@@ -6,10 +6,12 @@
 #include <limits>
 #include <utility>
 
+#include "filters/expectedoutput.h"
 #include "filters/gatewayfilters.h"
 #include "filters/rankdemand.h"
 #include "gateway/internal/requestblame.h"
 #include "gateway/internal/requestend.h"
+#include "gateway/internal/streampace.h"
 
 namespace gypsumcroft {
 
@@ -498,12 +500,13 @@
     usage.reportedAt_ = now;
 }
 
-void onDispatchEvents(GatewayTraffic &state, const GatewayView &, DispatchId dispatch,
+void onDispatchEvents(GatewayTraffic &state, const GatewayView &view, DispatchId dispatch,
                       std::optional<EventId> last, TimePoint now)
 {
     GatewayContext *context = detail::contextOf(state, dispatch);
     if (context == nullptr)
         return;
+    detail::notePace(state, view, *context, last, now);
     if (context->streamStarted_)
         context->longestPause_ = std::max(context->longestPause_, now - context->lastEventAt_);
     context->lastEventAt_ = now;
@@ -514,6 +517,7 @@
         releasePendingPrefill(*context, state);
         detail::recordSuccess(state, *context);
     }
+    context->eventCount_ += detail::eventsSince(*context, last);
     if (last)
         context->lastEvent_ = last;
     if (!context->streamStarted_) {
@@ -552,6 +556,7 @@
         noteDispatchAnswered(*context, state, now);
         detail::recordSuccess(state, *context);
         ++state.counters_.answered_;
+        learnOutput(*context, state, now);
         detail::logAnswered(state, *context, now);
         if (context->streamStarted_)
             detail::emit(state, FinishStream {context->request_.exchange_});
@@ -582,6 +587,7 @@
 {
     detail::noteHoldUp(state, now);
     detail::reportAnswers(state, view);
+    detail::pruneSpeeds(state, now);
     std::vector<ExchangeId> ids;
     ids.reserve(state.requests_.size());
     for (const auto &[id, context] : state.requests_)
--- a/src/platform/tests/tst_platform.cpp
+++ b/src/platform/tests/tst_platform.cpp
@@ -1,6 +1,9 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <cmath>
+#include <limits>
+
 #include "platform/documents.h"
 #include "platform/forwarding.h"
 
@@ -412,6 +415,44 @@
     BOOST_TEST(parts == test.parts_);
 }
 
+namespace {
+
+struct LengthCase
+{
+    const char *counts_;
+    const char *hint_;
+    std::int64_t limit_;
+    //! 0 for none.
+    std::int64_t decoded_;
+};
+
+std::ostream &operator<<(std::ostream &out, const LengthCase &test)
+{
+    return out << test.counts_ << " " << test.hint_;
+}
+
+const LengthCase LengthCases[] = {
+        {"800,400", "120", 400, 120},
+        {"800,400", "900", 400, 400},
+        {"800,400", "0", 400, 0},
+        {"800,400", "many", 400, 0},
+        {"800", "120", 0, 120},
+        {"800,400", "18446744073709551615", 400, 400},
+        {"800", "18446744073709551615", 0, 1'000'000'000},
+};
+
+} // namespace
+
+// Guards against hints that are taken for limits, and against huge ones that become negative.
+BOOST_DATA_TEST_CASE(lengthsAreDecoded, boost::unit_test::data::make(LengthCases), test)
+{
+    http::RelayRequest request;
+    request.headers_ = {{"X-Token-Count", test.counts_}, {"X-Length-Hint", test.hint_}};
+    const GatewayRequest decoded = platform::decodeCallerRequest(request, {1});
+    BOOST_TEST(decoded.outputLimit_.value_ == test.limit_);
+    BOOST_TEST(decoded.lengthHint_.value_or(Tokens {0}).value_ == test.decoded_);
+}
+
 BOOST_AUTO_TEST_CASE(requestsAreForwarded)
 {
     const GatewayRequest decoded = platform::decodeCallerRequest(callersRequest(), {1});
@@ -466,3 +507,42 @@
     BOOST_TEST(report->layers_->end_.value_ == 2U);
     BOOST_TEST(!platform::decodeServerReport("{}"));
 }
+
+namespace {
+
+struct PaceCase
+{
+    const char *pace_;
+    std::optional<double> decoded_;
+};
+
+std::ostream &operator<<(std::ostream &out, const PaceCase &test)
+{
+    return out << test.pace_;
+}
+
+const PaceCase PaceCases[] = {
+        {"", {}},
+        {R"("pace":4.5,)", 4.5},
+        {R"("pace":2,)", 2},
+        {R"("pace":-1,)", -1},
+        {R"("pace":"fast",)", std::numeric_limits<double>::quiet_NaN()},
+        {R"("pace":null,)", std::numeric_limits<double>::quiet_NaN()},
+};
+
+} // namespace
+
+// Guards against a report that is lost, so that its endpoint counts as down, because of a malformed
+// pace. Which figures are dropped is up to the controller.
+BOOST_DATA_TEST_CASE(pacesAreTranslated, boost::unit_test::data::make(PaceCases), test)
+{
+    const auto report = platform::decodeServerReport(std::string("{") + test.pace_
+                                                     + R"("Busy":false,"Sequence":3,"Models":[]})");
+    BOOST_REQUIRE(report);
+    BOOST_TEST(report->pace_.has_value() == test.decoded_.has_value());
+    if (!test.decoded_ || !report->pace_)
+        return;
+    BOOST_TEST(std::isnan(*report->pace_) == std::isnan(*test.decoded_));
+    if (!std::isnan(*test.decoded_))
+        BOOST_TEST(*report->pace_ == *test.decoded_);
+}
--- a/src/policy/pathplan.h
+++ b/src/policy/pathplan.h
@@ -38,7 +38,7 @@
     FailureDomainId from_;
     //! Number of tokens in the prompt.
     Tokens prompt_;
-    //! Number of tokens that the response holds in the KV cache on average while it is produced.
+    //! Number of tokens that the response holds in the KV cache at its end.
     Tokens answer_;
     //! Whether the path may send activations from one failure domain to another.
     bool allowCrossDomain_ = true;
@@ -70,6 +70,10 @@
 //! KV capacity of an accelerator that is left beside count layers, in tokens times layers.
 double kvCapacity(const EngineSpec &engine, const AcceleratorSpec &kind, std::uint32_t count);
 
+//! Time in ms of a decode step through count layers with this number of streams in the batch.
+double decodeStepMs(const EngineSpec &engine, double decodeFactor, std::uint32_t count,
+                    std::uint32_t streams);
+
 //! Time to prefill a prompt through count layers.
 Duration prefillTime(const EngineSpec &engine, double prefillFactor, std::uint32_t count,
                      Tokens prompt);
