Idle connections to endpoints that have left the list are closed

Cause: RelayClient dropped an idle connection only when another one to the same address was added. Each release of 38 endpoints left some 500 descriptors behind at a gateway, until it had none left.

Ruled out: a timer in the client, which would keep io_contexts running that have nothing else to do; keeping connections by address only, because another endpoint may use the address again.

Change: idle connections are kept by address and server name in http/internal/idleconnections.h, least recently used first. The client takes a filter (closeIdleExcept) and knows no list; the traffic loop calls it every 250 ms with the list of its view, so that a connection that becomes idle after its endpoint has left is closed too. The same call closes connections that the server has closed or that are too old. At most 512 idle connections are kept per process (maxIdleConnections_), the least recently used one is closed first. http::Client, which keeps connections only to the store, drops those that the server has closed and keeps 128 at most. Servers' idle timeouts count as 60 s at most; in milliseconds they could exceed an int. New metric and field of traffic-load: idle_connections.

--- a/src/app/internal/gatewayprocess.cpp
+++ b/src/app/internal/gatewayprocess.cpp
@@ -80,6 +80,7 @@
     auto &retries = metrics_.gauge("retries", "Repeats that the budget allowed");
     auto &spent = metrics_.gauge("retries_without_budget", "Repeats that the budget forbade");
     auto &strays = metrics_.gauge("stray_answers", "Endpoints' answers that were passed over");
+    auto &idle = metrics_.gauge("idle_connections", "Connections to endpoints kept for reuse");
     auto &repeated = metrics_.gauge("repeated_ids", "Requests whose id was in hand already");
     auto &version = metrics_.gauge("config_version", "Version of the desired state in force");
     auto &age = metrics_.gauge("config_age_ms", "Time since the state in force was confirmed");
@@ -99,6 +100,7 @@
         retries.Set(static_cast<double>(counters->retries_));
         spent.Set(static_cast<double>(counters->retriesDenied_));
         strays.Set(static_cast<double>(counters->unmatchedResponses_));
+        idle.Set(static_cast<double>(counters->idleConnections_));
         repeated.Set(static_cast<double>(counters->repeatedIds_));
         const RouteTableState &routes = control_.state().routes_;
         version.Set(routes.table_ ? static_cast<double>(routes.table_->state_.version_.value_) : 0);
--- a/src/app/internal/gatewaytraffic.cpp
+++ b/src/app/internal/gatewaytraffic.cpp
@@ -17,6 +17,8 @@
 
 //! Control is told this often what requests hold of the endpoints.
 constexpr Duration SharesInterval = std::chrono::milliseconds(150);
+//! Idle connections to endpoints that have left the list must be closed within a second of it.
+constexpr Duration IdleCheckInterval = std::chrono::milliseconds(250);
 
 DispatchFailure failureOf(http::RelayFailure failure)
 {
@@ -84,9 +86,11 @@
 {
     takeLimits(*view_.load());
     traffic_.counters_.unmatchedResponses_ = client_.unmatchedResponses();
+    traffic_.counters_.idleConnections_ = client_.idleConnections();
     counters_ = std::make_shared<const GatewayCounters>(traffic_.counters_);
     const TimePoint now = monotonicNow();
     tellShares(now);
+    closeIdleConnections(now);
     if (now - loadLoggedAt_ >= LoadLogInterval)
         logLoad(now);
     withTraffic([this](const GatewayView &view, TimePoint now) {
@@ -105,6 +109,17 @@
     note_(ownEndpointLoads(traffic_));
 }
 
+void GatewayTrafficLoop::closeIdleConnections(TimePoint now)
+{
+    if (now - idleCheckedAt_ < IdleCheckInterval)
+        return;
+    idleCheckedAt_ = now;
+    const std::shared_ptr<const EndpointIndex> listed = view_.load()->endpoints_;
+    client_.closeIdleExcept([&](const Address &address, const std::string &name) {
+        return isListedAt(*listed, {name}, address);
+    });
+}
+
 void GatewayTrafficLoop::logLoad(TimePoint now)
 {
     const Duration used = threadProcessorTime();
@@ -120,7 +135,8 @@
                         .add("late_ms", takeLongest(traffic_.loopDelay_))
                         .add("read_delay_ms", std::exchange(longestReadDelay_, Duration()))
                         .add("requests", std::uint64_t {traffic_.requests_.size()})
-                        .add("queued", std::uint64_t {queued}));
+                        .add("queued", std::uint64_t {queued})
+                        .add("idle_connections", std::uint64_t {client_.idleConnections()}));
 }
 
 void GatewayTrafficLoop::takeLimits(const GatewayView &view)
--- a/src/app/internal/gatewaytraffic.h
+++ b/src/app/internal/gatewaytraffic.h
@@ -77,6 +77,7 @@
     bool countHeld(DispatchId send);
     Duration tick();
     void tellShares(TimePoint now);
+    void closeIdleConnections(TimePoint now);
     void logLoad(TimePoint now);
     void takeLimits(const GatewayView &view);
 
@@ -98,6 +99,7 @@
     std::unordered_map<DispatchId, OpenCall> calls_;
     std::uint64_t nextExchange_ = 1;
     TimePoint sharesToldAt_;
+    TimePoint idleCheckedAt_;
     TimePoint loadLoggedAt_;
     Duration processorTime_ {};
     //! Longest time for which a request lay unread since the last line on the load.
--- a/src/controllers/gatewayview.h
+++ b/src/controllers/gatewayview.h
@@ -40,6 +40,10 @@
 
 std::shared_ptr<const EndpointIndex> buildEndpointIndex(const EndpointListState &list);
 
+//! True while the list has this endpoint at this address. An endpoint that has left the list isn't
+//! there although another one may have its address now.
+bool isListedAt(const EndpointIndex &listed, const EndpointId &endpoint, const Address &address);
+
 struct GatewayView
 {
     //! Null until the first desired state is known.
--- a/src/controllers/internal/gatewayview.cpp
+++ b/src/controllers/internal/gatewayview.cpp
@@ -31,6 +31,12 @@
     return index;
 }
 
+bool isListedAt(const EndpointIndex &listed, const EndpointId &endpoint, const Address &address)
+{
+    const auto found = listed.byId_.find(endpoint);
+    return found != listed.byId_.end() && listed.endpoints_[found->second].address_ == address;
+}
+
 bool keysAreFresh(const GatewayView &view, TimePoint now)
 {
     return view.freshness_.maxKeyAge_ == Duration::zero()
--- a/src/filters/gatewaystate.h
+++ b/src/filters/gatewaystate.h
@@ -284,6 +284,8 @@
     std::uint64_t retriesDenied_ = 0;
     //! Responses of endpoints that belong to another request than the one on the connection.
     std::uint64_t unmatchedResponses_ = 0;
+    //! Connections to endpoints that are kept for reuse at present.
+    std::uint64_t idleConnections_ = 0;
     //! Requests with the id of a request in progress; callers should use each id once.
     std::uint64_t repeatedIds_ = 0;
 };
--- a/src/http/internal/client.cpp
+++ b/src/http/internal/client.cpp
@@ -1,12 +1,11 @@
 #include "http/client.h"
 
-#include <unordered_map>
-#include <vector>
-
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include "idleconnections.h"
+
 namespace gypsumcroft::http {
 
 namespace asio = boost::asio;
@@ -15,7 +14,13 @@
 
 namespace detail {
 
+using Clock = std::chrono::steady_clock;
+
 constexpr std::size_t MaxIdlePerAddress = 64;
+//! Idle connections to all addresses.
+constexpr std::size_t MaxIdle = 128;
+//! Connections that the server has closed are looked for at most this often, when one is added.
+constexpr std::chrono::milliseconds IdleCheckInterval {1000};
 constexpr std::uint32_t MaxHeaderBytes = 8 * 1024;
 //! Read buffer ahead of the parser. Also limits a chunk header with its extensions, and a trailer
 //! section.
@@ -101,31 +106,24 @@
 
     detail::StreamPtr takeIdleConnection(const Address &to)
     {
-        auto &idle = idle_[to];
-        while (!idle.empty()) {
-            detail::StreamPtr stream = std::move(idle.back());
-            idle.pop_back();
-            if (isReusable(*stream))
-                return stream;
+        const auto any = [](const beast::tcp_stream &) { return true; };
+        while (auto stream = detail::takeIdle(idle_, {to, {}}, any)) {
+            if (detail::isReusable((*stream)->socket()))
+                return std::move(*stream);
         }
         return nullptr;
     }
 
-    //! False if an idle connection is readable: the server closed it or sent unexpected bytes.
-    static bool isReusable(beast::tcp_stream &stream)
-    {
-        char byte = 0;
-        boost::system::error_code error;
-        stream.socket().non_blocking(true, error);
-        stream.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
-        return error == asio::error::would_block;
-    }
-
-    void addIdleConnection(const Address &to, detail::StreamPtr stream)
+    void addIdleConnection(const Address &to, detail::StreamPtr stream,
+                           detail::Clock::time_point now)
     {
-        auto &idle = idle_[to];
-        if (idle.size() < detail::MaxIdlePerAddress)
-            idle.push_back(std::move(stream));
+        detail::addIdle(idle_, {to, {}}, std::move(stream));
+        if (now < idleCheckedAt_ + detail::IdleCheckInterval)
+            return;
+        idleCheckedAt_ = now;
+        detail::closeIdleIf(idle_, [](const auto &entry) {
+            return !detail::isReusable(entry.connection_->socket());
+        });
     }
 
     static asio::awaitable<ClientResult> connect(beast::tcp_stream &stream, Address to)
@@ -197,12 +195,14 @@
         stream->expires_never();
         // Surplus bytes would be parsed as part of the next response.
         if (parser->keep_alive() && buffer.size() == 0 && !options.newConnection_)
-            self->addIdleConnection(to, std::move(stream));
+            self->addIdleConnection(to, std::move(stream), detail::Clock::now());
         co_return result;
     }
 
     asio::io_context &context_;
-    std::unordered_map<Address, std::vector<detail::StreamPtr>> idle_;
+    detail::IdleConnections<detail::StreamPtr> idle_ {
+            {detail::MaxIdlePerAddress, detail::MaxIdle}, {}, {}};
+    detail::Clock::time_point idleCheckedAt_;
 };
 
 Client::Client(asio::io_context &context) : impl_(std::make_shared<Impl>(context)) { }
--- a/src/http/internal/relayclient.cpp
+++ b/src/http/internal/relayclient.cpp
@@ -3,13 +3,14 @@
 #include <algorithm>
 #include <charconv>
 #include <span>
-#include <unordered_map>
 
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <netinet/tcp.h>
 
+#include "idleconnections.h"
+
 namespace gypsumcroft::http {
 
 namespace asio = boost::asio;
@@ -42,6 +43,8 @@
 constexpr double IdleTimeoutFraction = 0.7;
 //! Idle timeout for servers that don't send one in Keep-Alive.
 constexpr std::chrono::milliseconds DefaultIdleTimeout {2000};
+//! Longer idle timeouts of servers are taken as this.
+constexpr int MaxIdleTimeoutSeconds = 60;
 //! The kernel closes a connection when sent bytes remain unacknowledged for this time.
 constexpr int TcpUserTimeoutMs = 4000;
 constexpr unsigned InformationalClass = 1;
@@ -157,7 +160,8 @@
     std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
     if (seconds <= 0)
         return std::nullopt;
-    return std::chrono::milliseconds(static_cast<int>(IdleTimeoutFraction * 1000 * seconds));
+    return std::chrono::milliseconds(static_cast<int>(IdleTimeoutFraction * 1000
+                                                      * std::min(seconds, MaxIdleTimeoutSeconds)));
 }
 
 //! All attempts of a request have the same id, so a late response to an earlier attempt on the same
@@ -169,14 +173,14 @@
            != connection.requestIdHashes_.end();
 }
 
-//! False if an idle connection is readable: the server closed it or sent an unmatched response.
-bool isReusable(tcp::socket &socket)
+ServerKey serverOf(const RelayCallRequest &call)
+{
+    return {call.address_, call.serverName_};
+}
+
+bool mayReuse(ClientConnection &connection, Clock::time_point now)
 {
-    char byte = 0;
-    boost::system::error_code error;
-    socket.non_blocking(true, error);
-    socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
-    return error == asio::error::would_block;
+    return now < connection.reusableUntil_ && isReusable(connection.socket_);
 }
 
 } // namespace
@@ -185,7 +189,10 @@
 struct RelayClient::Impl : std::enable_shared_from_this<RelayClient::Impl>
 {
     Impl(asio::io_context &context, RelayClientOptions options)
-        : context_(context), options_(options)
+        : context_(context), options_(options), idle_ {{options.maxIdleConnectionsPerServer_,
+                                                        options.maxIdleConnections_},
+                                                       {},
+                                                       {}}
     { }
 
     //! The most recently used idle connection that is still usable and has carried no earlier
@@ -193,27 +200,16 @@
     detail::ConnectionPtr takeIdleConnection(const RelayCallRequest &call,
                                              detail::Clock::time_point now)
     {
-        auto &idle = idle_[call.address_];
-        for (std::size_t i = idle.size(); i-- > 0;) {
-            if (detail::hasCarriedRequest(*idle[i], call.correlationId_))
-                continue;
-            detail::ConnectionPtr connection = std::move(idle[i]);
-            idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(i));
-            if (now < connection->reusableUntil_ && detail::isReusable(connection->socket_))
-                return connection;
+        while (auto connection = detail::takeIdle(
+                       idle_, detail::serverOf(call), [&](const detail::ClientConnection &idle) {
+                           return !detail::hasCarriedRequest(idle, call.correlationId_);
+                       })) {
+            if (detail::mayReuse(**connection, now))
+                return *connection;
         }
         return nullptr;
     }
 
-    void addIdleConnection(const Address &to, detail::ConnectionPtr connection,
-                           detail::Clock::time_point now)
-    {
-        auto &idle = idle_[to];
-        std::erase_if(idle, [&](const auto &other) { return other->reusableUntil_ <= now; });
-        if (idle.size() < options_.maxIdleConnectionsPerServer_)
-            idle.push_back(std::move(connection));
-    }
-
     //! Opens a connection. Returns the reason for a failure, or an empty string.
     asio::awaitable<std::string> connect(detail::RelayCallState &call)
     {
@@ -406,9 +402,9 @@
                 = call.connection_->requestIdHashes_.size() >= detail::MaxRequestsPerConnection;
         if (reusableFor && echoed && !requestLimitReached
             && call.connection_->buffer_.size() == 0) {
-            const auto now = detail::Clock::now();
-            call.connection_->reusableUntil_ = now + *reusableFor;
-            self.addIdleConnection(call.request_.address_, std::move(call.connection_), now);
+            call.connection_->reusableUntil_ = detail::Clock::now() + *reusableFor;
+            detail::addIdle(self.idle_, detail::serverOf(call.request_),
+                            std::move(call.connection_));
         }
         call.connection_.reset();
         call.handlers_.onComplete_();
@@ -437,7 +433,7 @@
 
     asio::io_context &context_;
     RelayClientOptions options_;
-    std::unordered_map<Address, std::vector<detail::ConnectionPtr>> idle_;
+    detail::IdleConnections<detail::ConnectionPtr> idle_;
     std::uint64_t connectionsOpened_ = 0;
     std::uint64_t unmatchedResponses_ = 0;
 };
@@ -475,6 +471,20 @@
     return RelayCall(call);
 }
 
+void RelayClient::closeIdleExcept(const RelayServerFilter &isKnown)
+{
+    const auto now = detail::Clock::now();
+    detail::closeIdleIf(impl_->idle_, [&](const auto &entry) {
+        const auto &[address, name] = entry.server_;
+        return !isKnown(address, name) || !detail::mayReuse(*entry.connection_, now);
+    });
+}
+
+std::size_t RelayClient::idleConnections() const
+{
+    return impl_->idle_.entries_.size();
+}
+
 std::uint64_t RelayClient::connectionsOpened() const
 {
     return impl_->connectionsOpened_;
--- a/src/http/relayclient.h
+++ b/src/http/relayclient.h
@@ -37,6 +37,9 @@
 struct RelayCallRequest
 {
     Address address_;
+    //! Name of the server at the address. Only connections to a server of this name are reused,
+    //! because another server may use the address later.
+    std::string serverName_;
     RelayRequest request_;
     //! Opens a new connection instead of reusing an idle one.
     bool newConnection_ = false;
@@ -84,8 +87,14 @@
     Duration connectTimeout_ = std::chrono::milliseconds(250);
     //! Number of idle connections that are kept for reuse, for each server address.
     std::size_t maxIdleConnectionsPerServer_ = 16;
+    //! Number of idle connections to all servers; above it the least recently used one is closed.
+    //! A fifth of the descriptors of a small gateway (2,870).
+    std::size_t maxIdleConnections_ = 512;
 };
 
+//! Whether a server of this address and name is still in use.
+using RelayServerFilter = std::function<bool(const Address &, const std::string &serverName)>;
+
 class RelayClient
 {
 public:
@@ -95,6 +104,11 @@
     RelayClient &operator=(const RelayClient &) = delete;
 
     RelayCall send(RelayCallRequest request, RelayCallHandlers handlers);
+    //! Closes the idle connections to servers that are not known, those that the server has closed
+    //! and those that have become too old. To be called regularly, because the connection of a call
+    //! in progress becomes idle later.
+    void closeIdleExcept(const RelayServerFilter &isKnown);
+    std::size_t idleConnections() const;
     //! Number of connections opened by this client.
     std::uint64_t connectionsOpened() const;
     //! Number of responses received by this client that did not match the request of their call.
--- a/src/platform/internal/forwarding.cpp
+++ b/src/platform/internal/forwarding.cpp
@@ -192,6 +192,7 @@
 {
     http::RelayCallRequest call;
     call.address_ = dispatch.address_;
+    call.serverName_ = dispatch.endpoint_.value_;
     call.newConnection_ = dispatch.newConnection_;
     call.request_.method_ = request.method_;
     call.request_.target_ = request.target_;
