Only complete list entries and stamped successes count as endpoints'

The 200 of the program at its address was passed on to callers as the success of a request that no endpoint had run.

Ruled out: passing the response on as an error, because its status would still say 2xx; treating the request as not run, because nobody knows.

Change: an entry names an endpoint only if Version is a string, and Slots and Sequence (and born, layer bounds and a model's version where given) are integers, besides the fields that were required before. A response with a success status and no X-Response-Stamp sets foreign_ and is no success; the traffic core cancels the dispatch, counts it against the endpoint and takes its outcome as unknown. Metrics unreadable_entries and foreign_answers. An error message repeats a number in short form; one of 300 digits exceeded the bound on messages that tst_platform checks.

Tests: rows that used unstamped 200 and 204 as successes contradict the new rule; each is kept as a failure and has a stamped counterpart. Entries in the tables of tst_platform and tst_gatewayprocess have all fields, so that a row still fails for the field it names. The platform stand-in's entries gained the Sequence that the platform's have.

Conclusion: a program that is no endpoint gets no requests by such an entry, and where a request reaches one its success is not believed.

--- a/lab/tests/tst_gatewayprocess.cpp
+++ b/lab/tests/tst_gatewayprocess.cpp
@@ -183,7 +183,8 @@
 {
     const std::vector<std::pair<std::string, std::string>> fields
             = {{"Service", R"("desk")"}, {"Address", R"("127.0.0.1:9")"}, {"Zone", R"("a")"},
-               {"Slots", "4"},           {"State", R"("ready")"},         {"Sequence", "1"}};
+               {"Slots", "4"},           {"State", R"("ready")"},         {"Version", R"("v1")"},
+               {"Sequence", "1"}};
     std::string text = "{";
     for (const auto &[name, usual] : fields)
         text += (text.size() == 1 ? "\"" : ",\"") + name + "\":" + (name == field ? value : usual);
--- a/src/app/internal/gatewaycontrol.h
+++ b/src/app/internal/gatewaycontrol.h
@@ -34,6 +34,8 @@
     void beginStop();
     bool isReady() const { return isGatewayReady(control_, monotonicNow()); }
     const GatewayControl &state() const { return control_; }
+    //! Number of entries of the endpoint list that name no endpoint.
+    std::size_t unreadableEntries() const { return unreadable_.size(); }
 
 private:
     void readNewestConfig();
--- a/src/app/internal/gatewayprocess.cpp
+++ b/src/app/internal/gatewayprocess.cpp
@@ -80,6 +80,8 @@
     auto &retries = metrics_.gauge("retries", "Repeats that the budget allowed");
     auto &spent = metrics_.gauge("retries_without_budget", "Repeats that the budget forbade");
     auto &strays = metrics_.gauge("stray_answers", "Endpoints' answers that were passed over");
+    auto &foreign = metrics_.gauge("foreign_answers", "Successes without the endpoint's stamp");
+    auto &unreadable = metrics_.gauge("unreadable_entries", "Entries that name no endpoint");
     auto &idle = metrics_.gauge("idle_connections", "Connections to endpoints kept for reuse");
     auto &repeated = metrics_.gauge("repeated_ids", "Requests whose id was in hand already");
     auto &version = metrics_.gauge("config_version", "Version of the desired state in force");
@@ -100,6 +102,8 @@
         retries.Set(static_cast<double>(counters->retries_));
         spent.Set(static_cast<double>(counters->retriesDenied_));
         strays.Set(static_cast<double>(counters->unmatchedResponses_));
+        foreign.Set(static_cast<double>(counters->foreignResponses_));
+        unreadable.Set(static_cast<double>(control_.unreadableEntries()));
         idle.Set(static_cast<double>(counters->idleConnections_));
         repeated.Set(static_cast<double>(counters->repeatedIds_));
         const RouteTableState &routes = control_.state().routes_;
--- a/src/filters/gatewaystate.h
+++ b/src/filters/gatewaystate.h
@@ -169,6 +169,8 @@
     //! HTTP status code, for the log.
     std::uint16_t status_ = 0;
     EndpointNotice notice_;
+    //! A success that doesn't prove to be the endpoint's: whether the request ran is unknown.
+    bool foreign_ = false;
 };
 
 //! Connection that a dispatch used, for the log.
@@ -284,6 +286,8 @@
     std::uint64_t retriesDenied_ = 0;
     //! Responses of endpoints that belong to another request than the one on the connection.
     std::uint64_t unmatchedResponses_ = 0;
+    //! Successes that didn't prove to be the endpoint's.
+    std::uint64_t foreignResponses_ = 0;
     //! Connections to endpoints that are kept for reuse at present.
     std::uint64_t idleConnections_ = 0;
     //! Requests with the id of a request in progress; callers should use each id once.
--- a/src/gateway/internal/traffic.cpp
+++ b/src/gateway/internal/traffic.cpp
@@ -472,12 +472,18 @@
     return false;
 }
 
-void onDispatchHead(GatewayTraffic &state, const GatewayView &, DispatchId dispatch,
+void onDispatchHead(GatewayTraffic &state, const GatewayView &view, DispatchId dispatch,
                     const EndpointResponseHead &head, TimePoint now)
 {
     GatewayContext *context = detail::contextOf(state, dispatch);
     if (context == nullptr)
         return;
+    if (head.foreign_) {
+        ++state.counters_.foreignResponses_;
+        detail::emit(state, CancelDispatch {dispatch});
+        return onDispatchFailed(state, view, dispatch, DispatchFailure::ProtocolError,
+                                "success without the endpoint's stamp", now);
+    }
     context->dispatch_->head_ = head;
     detail::takeNotice(state, *context->dispatch_, now);
     if (!head.reportedLoad_)
--- a/src/gateway/tests/tst_traffic.cpp
+++ b/src/gateway/tests/tst_traffic.cpp
@@ -146,6 +146,8 @@
     Ok,
     //! A successful head that begins no event stream.
     OkWithoutEvents,
+    //! A success that is not the endpoint's.
+    Foreign,
     Events,
     Done,
     NotRun,
@@ -342,6 +344,29 @@
          {{50, Event::Ok, ""},
           {51, Event::Events, "begin, forward"},
           {60, Event::Stop, "cancel, abort"}}},
+        {"a booking with another program's success may have run",
+         "/book/x",
+         "key",
+         0,
+         "send d1 fresh",
+         {{20, Event::Foreign, "cancel, probe d1, refuse failed"}}},
+        {"a lookup with another program's success is repeated elsewhere",
+         "/look/x",
+         "key",
+         0,
+         "send d1",
+         {{20, Event::Foreign, "cancel, probe d1, send d2"},
+          {40, Event::Ok, ""},
+          {41, Event::Done, "deliver"}}},
+        {"a stream with another program's success after a part of it",
+         "/quote/x",
+         "key",
+         0,
+         "send m1",
+         {{50, Event::Ok, ""},
+          {51, Event::Events, "begin, forward"},
+          {60, Event::ConnectionLost, "probe m1, send m2 after 51"},
+          {70, Event::Foreign, "cancel, probe m2, abort"}}},
         {"no such route", "/none/x", "key", 0, "refuse unknown-route", {}},
         {"no such route in a state that is too old", "/none/x", "key", -1801, "refuse unready", {}},
         {"no key", "/book/x", "", 0, "refuse unauthorised", {}},
@@ -424,6 +449,10 @@
         return onDispatchHead(state, view, dispatch, head, now);
     case Event::OkWithoutEvents:
         return onDispatchHead(state, view, dispatch, head, now);
+    case Event::Foreign:
+        head.success_ = false;
+        head.foreign_ = true;
+        return onDispatchHead(state, view, dispatch, head, now);
     case Event::Events:
         return onDispatchEvents(state, view, dispatch, EventId {static_cast<std::uint64_t>(ms)},
                                 now);
--- a/src/platform/internal/documents.cpp
+++ b/src/platform/internal/documents.cpp
@@ -1,6 +1,7 @@
 #include "platform/documents.h"
 
 #include <algorithm>
+#include <cstdio>
 #include <stdexcept>
 
 #include <boost/asio/ip/address.hpp>
@@ -72,12 +73,28 @@
 {
     const double value = number(object, name);
     // A double holds every whole number up to 2^53, about 9e15, exactly.
-    if (value < 0 || value > 9e15)
-        throw BadMember(std::string(name) + ": " + std::to_string(value)
-                        + " is not between 0 and 9e15");
+    if (value < 0 || value > 9e15) {
+        char written[32];
+        std::snprintf(written, sizeof written, "%g", value);
+        throw BadMember(std::string(name) + ": " + written + " is not between 0 and 9e15");
+    }
     return static_cast<std::uint64_t>(value);
 }
 
+//! Like wholeNumber(), but a number with a fraction is refused.
+std::uint64_t integer(const json::object &object, std::string_view name)
+{
+    const std::uint64_t value = wholeNumber(object, name);
+    if (static_cast<double>(value) != number(object, name))
+        throw BadMember(std::string(name) + " is not an integer");
+    return value;
+}
+
+std::uint64_t integerOr(const json::object &object, std::string_view name, std::uint64_t fallback)
+{
+    return object.contains(name) ? integer(object, name) : fallback;
+}
+
 std::uint64_t wholeNumberOr(const json::object &object, std::string_view name,
                             std::uint64_t fallback)
 {
@@ -270,7 +287,7 @@
     for (const json::value &entry : list(object, "Models")) {
         const json::object &model = objectOf(entry);
         endpoint.model_ = text(model, "Name");
-        endpoint.modelVersion_ = wholeNumberOr(model, "Version", 0);
+        endpoint.modelVersion_ = integerOr(model, "Version", 0);
     }
     const json::value *layers = object.if_contains("Layers");
     if (layers == nullptr || layers->is_null())
@@ -278,6 +295,8 @@
     if (!layers->is_object())
         throw BadMember("Layers is not an object");
     const json::object &range = layers->as_object();
+    integer(range, "From");
+    integer(range, "Target");
     const LayerRange loaded {{count(range, "From")}, {count(range, "Target")}};
     if (loaded.end_.value_ > MaxLayers)
         throw BadMember("Layers: Target is above " + std::to_string(MaxLayers));
@@ -299,10 +318,14 @@
     if (state != "ready" && state != "draining")
         throw BadMember("State: '" + shown(state) + "' is not 'ready' or 'draining'");
     endpoint.state_ = state == "ready" ? ListedState::Ready : ListedState::Draining;
+    integer(object, "Slots");
     endpoint.slots_ = count(object, "Slots");
+    // Not used here. Another writer's entry, which may lack them, names no endpoint.
+    text(object, "Version");
+    integer(object, "Sequence");
     if (object.contains("Kind"))
         endpoint.accelerator_ = {text(object, "Kind")};
-    endpoint.incarnation_ = wholeNumberOr(object, "born", 0);
+    endpoint.incarnation_ = integerOr(object, "born", 0);
     readModels(object, endpoint);
     return endpoint;
 }
--- a/src/platform/internal/forwarding.cpp
+++ b/src/platform/internal/forwarding.cpp
@@ -31,6 +31,8 @@
 constexpr std::string_view PathHeader = "X-Hop-Count";
 constexpr std::string_view PriorityHeader = "X-Request-Priority";
 constexpr std::string_view NotExecutedHeader = "X-Not-Executed";
+//! In every response of a server that ran the request; a success without it is not the server's.
+constexpr std::string_view StampHeader = "X-Response-Stamp";
 //! Address of the server further along the path that caused the failure.
 constexpr std::string_view FaultyServerHeader = "At-Server";
 //! Numbers of running requests, waiting requests and slots, joined by commas.
@@ -243,7 +245,10 @@
 {
     EndpointResponseHead decoded;
     decoded.status_ = head.status_;
-    decoded.success_ = head.status_ / detail::StatusesPerClass == detail::SuccessClass;
+    const bool successStatus = head.status_ / detail::StatusesPerClass == detail::SuccessClass;
+    const bool stamped = !http::findHeader(head.headers_, detail::StampHeader).value_or("").empty();
+    decoded.success_ = successStatus && stamped;
+    decoded.foreign_ = successStatus && !stamped;
     decoded.notRun_ = head.status_ == detail::StatusMisdirected
                       || http::findHeader(head.headers_, detail::NotExecutedHeader).has_value();
     if (const auto faulty = http::findHeader(head.headers_, detail::FaultyServerHeader))
--- a/src/platform/tests/tst_platform.cpp
+++ b/src/platform/tests/tst_platform.cpp
@@ -23,12 +23,13 @@
 }
 
 #define GC_ENTRY(MORE) \
-    R"({"Service":"m","Address":"10.0.0.1:80","Zone":"a","Slots":4,"State":"ready")" MORE "}"
+    R"({"Service":"m","Address":"10.0.0.1:80","Zone":"a","Slots":4,"State":"ready",)" \
+    R"("Version":"v1","Sequence":1)" MORE "}"
 
 const EntryCase EntryCases[] = {
         {"a plain server", GC_ENTRY(""), "m 10.0.0.1:80 a ready none"},
         {"draining",
-         R"({"Service":"m","Address":"10.0.0.1:80","Zone":"a","Slots":4,"State":"draining"})",
+         R"({"Service":"m","Address":"10.0.0.1:80","Zone":"a","Slots":4,"State":"draining","Version":"v1","Sequence":1})",
          "m 10.0.0.1:80 a draining none"},
         {"with layers",
          GC_ENTRY(
@@ -38,19 +39,31 @@
          "m 10.0.0.1:80 a ready none"},
         {"with unknown members, which are ignored", GC_ENTRY(R"(,"New":[1,2])"),
          "m 10.0.0.1:80 a ready none"},
-        {"no address", R"({"Service":"m","Zone":"a","Slots":4,"State":"ready"})", ""},
+        {"no address",
+         R"({"Service":"m","Zone":"a","Slots":4,"State":"ready","Version":"v1","Sequence":1})", ""},
         {"an address of another type",
-         R"({"Service":"m","Address":7,"Zone":"a","Slots":4,"State":"ready"})", ""},
+         R"({"Service":"m","Address":7,"Zone":"a","Slots":4,"State":"ready","Version":"v1","Sequence":1})",
+         ""},
         {"a malformed address",
-         R"({"Service":"m","Address":"here","Zone":"a","Slots":4,"State":"ready"})", ""},
+         R"({"Service":"m","Address":"here","Zone":"a","Slots":4,"State":"ready","Version":"v1","Sequence":1})",
+         ""},
+        {"a version that is a number",
+         R"({"Service":"m","Address":"10.0.0.1:80","Zone":"a","Slots":4,"State":"ready","Version":1,"Sequence":1})",
+         ""},
         {"an unknown state",
-         R"({"Service":"m","Address":"10.0.0.1:80","Zone":"a","Slots":4,"State":"odd"})", ""},
+         R"({"Service":"m","Address":"10.0.0.1:80","Zone":"a","Slots":4,"State":"odd","Version":"v1","Sequence":1})",
+         ""},
         {"a negative count",
-         R"({"Service":"m","Address":"10.0.0.1:80","Zone":"a","Slots":-4,"State":"ready"})", ""},
+         R"({"Service":"m","Address":"10.0.0.1:80","Zone":"a","Slots":-4,"State":"ready","Version":"v1","Sequence":1})",
+         ""},
         {"an array instead of an object", R"(["m"])", ""},
         {"bytes that are not JSON", "\xff\x00{", ""},
         {"an empty text", "", ""},
         {"a start time before 1970", GC_ENTRY(R"(,"born":-1)"), ""},
+        {"a start time with a fraction", GC_ENTRY(R"(,"born":1.5)"), ""},
+        {"layers with a fraction", GC_ENTRY(R"(,"Layers":{"From":0,"Target":3.5})"), ""},
+        {"a model version with a fraction", GC_ENTRY(R"(,"Models":[{"Name":"x","Version":1.5}])"),
+         ""},
         {"a start time out of range", GC_ENTRY(R"(,"born":1e300)"), ""},
         {"a start time of another type", GC_ENTRY(R"(,"born":"1")"), ""},
         {"a model version out of range",
@@ -74,18 +87,20 @@
     return out << test.name_;
 }
 
+//! The entry of a server with another value of one field; with an empty one, without the field.
 std::string entryWith(const std::string &field, const std::string &value)
 {
     const std::vector<std::pair<std::string, std::string>> fields
-            = {{"Service", R"("m")"},
-               {"Address", R"("10.0.0.1:80")"},
-               {"Zone", R"("a")"},
-               {"Slots", "4"},
-               {"State", R"("ready")"}};
-    std::string text = "{";
-    for (const auto &[name, usual] : fields)
-        text += "\"" + name + "\":" + (name == field ? value : usual) + ",";
-    return text + "\"Sequence\":1}";
+            = {{"Service", R"("m")"}, {"Address", R"("10.0.0.1:80")"}, {"Zone", R"("a")"},
+               {"Slots", "4"},        {"State", R"("ready")"},         {"Version", R"("v1")"},
+               {"Sequence", "1"}};
+    std::string text;
+    for (const auto &[name, usual] : fields) {
+        const std::string &written = name == field ? value : usual;
+        if (!written.empty())
+            text += (text.empty() ? "{\"" : ",\"") + name + "\":" + written;
+    }
+    return text + "}";
 }
 
 std::string repeated(char character, std::size_t count)
@@ -124,6 +139,25 @@
         {"a service that is a number", entryWith("Service", "1")},
         {"a zone that is null", entryWith("Zone", "null")},
         {"slots as text", entryWith("Slots", R"("4")")},
+        {"slots with a fraction", entryWith("Slots", "4.5")},
+        {"no service", entryWith("Service", "")},
+        {"no address", entryWith("Address", "")},
+        {"no zone", entryWith("Zone", "")},
+        {"no slots", entryWith("Slots", "")},
+        {"no state", entryWith("State", "")},
+        {"no version", entryWith("Version", "")},
+        {"no sequence", entryWith("Sequence", "")},
+        {"neither version nor sequence, as in review/2",
+         R"({"Service":"desk","Address":"10.0.0.1:80","Zone":"a","Slots":64,"State":"ready"})"},
+        {"a version that is null", entryWith("Version", "null")},
+        {"a sequence as text", entryWith("Sequence", R"("1")")},
+        {"a sequence with a fraction", entryWith("Sequence", "1.5")},
+        {"a negative sequence", entryWith("Sequence", "-1")},
+        {"a sequence that is null", entryWith("Sequence", "null")},
+        {"a sequence that is a boolean", entryWith("Sequence", "true")},
+        {"a sequence out of range", entryWith("Sequence", "1e300")},
+        {"a state of another kind", entryWith("State", R"("starting")")},
+        {"a state in capitals", entryWith("State", R"("READY")")},
         {"a state that is an object", entryWith("State", "{}")},
         {"10 MB long", entryWith("State", "\"" + repeated('x', 10'000'000) + "\"")},
 };
@@ -166,6 +200,8 @@
     std::uint16_t status_;
     http::HeaderList headers_;
     bool success_;
+    //! A success status that is not the endpoint's.
+    bool foreign_;
     bool notRun_;
     int load_;
 };
@@ -175,14 +211,21 @@
     return out << test.status_;
 }
 
+const http::HeaderList Stamp {{"X-Response-Stamp", "s"}};
+
 const ResponseCase ResponseCases[] = {
-        {200, {}, true, false, -1},
-        {204, {{"x-server-load", "3,2,8"}}, true, false, 5},
-        {421, {}, false, true, -1},
-        {503, {{"X-Not-Executed", "1"}}, false, true, -1},
-        {503, {}, false, false, -1},
-        {429, {{"X-Not-Executed", "1"}, {"X-Server-Load", "odd"}}, false, true, -1},
-        {500, {{"X-Server-Load", "1,x,3"}}, false, false, -1},
+        {200, Stamp, true, false, false, -1},
+        {204, {{"x-server-load", "3,2,8"}, {"x-response-stamp", "s"}}, true, false, false, 5},
+        {200, {}, false, true, false, -1},
+        {204, {{"x-server-load", "3,2,8"}}, false, true, false, 5},
+        {206, {{"Content-Type", "text/event-stream"}}, false, true, false, -1},
+        {200, {{"X-Response-Stamp", ""}}, false, true, false, -1},
+        {421, {}, false, false, true, -1},
+        {503, {{"X-Not-Executed", "1"}}, false, false, true, -1},
+        {503, {}, false, false, false, -1},
+        {429, {{"X-Not-Executed", "1"}, {"X-Server-Load", "odd"}}, false, false, true, -1},
+        {500, {{"X-Server-Load", "1,x,3"}}, false, false, false, -1},
+        {500, Stamp, false, false, false, -1},
 };
 
 struct RefusalCase
@@ -288,10 +331,12 @@
     BOOST_TEST(state->limits_.idleTimeout_.count() == 15'000'000);
 }
 
+// A program that is no endpoint must not answer for one: its success was passed on to callers.
 BOOST_DATA_TEST_CASE(responseHeadsAreDecoded, ResponseCases, test)
 {
     const EndpointResponseHead head = platform::decodeResponseHead({test.status_, test.headers_});
     BOOST_TEST(head.success_ == test.success_);
+    BOOST_TEST(head.foreign_ == test.foreign_);
     BOOST_TEST(head.notRun_ == test.notRun_);
     BOOST_TEST((head.reportedLoad_ ? static_cast<int>(*head.reportedLoad_) : -1) == test.load_);
 }
--- a/standins/platform/platformstandin.cpp
+++ b/standins/platform/platformstandin.cpp
@@ -167,6 +167,7 @@
                         {"Version", "v1"},
                         {"Slots", 4},
                         {"State", server.draining_ ? "draining" : "ready"},
+                        {"Sequence", 1},
                         {"born", server.born_}};
     if (server.model_)
         entry["Kind"] = "half";
