Settings: limits/memoryMb names the instance's memory

Cause: the process has no figure from which to derive how many bytes it may hold for its callers. Ruled out: reading the machine's memory, which says nothing about the share of one instance. Nothing uses it yet. Measured: ctest -R documents passes with two more rows.

--- a/src/documents/gatewaysettings.h
+++ b/src/documents/gatewaysettings.h
@@ -1,6 +1,7 @@
 //! Settings of a gateway, from a JSON file.
 #pragma once
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -12,6 +13,13 @@
 
 namespace gypsumcroft {
 
+//! Limits of the instance that the process runs on.
+struct InstanceLimits
+{
+    //! Memory in MB of 10^6 bytes; absent if the platform names none.
+    std::optional<std::uint32_t> memoryMb_;
+};
+
 struct GatewaySettings
 {
     InstanceId instance_;
@@ -25,6 +33,7 @@
     std::optional<Address> metricsAddress_;
     Address storeAddress_;
     GatewayBounds bounds_;
+    InstanceLimits limits_;
     LeaseLimits lease_;
     //! Number of partitions that the store creates for a new topic.
     std::uint32_t topicPartitions_ = 1;
--- a/src/documents/internal/gatewaysettings.cpp
+++ b/src/documents/internal/gatewaysettings.cpp
@@ -12,6 +12,9 @@
 //! Largest value of a setting in milliseconds.
 constexpr std::int64_t MaxDurationMs = 600000;
 constexpr std::uint32_t MaxPartitions = 10000;
+//! Less does not hold the process and one request and response of the largest size.
+constexpr std::int64_t MinMemoryMb = 64;
+constexpr std::int64_t MaxMemoryMb = 1'000'000;
 
 Duration readMilliseconds(ObjectReader &reader, std::string_view name, Duration fallback)
 {
@@ -66,6 +69,23 @@
     bounds.reportUnknownMembers();
 }
 
+void readMemory(ObjectReader &limits, InstanceLimits &instance)
+{
+    const auto memory = limits.integer("memoryMb", false, MinMemoryMb, MaxMemoryMb);
+    if (memory)
+        instance.memoryMb_ = static_cast<std::uint32_t>(*memory);
+}
+
+void readLimits(ObjectReader &reader, GatewaySettings &settings, Findings &findings)
+{
+    const boost::json::value *value = reader.member("limits", false);
+    if (value == nullptr)
+        return;
+    ObjectReader limits(*value, reader.placeOf("limits"), findings);
+    readMemory(limits, settings.limits_);
+    limits.reportUnknownMembers();
+}
+
 void readStore(ObjectReader &reader, GatewaySettings &settings, Findings &findings)
 {
     const boost::json::value *value = reader.member("store", true);
@@ -103,6 +123,7 @@
     settings.metricsAddress_ = detail::readAddress(reader, "metrics", false);
     detail::readStore(reader, settings, findings);
     detail::readBounds(reader, settings, findings);
+    detail::readLimits(reader, settings, findings);
     reader.reportUnknownMembers();
     if (findings.size() != before)
         return std::nullopt;
@@ -139,6 +160,8 @@
     compare(changes.needRestart_, "callers", running.callerAddress_, loaded.callerAddress_);
     compare(changes.needRestart_, "ready", running.readinessAddress_, loaded.readinessAddress_);
     compare(changes.needRestart_, "metrics", running.metricsAddress_, loaded.metricsAddress_);
+    compare(changes.needRestart_, "limits/memoryMb", running.limits_.memoryMb_,
+            loaded.limits_.memoryMb_);
     compare(changes.needRestart_, "store/address", running.storeAddress_, loaded.storeAddress_);
     return changes;
 }
--- a/src/documents/tests/tst_documents.cpp
+++ b/src/documents/tests/tst_documents.cpp
@@ -128,7 +128,7 @@
           R"("callers":"127.0.0.1:2","ready":"127.0.0.1:3","metrics":"127.0.0.1:4",)"
           R"("store":{"address":"127.0.0.1:5","partitions":12,"shortestLifetimeMs":3000},)"
           R"("bounds":{"strictRevoke":true,"revokeMs":5000,"applyMs":2000,"drainMs":2000,)"
-          R"("retryRatio":0.2,"retrySlack":100,"retryWindowS":10,"graceS":8}})";
+          R"("retryRatio":0.2,"retrySlack":100,"retryWindowS":10,"graceS":8},"limits":{"memoryMb":112}})";
 
 const ReloadCase ReloadCases[] = {
         {"{", "{", "", ""},
@@ -150,6 +150,8 @@
         {"127.0.0.1:3\"", "127.0.0.1:9\"", "", "ready"},
         {"127.0.0.1:4\"", "127.0.0.1:9\"", "", "metrics"},
         {"127.0.0.1:5\"", "127.0.0.1:9\"", "", "store/address"},
+        {"\"memoryMb\":112", "\"memoryMb\":512", "", "limits/memoryMb"},
+        {"\"memoryMb\":112", "", "", "limits/memoryMb"},
 };
 
 std::string joined(const std::vector<std::string> &names)
