--- a/lab/gatewayprogram.cpp
+++ b/lab/gatewayprogram.cpp
@@ -3,6 +3,7 @@
 #include <signal.h>
 #include <sys/wait.h>
 
+#include <filesystem>
 #include <fstream>
 
 #include <boost/asio.hpp>
@@ -36,7 +37,8 @@
 }
 
 GatewayProgram::GatewayProgram(const std::string &binary, const std::string &folder,
-                               const std::string &name, const Address &store)
+                               const std::string &name, const Address &store,
+                               const std::string &moreSettings)
     : callers_ {"127.0.0.1", freePort()}, ready_ {"127.0.0.1", freePort()}, metrics_ {"127.0.0.1",
                                                                                       freePort()},
       log_(folder + "/" + name + ".log")
@@ -51,7 +53,8 @@
             << R"(,"callers":)" << text(callers_) << R"(,"ready":)" << text(ready_)
             << R"(,"store":{"address":)" << text(store) << R"(,"partitions":12},)"
             << R"("bounds":{"strictRevoke":true,"revokeMs":3000,"applyMs":2000,)"
-            << R"("retrySlack":100,"graceS":8}})";
+            << R"("retrySlack":100,"graceS":8})" << (moreSettings.empty() ? "" : ",")
+            << moreSettings << '}';
     command_ = {binary, "gateway", "--settings", settingsFile_};
     restart();
 }
@@ -138,4 +141,11 @@
     return 0;
 }
 
+std::size_t GatewayProgram::openDescriptors() const
+{
+    std::error_code error;
+    const std::filesystem::directory_iterator open("/proc/" + std::to_string(pid_) + "/fd", error);
+    return error ? 0 : static_cast<std::size_t>(std::distance(begin(open), end(open)));
+}
+
 } // namespace gypsumcroft::lab
--- a/lab/gatewayprogram.h
+++ b/lab/gatewayprogram.h
@@ -26,9 +26,9 @@
 class GatewayProgram
 {
 public:
-    //! Writes the settings and starts the process.
+    //! Writes the settings, with further members given as JSON text, and starts the process.
     GatewayProgram(const std::string &binary, const std::string &folder, const std::string &name,
-                   const Address &store);
+                   const Address &store, const std::string &moreSettings = {});
     //! Ends the process at once if it is still there.
     ~GatewayProgram();
     GatewayProgram(const GatewayProgram &) = delete;
@@ -51,6 +51,8 @@
     void writeSettings(const std::string &text) const;
     //! The most memory that the running process has held; 0 if it is gone.
     std::uint64_t peakBytes() const;
+    //! Number of file descriptors that the running process has open; 0 if it is gone.
+    std::size_t openDescriptors() const;
 
     Address callers_;
     Address ready_;
--- a/lab/tests/gatewayfixture.h
+++ b/lab/tests/gatewayfixture.h
@@ -52,7 +52,8 @@
 
 struct GatewayFixture
 {
-    explicit GatewayFixture(std::size_t plainServers = 1, std::size_t modelServers = 3)
+    explicit GatewayFixture(std::size_t plainServers = 1, std::size_t modelServers = 3,
+                            const std::string &moreSettings = {})
         : platform_(modelServers, plainServers)
     {
         const auto &suite = boost::unit_test::framework::master_test_suite();
@@ -63,7 +64,7 @@
         platform_.putConfig(1, {"key"}, false);
         for (const char *gateway : {"g1", "g2"})
             gateways_.push_back(std::make_unique<GatewayProgram>(suite.argv[1], folder_, gateway,
-                                                                 platform_.store()));
+                                                                 platform_.store(), moreSettings));
         BOOST_REQUIRE(waitFor([&] { return gateways_[0]->isReady() && gateways_[1]->isReady(); }));
         BOOST_REQUIRE(waitFor([&] { return quote("warm-up").whole_; }));
     }
