One account bounds the bytes that a gateway holds for its callers

A connection started a read with each pipelined request although its read-ahead was full; buffers of read bytes, header fields (85 bytes of memory for 4 received) and requests in progress were in no account; chunk extensions and trailers were buffered until they ended; limits were the same on every instance; callers could open every descriptor. Ruled out: announced bodies (their memory is reserved but not used), half-closed and reset connections, endless heads: those cases passed before. Counting reserved memory would refuse callers that announce a body within the limits. Change: a ByteBudget for all callers, a quarter of limits/memoryMb (128 MB if it is absent, as much as the two limits before). Over it the largest incomplete requests get 503; complete requests are refused as not run, large and less urgent ones first and each organisation at half. Unsent responses have half. A chunk's extensions or trailers over the header limit get 431. Connections are bounded by memory and by three quarters of the descriptors. Read-ahead ends at half of the account. Requests are read in requestreader.cpp; a request's parser, its copy for the endpoint and sent bytes are released as soon as they are not needed.

--- a/src/app/internal/gatewayprocess.cpp
+++ b/src/app/internal/gatewayprocess.cpp
@@ -1,5 +1,7 @@
 #include "app/processes.h"
 
+#include <sys/resource.h>
+
 #include "app/log.h"
 #include "gatewaycontrol.h"
 #include "gatewaytraffic.h"
@@ -12,6 +14,14 @@
 
 namespace detail {
 
+//! File descriptors that the process may open.
+std::size_t descriptorLimit()
+{
+    constexpr std::size_t Usual = 1024;
+    rlimit limit {};
+    return getrlimit(RLIMIT_NOFILE, &limit) == 0 ? limit.rlim_cur : Usual;
+}
+
 constexpr Duration StopPoll = std::chrono::milliseconds(20);
 //! Time for the last answers to leave the sockets.
 constexpr Duration FlushTime = std::chrono::milliseconds(100);
@@ -51,6 +61,7 @@
               std::chrono::system_clock::now().time_since_epoch().count())),
       mailbox_(runtime_.control(), [this](TrafficNote note) { control_.note(std::move(note)); }),
       traffic_(*runtime_.traffic().front(), incarnation_,
+               callerBounds(settings.limits_.memoryMb_, descriptorLimit()),
                [this](TrafficNote note) { mailbox_.push(std::move(note)); }),
       control_(runtime_.control(), settings, incarnation_,
                [this](std::shared_ptr<const GatewayView> view) {
--- a/src/app/internal/gatewaytraffic.cpp
+++ b/src/app/internal/gatewaytraffic.cpp
@@ -12,8 +12,8 @@
 
 //! Largest answer, in bytes: held back until it is whole, or of a stream that is passed on.
 constexpr std::size_t MaxAnswerBytes = 8UL * 1024 * 1024;
-//! Bytes of all answers that are held back: a tenth of the memory of the smallest instance.
-constexpr std::size_t MaxHeldBytes = 16UL * 1024 * 1024;
+//! When a caller that was refused for lack of memory may try again.
+constexpr Duration MemoryRetryAfter = std::chrono::seconds(1);
 
 //! Control is told this often what requests hold of the endpoints.
 constexpr Duration SharesInterval = std::chrono::milliseconds(150);
@@ -39,17 +39,24 @@
 
 } // namespace
 
-GatewayTrafficLoop::GatewayTrafficLoop(asio::io_context &context, std::uint64_t seed, Note note)
-    : context_(context), note_(std::move(note)),
-      view_(std::make_shared<const GatewayView>()), heldBytes_ {MaxHeldBytes, 0},
+GatewayTrafficLoop::GatewayTrafficLoop(asio::io_context &context, std::uint64_t seed,
+                                       const CallerBounds &bounds, Note note)
+    : context_(context), note_(std::move(note)), view_(std::make_shared<const GatewayView>()),
+      bounds_(bounds),
+      callerBytes_(std::make_shared<ByteBudget>(ByteBudget {bounds.heldBytes_, 0, nullptr})),
+      responseBytes_(
+              std::make_shared<ByteBudget>(ByteBudget {bounds.responseBytes_, 0, callerBytes_})),
       counters_(std::make_shared<const GatewayCounters>()), client_(context),
-      server_(context,
+      server_(
+              context,
               [this](http::RelayRequest request, std::shared_ptr<http::RelayExchange> exchange) {
                   onRequest(std::move(request), std::move(exchange));
-              }),
+              },
+              callerBytes_),
       ticker_(context, [this] { return tick(); })
 {
     traffic_.random_ = {seed};
+    applyLimits({});
 }
 
 Result<Address> GatewayTrafficLoop::listen(const Address &callers)
@@ -120,7 +127,11 @@
                         .add("late_ms", takeLongest(traffic_.loopDelay_))
                         .add("read_delay_ms", std::exchange(longestReadDelay_, Duration()))
                         .add("requests", std::uint64_t {traffic_.requests_.size()})
-                        .add("queued", std::uint64_t {queued}));
+                        .add("queued", std::uint64_t {queued})
+                        .add("connections", std::uint64_t {server_.connectionCount()})
+                        .add("held_bytes", std::uint64_t {callerBytes_->used_})
+                        .add("memory_refusals", server_.counters().refusedForMemory_)
+                        .add("memory_closes", server_.counters().closedForMemory_));
 }
 
 void GatewayTrafficLoop::takeLimits(const GatewayView &view)
@@ -128,8 +139,15 @@
     if (!view.table_ || view.table_ == limitsOf_)
         return;
     limitsOf_ = view.table_;
-    const CallerLimits &limits = view.table_->state_.limits_;
+    applyLimits(view.table_->state_.limits_);
+}
+
+void GatewayTrafficLoop::applyLimits(const CallerLimits &limits)
+{
     http::RelayServerLimits taken;
+    taken.maxConnections_ = bounds_.connections_;
+    taken.maxUnsentBytes_ = bounds_.unsentBytes_;
+    taken.maxIncompleteRequestBytes_ = std::max(bounds_.heldBytes_ / 2, bounds_.unsentBytes_);
     taken.maxHeaderBytes_ = limits.maxHeaderBytes_;
     taken.maxBodyBytes_ = limits.maxBodyBytes_;
     taken.headerTimeout_ = limits.headerTimeout_;
@@ -156,13 +174,63 @@
     decoded.connection_ = exchange->connectionId();
     decoded.ordinal_ = exchange->requestOrdinal();
     longestReadDelay_ = std::max(longestReadDelay_, exchange->readDelay());
-    exchange->onDisconnect([this, id] { endForAbsentCaller(id); });
-    exchanges_[id] = {std::move(request), decoded, std::move(exchange)};
+    OpenExchange open {std::move(request), decoded, std::move(exchange), {}};
+    if (!holdRequest(open))
+        return refuseForMemory(open);
+    open.exchange_->onDisconnect([this, id] { endForAbsentCaller(id); });
+    exchanges_[id] = std::move(open);
     withTraffic([&](const GatewayView &view, TimePoint now) {
         onGatewayRequest(traffic_, view, std::move(decoded), now);
     });
 }
 
+std::shared_ptr<ByteBudget> GatewayTrafficLoop::budgetOf(const OrganisationRule *organisation)
+{
+    auto &budget = organisationBytes_[organisation != nullptr ? organisation->organisation_
+                                                              : OrganisationId()];
+    if (!budget)
+        budget = std::make_shared<ByteBudget>(
+                ByteBudget {callerBytes_->limit_ / 2, 0, callerBytes_});
+    return budget;
+}
+
+bool GatewayTrafficLoop::holdRequest(OpenExchange &open)
+{
+    const auto view = view_.load();
+    const GatewayRequest &request = open.decoded_;
+    const RouteRule *route = nullptr;
+    const OrganisationRule *organisation = nullptr;
+    if (view->table_) {
+        route = findRoute(*view->table_, request.host_, request.path_);
+        organisation
+                = request.apiKey_ ? findOrganisation(*view->table_, *request.apiKey_) : nullptr;
+    }
+    const auto budget = budgetOf(organisation);
+    MemoryClaim claim {http::memoryOf(open.request_),
+                       route != nullptr ? route->priority_ : Priority(), budget->used_};
+    if (organisation != nullptr)
+        claim.priority_ = organisation->priority_.value_or(claim.priority_);
+    if (!admitsToMemory(claim, callerBytes_->limit_, callerBytes_->used_))
+        return false;
+    open.held_ = HeldBytes(budget);
+    open.held_.set(claim.bytes_);
+    return true;
+}
+
+void GatewayTrafficLoop::refuseForMemory(const OpenExchange &open)
+{
+    ++traffic_.counters_.received_;
+    ++traffic_.counters_.refused_;
+    memoryLog_.warn(LogLine("refused-for-memory")
+                            .add("request", open.decoded_.id_)
+                            .add("bytes", std::uint64_t {http::memoryOf(open.request_)})
+                            .add("held", std::uint64_t {callerBytes_->used_}),
+                    monotonicNow());
+    const RefuseRequest refusal {open.decoded_.exchange_, GatewayRefusal::Overloaded,
+                                 MemoryRetryAfter};
+    open.exchange_->respond(platform::encodeRefusalHead(open.decoded_, refusal), {});
+}
+
 void GatewayTrafficLoop::endForAbsentCaller(ExchangeId exchange)
 {
     exchanges_.erase(exchange);
@@ -220,7 +288,7 @@
 {
     OpenCall &call = calls_.at(send);
     call.held_.set(call.bytes_.size() + call.splitter_.incompleteEvent_.size());
-    if (heldBytes_.used_ <= heldBytes_.limit_)
+    if (!isOverLimit(*responseBytes_))
         return true;
     const auto largest = std::max_element(
             calls_.begin(), calls_.end(), [](const auto &left, const auto &right) {
@@ -284,6 +352,7 @@
         const auto found = calls_.find(id);
         if (found == calls_.end())
             return;
+        found->second.request_.set(0);
         found->second.facts_ = platform::decodeResponseHead(head);
         found->second.head_ = std::move(head);
         withTraffic([&](const GatewayView &view, TimePoint now) {
@@ -313,7 +382,9 @@
     };
     const OpenExchange &open = exchanges_.at(send.exchange_);
     OpenCall &call = calls_[id];
-    call.held_ = HeldBytes(heldBytes_);
+    call.held_ = HeldBytes(responseBytes_);
+    call.request_ = HeldBytes(callerBytes_);
+    call.request_.set(http::memoryOf(open.request_));
     call.call_ = client_.send(platform::encodeEndpointRequest(open.request_, send),
                               std::move(handlers));
 }
--- a/src/app/internal/gatewaytraffic.h
+++ b/src/app/internal/gatewaytraffic.h
@@ -7,11 +7,13 @@
 #include <unordered_map>
 
 #include "controllers/gatewayview.h"
+#include "core/heldbytes.h"
 #include "gateway/traffic.h"
-#include "heldbytes.h"
 #include "http/eventsplitter.h"
 #include "http/relayclient.h"
 #include "http/relayserver.h"
+#include "policy/callermemory.h"
+#include "ratelimitedlog.h"
 #include "runtime.h"
 
 namespace gypsumcroft::detail {
@@ -25,7 +27,8 @@
 {
 public:
     using Note = std::function<void(TrafficNote)>;
-    GatewayTrafficLoop(asio::io_context &context, std::uint64_t seed, Note note);
+    GatewayTrafficLoop(asio::io_context &context, std::uint64_t seed, const CallerBounds &bounds,
+                       Note note);
 
     Result<Address> listen(const Address &callers);
     //! Replaces the view; safe from any thread.
@@ -51,6 +54,7 @@
         http::RelayRequest request_;
         GatewayRequest decoded_;
         std::shared_ptr<http::RelayExchange> exchange_;
+        HeldBytes held_;
     };
     struct OpenCall
     {
@@ -63,9 +67,16 @@
         //! Bytes of the answer so far.
         std::size_t received_ = 0;
         HeldBytes held_;
+        //! The copy of the request, until the response begins.
+        HeldBytes request_;
     };
 
     void onRequest(http::RelayRequest request, std::shared_ptr<http::RelayExchange> exchange);
+    //! The memory of the caller's organisation; requests without one share theirs.
+    std::shared_ptr<ByteBudget> budgetOf(const OrganisationRule *organisation);
+    //! Counts a request's memory. Returns false if there is too little left for it.
+    bool holdRequest(OpenExchange &open);
+    void refuseForMemory(const OpenExchange &open);
     void endForAbsentCaller(ExchangeId exchange);
     //! Whether the exchange's caller is still there and nothing speaks against the dispatch; ends
     //! or queues the request if not.
@@ -79,6 +90,7 @@
     void tellShares(TimePoint now);
     void logLoad(TimePoint now);
     void takeLimits(const GatewayView &view);
+    void applyLimits(const CallerLimits &limits);
 
     //! Runs an event of the core and carries out its effects.
     template <typename Event>
@@ -93,8 +105,15 @@
     GatewayTraffic traffic_;
     std::atomic<std::shared_ptr<const GatewayView>> view_;
     std::shared_ptr<const RouteTable> limitsOf_;
+    CallerBounds bounds_;
+    //! Bytes held for all callers.
+    std::shared_ptr<ByteBudget> callerBytes_;
+    //! Of them, those of responses that are held back.
+    std::shared_ptr<ByteBudget> responseBytes_;
+    //! Of them, those of requests in progress.
+    std::unordered_map<OrganisationId, std::shared_ptr<ByteBudget>> organisationBytes_;
+    RateLimitedLog memoryLog_;
     std::unordered_map<ExchangeId, OpenExchange> exchanges_;
-    ByteBudget heldBytes_;
     std::unordered_map<DispatchId, OpenCall> calls_;
     std::uint64_t nextExchange_ = 1;
     TimePoint sharesToldAt_;
--- a/src/http/internal/relayclient.cpp
+++ b/src/http/internal/relayclient.cpp
@@ -1,6 +1,7 @@
 #include "http/relayclient.h"
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <span>
 #include <unordered_map>
@@ -118,7 +119,7 @@
     connection.timeout_.expires_at(Clock::time_point::max());
 }
 
-std::string requestText(const RelayCallRequest &call)
+std::string requestHeadText(const RelayCallRequest &call)
 {
     const RelayRequest &request = call.request_;
     std::string text = request.method_ + " " + request.target_ + " HTTP/1.1\r\n";
@@ -132,7 +133,7 @@
     const bool mayBeEmpty = request.method_ == "GET" || request.method_ == "HEAD";
     if (!request.body_.empty() || !mayBeEmpty)
         text += "Content-Length: " + std::to_string(request.body_.size()) + "\r\n";
-    return text + "\r\n" + request.body_;
+    return text + "\r\n";
 }
 
 HeaderList headersOf(const ResponseParser &parser)
@@ -267,10 +268,13 @@
         }
         call->connection_->requestIdHashes_.push_back(
                 std::hash<std::string>()(call->request_.correlationId_));
-        const std::string text = detail::requestText(call->request_);
+        const std::string head = detail::requestHeadText(call->request_);
+        std::string &body = call->request_.request_.body_;
+        const std::array<asio::const_buffer, 2> buffers {asio::buffer(head), asio::buffer(body)};
         boost::system::error_code error;
-        co_await asio::async_write(call->connection_->socket_, asio::buffer(text),
+        co_await asio::async_write(call->connection_->socket_, buffers,
                                    asio::redirect_error(asio::use_awaitable, error));
+        std::string().swap(body);
         if (call->cancelled_)
             co_return;
         if (error) {
--- a/src/http/internal/relayconnection.cpp
+++ b/src/http/internal/relayconnection.cpp
@@ -12,12 +12,19 @@
 //! A send closes the connection if more bytes than this already wait to be sent.
 constexpr std::size_t MaxUnsentBytes = 1024UL * 1024;
 
+//! Gives back the memory, which an assignment keeps.
+void release(std::string &text)
+{
+    std::string().swap(text);
+}
+
 } // namespace
 
 RelayConnection::RelayConnection(tcp::socket socket, std::shared_ptr<RelayServerState> shared)
     : socket_(std::move(socket)), wakeTimer_(socket_.get_executor()), shared_(std::move(shared))
 {
     id_ = {++shared_->accepted_};
+    held_ = HeldBytes(shared_->callerBytes_);
     shared_->connections_.insert(this);
 }
 
@@ -38,6 +45,21 @@
 {
     shared_->incompleteRequestBytes_ += bytes - incompleteRequestBytes_;
     incompleteRequestBytes_ = bytes;
+    countHeld();
+}
+
+void RelayConnection::countHeld()
+{
+    held_.set(buffer_.capacity() + incompleteRequestBytes_ + unsent_.capacity()
+              + sending_.capacity());
+}
+
+void RelayConnection::releaseReadBuffer()
+{
+    if (buffer_.size() > 0 || buffer_.capacity() == 0)
+        return;
+    buffer_.shrink_to_fit();
+    countHeld();
 }
 
 void RelayConnection::startRead()
@@ -51,14 +73,23 @@
                 self->reading_ = false;
                 self->buffer_.commit(asio::buffer_copy(self->buffer_.prepare(size),
                                                        asio::buffer(self->readBuffer_, size)));
+                self->countHeld();
                 if (error)
                     self->close();
-                else if (self->requestInProgress_ && self->buffer_.size() < MaxReadAhead)
-                    self->startRead();
+                else if (self->requestInProgress_)
+                    self->readAhead();
                 self->wakeTimer_.cancel();
             });
 }
 
+void RelayConnection::readAhead()
+{
+    // Half of the memory is left to requests that are needed now.
+    const bool hasMemory = shared_->callerBytes_->used_ < shared_->callerBytes_->limit_ / 2;
+    if (hasMemory && buffer_.size() < MaxReadAhead)
+        startRead();
+}
+
 void RelayConnection::close()
 {
     if (closed_)
@@ -69,23 +100,28 @@
     if (responseProgress_ == ResponseProgress::Started && bodyFraming_ == BodyFraming::UntilClose)
         socket_.set_option(asio::socket_base::linger(true, 0), ignored);
     socket_.close(ignored);
-    unsent_ = {};
+    release(unsent_);
     setUnsentBytes(0);
+    countHeld();
     wakeTimer_.cancel();
     if (onDisconnect_)
         asio::post(socket_.get_executor(), std::exchange(onDisconnect_, nullptr));
 }
 
-void RelayConnection::send(std::string_view bytes)
+void RelayConnection::send(std::string bytes)
 {
     if (closed_)
         return;
     if (unsentBytes_ > MaxUnsentBytes)
         return close();
     setUnsentBytes(unsentBytes_ + bytes.size());
-    unsent_ += bytes;
+    if (unsent_.empty())
+        unsent_ = std::move(bytes);
+    else
+        unsent_ += bytes;
     if (!writing_)
         writeNext();
+    countHeld();
     if (shared_->unsentBytes_ > shared_->limits_.maxUnsentBytes_)
         closeSlowest();
 }
@@ -96,6 +132,7 @@
         return left->unsentBytes_ < right->unsentBytes_;
     };
     const auto &all = shared_->connections_;
+    ++shared_->counters_.closedForMemory_;
     (*std::max_element(all.begin(), all.end(), slower))->close();
 }
 
@@ -104,7 +141,7 @@
     writing_ = true;
     progressAt_ = Clock::now();
     sending_ = std::move(unsent_);
-    unsent_.clear();
+    release(unsent_);
     sent_ = 0;
     writeSome();
 }
@@ -130,11 +167,13 @@
     progressAt_ = Clock::now();
     writing_ = sent_ < sending_.size() || !unsent_.empty();
     if (sent_ < sending_.size())
-        writeSome();
-    else if (!unsent_.empty())
+        return writeSome();
+    release(sending_);
+    if (!unsent_.empty())
         writeNext();
     else
         wakeTimer_.cancel();
+    countHeld();
 }
 
 } // namespace gypsumcroft::http::detail
--- a/src/http/internal/relayconnection.h
+++ b/src/http/internal/relayconnection.h
@@ -11,6 +11,7 @@
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
 
+#include "core/heldbytes.h"
 #include "core/ids.h"
 #include "http/relayserver.h"
 
@@ -34,6 +35,8 @@
     RelayHandler handler_;
     RelayServerLimits limits_;
     std::unordered_set<RelayConnection *> connections_;
+    //! Bytes held for all callers.
+    std::shared_ptr<ByteBudget> callerBytes_;
     //! Bytes waiting to be sent on all connections.
     std::size_t unsentBytes_ = 0;
     //! Bytes of incomplete requests on all connections.
@@ -42,6 +45,7 @@
     bool closeAfterResponses_ = false;
     bool acceptingStopped_ = false;
     bool serverDestroyed_ = false;
+    RelayServerCounters counters_;
 };
 
 struct RelayConnection : std::enable_shared_from_this<RelayConnection>
@@ -51,9 +55,15 @@
 
     void setUnsentBytes(std::size_t bytes);
     void setIncompleteRequestBytes(std::size_t bytes);
+    //! Counts the bytes that the connection holds now for its caller.
+    void countHeld();
+    //! Gives back the memory of the read buffer if nothing is left in it.
+    void releaseReadBuffer();
     void startRead();
+    //! Reads pipelined requests, as far as limits allow.
+    void readAhead();
     void close();
-    void send(std::string_view bytes);
+    void send(std::string bytes);
     //! Closes the connection of this server that has the most bytes waiting to be sent.
     void closeSlowest();
     void writeNext();
@@ -77,6 +87,7 @@
     std::size_t unsentBytes_ = 0;
     //! Bytes of the incomplete request.
     std::size_t incompleteRequestBytes_ = 0;
+    HeldBytes held_;
     //! When the last write completed or the first one started.
     Clock::time_point progressAt_;
     //! When the last request was complete, or else when the connection was accepted.
@@ -93,6 +104,8 @@
     bool reading_ = false;
     bool writing_ = false;
     bool closed_ = false;
+    //! The incomplete request is to be refused, because callers hold too much memory.
+    bool refusedForMemory_ = false;
 };
 
 } // namespace gypsumcroft::http::detail
--- a/src/http/internal/relayserver.cpp
+++ b/src/http/internal/relayserver.cpp
@@ -4,10 +4,9 @@
 #include <cstdio>
 
 #include <boost/asio.hpp>
-#include <boost/beast/core.hpp>
-#include <boost/beast/http.hpp>
 
 #include "relayconnection.h"
+#include "requestreader.h"
 #include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <sys/ioctl.h>
@@ -26,40 +25,13 @@
 constexpr std::chrono::milliseconds DeliveryCheckInterval {20};
 //! Interval between checks for stalled and disconnected callers.
 constexpr std::chrono::milliseconds CheckInterval {250};
-constexpr std::uint16_t StatusTimeout = 408;
-constexpr std::uint16_t StatusTooLarge = 413;
-constexpr std::uint16_t StatusHeaderTooLarge = 431;
-constexpr std::uint16_t StatusBadRequest = 400;
-constexpr std::uint16_t StatusNotImplemented = 501;
-constexpr std::uint16_t StatusUnavailable = 503;
 constexpr std::uint16_t FirstFinalStatus = 200;
 constexpr std::uint16_t StatusNoContent = 204;
 constexpr std::uint16_t StatusNotModified = 304;
-//! HTTP/1.1, the first version with chunked transfer coding and 100 (Continue).
-constexpr unsigned Http11 = 11;
-
-using Parser = beast::http::request_parser<beast::http::string_body>;
-
+//! Bytes held for callers if the process does not count them itself.
+constexpr std::size_t DefaultCallerBytes = 128UL * 1024 * 1024;
 namespace {
 
-std::string headText(RelayConnection &connection, const ResponseHead &head,
-                     const std::string &framing)
-{
-    connection.keepAlive_ = connection.keepAlive_ && !connection.shared_->closeAfterResponses_;
-    std::string text = "HTTP/1.1 " + std::to_string(head.status_) + " ";
-    text += std::string_view(
-            beast::http::obsolete_reason(static_cast<beast::http::status>(head.status_)));
-    text += "\r\n";
-    for (const auto &[name, value] : head.headers_) {
-        if (!isHopByHopField(head.headers_, name))
-            text.append(name).append(": ").append(value).append("\r\n");
-    }
-    text += framing;
-    if (!connection.keepAlive_)
-        text += "Connection: close\r\n";
-    return text + "\r\n";
-}
-
 //! False for responses that end with the header section, whatever its fields say.
 bool statusHasBody(std::uint16_t status)
 {
@@ -81,25 +53,6 @@
     return text.append(bytes).append("\r\n");
 }
 
-RelayRequest requestOf(Parser &parser)
-{
-    auto &message = parser.get();
-    RelayRequest request;
-    request.method_ = std::string(message.method_string());
-    request.target_ = std::string(message.target());
-    for (const auto &field : message)
-        request.headers_.emplace_back(std::string(field.name_string()), std::string(field.value()));
-    request.body_ = std::move(message.body());
-    return request;
-}
-
-asio::awaitable<void> waitForWake(RelayConnection &connection, Clock::time_point until)
-{
-    boost::system::error_code ignored;
-    connection.wakeTimer_.expires_at(until);
-    co_await connection.wakeTimer_.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-}
-
 //! Bytes that the kernel holds for the caller; 0 where it doesn't tell.
 std::size_t unacknowledgedBytes(RelayConnection &connection)
 {
@@ -138,58 +91,12 @@
     }
 }
 
-//! Responds with an error status to a request that could not be read.
-asio::awaitable<void> refuseUnreadable(RelayConnection &connection, std::uint16_t status)
-{
-    connection.keepAlive_ = false;
-    connection.send(headText(connection, {status, {}}, "Content-Length: 0\r\n"));
-    while (connection.writing_ && !connection.closed_)
-        co_await waitForWake(connection, Clock::time_point::max());
-}
-
-std::uint16_t refusalStatus(const boost::system::error_code &error)
-{
-    if (error == beast::http::error::body_limit)
-        return StatusTooLarge;
-    if (error == beast::http::error::header_limit || error == beast::http::error::buffer_overflow)
-        return StatusHeaderTooLarge;
-    return StatusBadRequest;
-}
-
-//! Reads until the header section or the whole message is parsed. Returns 0 on success, the status
-//! to refuse the request with, or nothing if the connection was closed.
-asio::awaitable<std::optional<std::uint16_t>> readUntil(RelayConnection &connection, Parser &parser,
-                                                        bool headerOnly, Clock::time_point until)
-{
-    while (headerOnly ? !parser.is_header_done() : !parser.is_done()) {
-        if (connection.buffer_.size() > 0) {
-            boost::system::error_code error;
-            const std::size_t used = parser.put(connection.buffer_.data(), error);
-            connection.buffer_.consume(used);
-            if (error && error != beast::http::error::need_more)
-                co_return refusalStatus(error);
-            connection.setIncompleteRequestBytes(connection.incompleteRequestBytes_ + used);
-            if (connection.shared_->incompleteRequestBytes_
-                > connection.shared_->limits_.maxIncompleteRequestBytes_)
-                co_return StatusUnavailable;
-            if (used > 0)
-                continue;
-        }
-        if (connection.closed_)
-            co_return std::nullopt;
-        if (Clock::now() >= until)
-            co_return StatusTimeout;
-        connection.startRead();
-        co_await waitForWake(connection, until);
-    }
-    co_return 0;
-}
-
 //! Waits for the first byte of a request. Returns false if the connection is closed, the server
 //! stops accepting or the idle timeout expires.
 asio::awaitable<bool> awaitRequest(RelayConnection &connection)
 {
     const auto until = Clock::now() + connection.shared_->limits_.idleTimeout_;
+    connection.releaseReadBuffer();
     while (connection.buffer_.size() == 0) {
         if (connection.closed_ || connection.shared_->acceptingStopped_ || Clock::now() >= until)
             co_return false;
@@ -199,60 +106,23 @@
     co_return true;
 }
 
-//! Status to refuse a request with whose length can't be determined reliably; 0 if it can.
-std::uint16_t framingRefusal(Parser &parser)
-{
-    const auto &message = parser.get();
-    const auto field = beast::http::field::transfer_encoding;
-    const auto count = message.count(field);
-    if (count == 0)
-        return 0;
-    if (message.version() < Http11)
-        return StatusBadRequest;
-    return count == 1 && beast::iequals(message[field], "chunked") ? 0 : StatusNotImplemented;
-}
-
-asio::awaitable<bool> readRequest(RelayConnection &connection, Parser &parser)
-{
-    const RelayServerLimits limits = connection.shared_->limits_;
-    parser.header_limit(limits.maxHeaderBytes_);
-    parser.body_limit(limits.maxBodyBytes_);
-    const auto start = Clock::now();
-    auto status = co_await readUntil(connection, parser, true, start + limits.headerTimeout_);
-    if (status == 0)
-        status = framingRefusal(parser);
-    if (status == 0) {
-        if (!parser.is_done() && parser.get().version() >= Http11
-            && beast::iequals(parser.get()[beast::http::field::expect], "100-continue"))
-            connection.send("HTTP/1.1 100 Continue\r\n\r\n");
-        status = co_await readUntil(connection, parser, false, Clock::now() + limits.bodyTimeout_);
-    }
-    connection.setIncompleteRequestBytes(0);
-    if (status == 0)
-        co_return true;
-    if (status)
-        co_await refuseUnreadable(connection, *status);
-    co_return false;
-}
-
 asio::awaitable<void> serve(std::shared_ptr<RelayConnection> connection)
 {
     boost::system::error_code ignored;
     connection->socket_.set_option(tcp::no_delay(true), ignored);
     while (!connection->closed_ && co_await awaitRequest(*connection)) {
-        Parser parser;
-        if (!co_await readRequest(*connection, parser))
+        auto request = co_await readRequest(*connection);
+        if (!request)
             break;
         ++connection->exchangeNumber_;
         connection->responseProgress_ = ResponseProgress::NotStarted;
-        connection->headRequest_ = parser.get().method() == beast::http::verb::head;
-        connection->supportsChunked_ = parser.get().version() >= Http11;
-        connection->keepAlive_ = parser.get().keep_alive();
         connection->requestInProgress_ = true;
         connection->lastRequestAt_ = Clock::now();
-        connection->startRead();
-        connection->shared_->handler_(requestOf(parser),
+        connection->releaseReadBuffer();
+        connection->readAhead();
+        connection->shared_->handler_(std::move(*request),
                                       std::make_shared<RelayExchange>(connection));
+        request.reset();
         while (!connection->closed_
                && (connection->responseProgress_ != ResponseProgress::Complete
                    || connection->writing_))
@@ -449,7 +319,7 @@
             hasBody ? "Content-Length: " + std::to_string(body.size()) + "\r\n" : "");
     if (hasBody && !connection_->headRequest_)
         text += body;
-    connection_->send(text);
+    connection_->send(std::move(text));
     connection_->wakeTimer_.cancel();
 }
 
@@ -476,7 +346,7 @@
     if (connection_->bodyFraming_ == detail::BodyFraming::Chunked)
         connection_->send(detail::chunkOf(bytes));
     else
-        connection_->send(bytes);
+        connection_->send(std::string(bytes));
 }
 
 void RelayExchange::finishResponse()
@@ -521,10 +391,14 @@
     return connection_->id_;
 }
 
-RelayServer::RelayServer(asio::io_context &context, RelayHandler handler)
+RelayServer::RelayServer(asio::io_context &context, RelayHandler handler,
+                         std::shared_ptr<ByteBudget> callerBytes)
     : impl_(std::make_shared<Impl>(context))
 {
     impl_->shared_->handler_ = std::move(handler);
+    impl_->shared_->callerBytes_ = callerBytes ? std::move(callerBytes)
+                                               : std::make_shared<ByteBudget>(ByteBudget {
+                                                       detail::DefaultCallerBytes, 0, nullptr});
 }
 
 RelayServer::~RelayServer()
@@ -579,6 +453,11 @@
                        [](auto *connection) { return !detail::isDelivered(*connection); });
 }
 
+RelayServerCounters RelayServer::counters() const
+{
+    return impl_->shared_->counters_;
+}
+
 std::size_t RelayServer::bufferedBytes() const
 {
     return impl_->shared_->unsentBytes_ + impl_->shared_->incompleteRequestBytes_;
--- a/src/http/internal/relaytypes.cpp
+++ b/src/http/internal/relaytypes.cpp
@@ -47,6 +47,15 @@
                          [&](char l, char r) { return lower(l) == lower(r); });
 }
 
+std::size_t memoryOf(const RelayRequest &request)
+{
+    std::size_t bytes = sizeof request + request.target_.capacity() + request.body_.capacity()
+                        + request.headers_.capacity() * sizeof(HeaderList::value_type);
+    for (const auto &[name, value] : request.headers_)
+        bytes += name.size() + value.size();
+    return bytes;
+}
+
 std::optional<std::string_view> findHeader(const HeaderList &headers, std::string_view name)
 {
     for (const auto &[header, value] : headers) {
--- a/src/http/relayserver.h
+++ b/src/http/relayserver.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <memory>
 
+#include "core/heldbytes.h"
 #include "core/ids.h"
 #include "core/result.h"
 #include "core/units.h"
@@ -70,15 +71,25 @@
     //! Bytes waiting to be sent on all connections. When exceeded, the connection with the most
     //! such bytes is closed.
     std::size_t maxUnsentBytes_ = 64UL * 1024 * 1024;
-    //! Bytes of incomplete requests on all connections. When exceeded, the request that is being
-    //! read is refused with 503.
+    //! Bytes of incomplete requests on all connections. When exceeded, or when callers hold more
+    //! than their bytes altogether, the largest incomplete requests are refused with 503.
     std::size_t maxIncompleteRequestBytes_ = 64UL * 1024 * 1024;
 };
 
+struct RelayServerCounters
+{
+    //! Incomplete requests refused because callers held too much memory.
+    std::uint64_t refusedForMemory_ = 0;
+    //! Connections closed because unsent responses took too much memory.
+    std::uint64_t closedForMemory_ = 0;
+};
+
 class RelayServer
 {
 public:
-    RelayServer(boost::asio::io_context &context, RelayHandler handler);
+    //! callerBytes counts the bytes that are held for callers; without one the server has its own.
+    RelayServer(boost::asio::io_context &context, RelayHandler handler,
+                std::shared_ptr<ByteBudget> callerBytes = nullptr);
     ~RelayServer();
     RelayServer(const RelayServer &) = delete;
     RelayServer &operator=(const RelayServer &) = delete;
@@ -95,6 +106,7 @@
     bool hasUndelivered() const;
     //! Bytes waiting to be sent plus bytes of incomplete requests, on all connections.
     std::size_t bufferedBytes() const;
+    RelayServerCounters counters() const;
 
 private:
     struct Impl;
--- a/src/http/relaytypes.h
+++ b/src/http/relaytypes.h
@@ -23,6 +23,9 @@
     std::string body_;
 };
 
+//! Memory that a request takes, in bytes.
+std::size_t memoryOf(const RelayRequest &request);
+
 struct ResponseHead
 {
     std::uint16_t status_ = 200;
--- a/src/http/tests/tst_relayserver.cpp
+++ b/src/http/tests/tst_relayserver.cpp
@@ -33,6 +33,16 @@
     return out << test.name_;
 }
 
+const std::string ChunkedHead = "POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+std::string repeated(const std::string &text, std::size_t times)
+{
+    std::string all;
+    for (std::size_t i = 0; i < times; ++i)
+        all += text;
+    return all;
+}
+
 const CallerCase CallerCases[] = {
         {"one request", "GET /a HTTP/1.1\r\nHost: x\r\n\r\n", "200"},
         {"two pipelined requests",
@@ -42,6 +52,11 @@
         {"chunked body",
          "POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
          "200"},
+        {"chunk extension", ChunkedHead + "3;name=value\r\nabc\r\n0\r\n\r\n", "200"},
+        {"trailers", ChunkedHead + "3\r\nabc\r\n0\r\nX-More: y\r\n\r\n", "200"},
+        {"chunk extension without end", ChunkedHead + "3;" + std::string(20000, 'x'), "431"},
+        {"trailers without end", ChunkedHead + "0\r\n" + repeated("X-More: y\r\n", 2000), "431"},
+        {"one trailer without end", ChunkedHead + "0\r\nX-More: " + std::string(20000, 'x'), "431"},
         {"Expect: 100-continue",
          "POST /a HTTP/1.1\r\nHost: x\r\nExpect: 100-continue\r\nContent-Length: 1\r\n\r\na",
          "100 200"},
