--- a/src/wire/internal/codec.cpp
+++ b/src/wire/internal/codec.cpp
@@ -12,6 +12,7 @@
 #include <cereal/types/variant.hpp>
 #include <cereal/types/vector.hpp>
 
+#include "boundedarchive.h"
 #include "core/hash.h"
 
 namespace gypsumcroft {
@@ -343,8 +344,7 @@
 std::optional<Value> decodeValue(std::string_view bytes)
 {
     try {
-        std::istringstream stream {std::string(bytes)};
-        cereal::PortableBinaryInputArchive archive(stream);
+        BoundedInputArchive archive(bytes);
         Value value;
         archive(value);
         return value;
@@ -419,8 +419,7 @@
     if (bytes.size() < FrameHeaderBytes)
         return std::nullopt;
     try {
-        std::istringstream stream {std::string(bytes.substr(FrameHeaderBytes, PrefixBytes))};
-        cereal::PortableBinaryInputArchive archive(stream);
+        detail::BoundedInputArchive archive(bytes.substr(FrameHeaderBytes, PrefixBytes));
         std::int32_t index = 0; // As cereal encodes the alternative of a variant.
         archive(index);
         if (static_cast<std::size_t>(index) != Datagram(GatewayDigestMessage {}).index())
