--- a/src/documents/internal/gatewaysettings.cpp
+++ b/src/documents/internal/gatewaysettings.cpp
@@ -12,6 +12,9 @@
 //! Largest value of a setting in milliseconds.
 constexpr std::int64_t MaxDurationMs = 600000;
 constexpr std::uint32_t MaxPartitions = 10000;
+//! Less does not hold the process and one request and response of the largest size.
+constexpr std::int64_t MinMemoryMb = 64;
+constexpr std::int64_t MaxMemoryMb = 1'000'000;
 
 Duration readMilliseconds(ObjectReader &reader, std::string_view name, Duration fallback)
 {
@@ -66,6 +69,13 @@
     bounds.reportUnknownMembers();
 }
 
+void readMemory(ObjectReader &limits, InstanceLimits &instance)
+{
+    const auto memory = limits.integer("memoryMb", false, MinMemoryMb, MaxMemoryMb);
+    if (memory)
+        instance.memoryMb_ = static_cast<std::uint32_t>(*memory);
+}
+
 void readStore(ObjectReader &reader, GatewaySettings &settings, Findings &findings)
 {
     const boost::json::value *value = reader.member("store", true);
@@ -104,6 +114,7 @@
     if (value == nullptr)
         return;
     ObjectReader limits(*value, reader.placeOf("limits"), findings);
+    readMemory(limits, settings.limits_);
     readCapacity(limits, settings);
     limits.reportUnknownMembers();
 }
@@ -172,6 +183,8 @@
     compare(changes.needRestart_, "callers", running.callerAddress_, loaded.callerAddress_);
     compare(changes.needRestart_, "ready", running.readinessAddress_, loaded.readinessAddress_);
     compare(changes.needRestart_, "metrics", running.metricsAddress_, loaded.metricsAddress_);
+    compare(changes.needRestart_, "limits/memoryMb", running.limits_.memoryMb_,
+            loaded.limits_.memoryMb_);
     compare(changes.needRestart_, "store/address", running.storeAddress_, loaded.storeAddress_);
     return changes;
 }
--- a/src/documents/tests/tst_documents.cpp
+++ b/src/documents/tests/tst_documents.cpp
@@ -129,7 +129,7 @@
           R"("store":{"address":"127.0.0.1:5","partitions":12,"shortestLifetimeMs":3000},)"
           R"("bounds":{"strictRevoke":true,"revokeMs":5000,"applyMs":2000,"drainMs":2000,)"
           R"("retryRatio":0.2,"retrySlack":100,"retryWindowS":10,"graceS":8},)"
-          R"("limits":{"cpuShare":0.5,"linkMbps":200}})";
+          R"("limits":{"cpuShare":0.5,"linkMbps":200,"memoryMb":112}})";
 
 const ReloadCase ReloadCases[] = {
         {"{", "{", "", ""},
@@ -153,6 +153,8 @@
         {"127.0.0.1:3\"", "127.0.0.1:9\"", "", "ready"},
         {"127.0.0.1:4\"", "127.0.0.1:9\"", "", "metrics"},
         {"127.0.0.1:5\"", "127.0.0.1:9\"", "", "store/address"},
+        {"\"memoryMb\":112", "\"memoryMb\":512", "", "limits/memoryMb"},
+        {"\"memoryMb\":112", "", "", "limits/memoryMb"},
 };
 
 std::string joined(const std::vector<std::string> &names)
