Ranks keep their order in a double flood, and refused callers come back later

Change: a request of a rank is not limited once it is less than the minimum share of what its gateway has started since the rank's last request.

--- a/src/filters/gatewaystate.h
+++ b/src/filters/gatewaystate.h
@@ -273,6 +273,8 @@
     DrainRate drained_;
     //! When a request of each rank was dispatched last from either queue.
     std::array<std::optional<TimePoint>, RankCount> startedAt_;
+    //! Work of all ranks that was dispatched since a request of each rank was.
+    std::array<Tokens, RankCount> startedSince_ {};
 };
 
 struct GatewayCounters
@@ -329,6 +331,9 @@
     //! Delay before a retry that is suggested to a refused caller, at least; none is suggested for
     //! an unknown route or an unauthorised caller.
     Duration retryAfter_ = std::chrono::milliseconds(400);
+    //! Part of the queue timeout that is left of the expected wait when a refused caller comes
+    //! back. Callers that come back earlier wait again, and most of them are late or refused then.
+    double retryEarlierPart_ = 0;
     //! A load reported by an endpoint is ignored once it is older than this.
     Duration maxReportedLoadAge_ = std::chrono::milliseconds(300);
     LoopWindowLimits loopWindow_;
--- a/src/filters/internal/gatewayfilters.cpp
+++ b/src/filters/internal/gatewayfilters.cpp
@@ -303,6 +303,8 @@
         const TargetQueues &queues = found->second;
         service.belowMinShare_
                 = isBelowMinShare(context.overdue_ ? queues.overdue_ : queues.onTime_, rank);
+        service.work_ = workOf(context);
+        service.startedSince_ = queues.startedSince_.at(static_cast<std::size_t>(rank));
         service.startedAt_ = queues.startedAt_.at(static_cast<std::size_t>(rank));
     }
     return maxUtilisation(state.limits_.rankRoom_, ranksOfTarget(*view.table_, context.target_),
--- a/src/filters/rankdemand.h
+++ b/src/filters/rankdemand.h
@@ -6,10 +6,6 @@
 
 namespace gypsumcroft {
 
-//! Minimum share of a target's work by rank: keeps the less urgent ranks served under overload.
-inline constexpr std::array<PerMille, RankCount> RankMinShares
-        = {PerMille {0}, PerMille {80}, PerMille {80}};
-
 //! Expected work of a request, for the queue's shares and the demand.
 Tokens workOf(const GatewayContext &context);
 
--- a/src/gateway/internal/requestend.cpp
+++ b/src/gateway/internal/requestend.cpp
@@ -19,14 +19,21 @@
         state.byRequestId_.erase(own);
 }
 
+Duration scaled(Duration duration, double factor)
+{
+    return Duration(static_cast<std::int64_t>(factor * static_cast<double>(duration.count())));
+}
+
 //! Delay after which capacity is expected for a refused request.
 Duration untilCapacity(GatewayTraffic &state, const GatewayContext &context, TimePoint now)
 {
     const Duration least = state.limits_.retryAfter_;
     if (!context.expectedWait_ || context.expectedWait_->wait_ <= Duration())
         return least;
-    return retryDelayFor(context.expectedWait_->wait_, queueTimeout(context.route_, state.limits_),
-                         least, context.deadline_ - now, state.random_);
+    const Duration earlier
+            = scaled(queueTimeout(context.route_, state.limits_), state.limits_.retryEarlierPart_);
+    return retryDelayFor(context.expectedWait_->wait_, earlier, least, context.deadline_ - now,
+                         state.random_);
 }
 
 //! Delay before a retry that the caller of a refused request is told.
--- a/src/gateway/internal/traffic.cpp
+++ b/src/gateway/internal/traffic.cpp
@@ -110,6 +110,9 @@
             return;
         recordDrained(rate, next->work_, now);
         queues.startedAt_.at(static_cast<std::size_t>(next->rank_)) = now;
+        for (Tokens &since : queues.startedSince_)
+            since.value_ += next->work_.value_;
+        queues.startedSince_.at(static_cast<std::size_t>(next->rank_)) = next->work_;
         Context &context = state.requests_.at(exchangeOf(*next));
         countStarted(context, state, now);
         context.queued_ = false;
--- a/src/gateway/tests/tst_demand.cpp
+++ b/src/gateway/tests/tst_demand.cpp
@@ -8,6 +8,7 @@
 #include <limits>
 
 #include "gateway/control.h"
+#include "gateway/traffic.h"
 
 using namespace gypsumcroft;
 using std::chrono::milliseconds;
@@ -111,8 +112,98 @@
     return count;
 }
 
+struct ArrivalCase
+{
+    const char *name_;
+    //! Target with 1000 tokens/s started, and the work that waits for it at the other gateways.
+    const char *target_;
+    double waiting_;
+    std::uint32_t gateways_;
+    int callerTimeoutMs_;
+    bool hasEndpoint_;
+    //! "refused", "queued" or "sent".
+    const char *outcome_;
+};
+
+std::ostream &operator<<(std::ostream &out, const ArrivalCase &test)
+{
+    return out << test.name_;
+}
+
+//! The queue timeout of the route is 960 ms.
+const ArrivalCase ArrivalCases[] = {
+        {"nothing is known of the others", "", 0, 5, 3000, false, "queued"},
+        {"only another target is known", "model", 5000, 5, 3000, false, "queued"},
+        {"little work waits", "desk", 90, 5, 3000, false, "queued"},
+        {"a wait within the queue timeout", "desk", 950, 5, 3000, false, "queued"},
+        {"a wait beyond it", "desk", 970, 5, 3000, false, "refused"},
+        {"a wait beyond the caller's deadline", "desk", 600, 5, 500, false, "refused"},
+        {"a long wait elsewhere, and a free endpoint", "desk", 5000, 5, 3000, true, "sent"},
+};
+
+GatewayView viewFor(const ArrivalCase &test)
+{
+    RouteRule route;
+    route.name_ = {"commit"};
+    route.host_ = "desk";
+    route.pathPrefix_ = "/commit/";
+    route.timeout_ = seconds(3);
+    route.latencyTarget_ = milliseconds(300);
+    route.priority_ = {2};
+    route.targets_ = {{{"desk"}, 1}};
+    DesiredState desired;
+    desired.version_ = {1};
+    desired.routes_ = {route};
+    desired.targets_ = {{{"desk"}, "", 0, {}}};
+    ListedEndpoint endpoint;
+    endpoint.id_ = {"d1"};
+    endpoint.target_ = {"desk"};
+    endpoint.address_ = {"127.0.0.1", 1};
+    endpoint.slots_ = 6;
+    EndpointListState list;
+    if (test.hasEndpoint_)
+        applyEndpointList(list, {endpoint}, at(0), at(0));
+    GatewayView view;
+    view.table_ = buildRouteTable(std::move(desired));
+    view.endpoints_ = buildEndpointIndex(list);
+    view.gatewayCount_ = test.gateways_;
+    auto demand = std::make_shared<FleetDemand>();
+    if (*test.target_ != '\0')
+        addDemand(*demand, {{{test.target_}, Rank::Background, test.waiting_, 1000, 1000}});
+    view.peerDemand_ = demand;
+    return view;
+}
+
+std::string outcomeOf(const GatewayTraffic &traffic)
+{
+    for (const GatewayEffect &effect : traffic.effects_) {
+        if (std::holds_alternative<DispatchRequest>(effect))
+            return "sent";
+        if (const auto *refusal = std::get_if<RefuseRequest>(&effect))
+            return refusal->refusal_ == GatewayRefusal::Overloaded ? "refused" : "wrong";
+    }
+    return "queued";
+}
+
 } // namespace
 
+// A request that is kept although it will be refused later, and one that is refused although it
+// could be served or nothing speaks against it.
+BOOST_DATA_TEST_CASE(requestsAreRefusedByTheirExpectedWait, ArrivalCases, test)
+{
+    GatewayTraffic traffic;
+    GatewayRequest request;
+    request.exchange_ = {1};
+    request.id_ = {"r1"};
+    request.host_ = "desk";
+    request.path_ = "/commit/x";
+    request.timeout_ = milliseconds(test.callerTimeoutMs_);
+    onGatewayRequest(traffic, viewFor(test), std::move(request), at(0));
+    BOOST_TEST(outcomeOf(traffic) == test.outcome_);
+    BOOST_TEST(traffic.counters_.refusedOnArrival_[2]
+               == (outcomeOf(traffic) == "refused" ? 1U : 0U));
+}
+
 // Demand of gateways that have gone, that counts twice or that nobody measured makes gateways
 // refuse requests that could be served.
 BOOST_DATA_TEST_CASE(recentDemandOfOthersIsSummed, DemandCases, test)
--- a/src/policy/rankroom.h
+++ b/src/policy/rankroom.h
@@ -11,6 +11,10 @@
 
 namespace gypsumcroft {
 
+//! Minimum share of a target's work by rank: keeps the less urgent ranks served under overload.
+inline constexpr std::array<PerMille, RankCount> RankMinShares
+        = {PerMille {0}, PerMille {80}, PerMille {80}};
+
 struct RankRoomLimits
 {
     //! Highest utilisation of a path to which a request of each rank may raise it.
@@ -27,6 +31,10 @@
 struct RankService
 {
     bool belowMinShare_ = false;
+    //! Work of the request that waits.
+    Tokens work_;
+    //! Work of all ranks that was started since a request of the rank was, that one included.
+    Tokens startedSince_;
     //! When a request of the rank was started last.
     std::optional<TimePoint> startedAt_;
 };
@@ -34,7 +42,9 @@
 Rank rankOf(Priority priority);
 
 //! True if requests of the rank must leave capacity to more urgent ones: a more urgent rank is
-//! present, and the rank got its minimum share.
+//! present, and the rank got its minimum share. It didn't if the request is less than that share of
+//! what was started since the rank's last request, whatever the rank had before: it would wait
+//! until that is forgotten.
 bool isLimited(const RankRoomLimits &limits, const RanksPresent &present, Rank rank,
                const RankService &service, TimePoint now);
 
--- a/src/policy/tests/tst_rankroom.cpp
+++ b/src/policy/tests/tst_rankroom.cpp
@@ -20,6 +20,8 @@
     //! Time since a request of the rank was started; negative for never.
     int startedMsAgo_;
     double limit_;
+    //! Work of all ranks since then; the request has 80 tokens.
+    std::int64_t startedSince_ = 0;
 };
 
 std::ostream &operator<<(std::ostream &out, const RoomCase &test)
@@ -61,6 +63,8 @@
          10,
          0.85},
         {"below its minimum share", All, Rank::Background, true, 10, 1.0},
+        {"its share is not due yet", All, Rank::Background, false, 10, 0.85, 1000},
+        {"its share is due", All, Rank::Background, false, 10, 1.0, 1001},
         {"nothing started yet", All, Rank::Background, false, -1, 1.0},
         {"nothing started for nearly two seconds", All, Rank::Standard, false, 1999, 0.93},
         {"nothing started for two seconds", All, Rank::Standard, false, 2000, 1.0},
@@ -92,6 +96,8 @@
 {
     RankService service;
     service.belowMinShare_ = test.belowMinShare_;
+    service.work_ = {80};
+    service.startedSince_ = {test.startedSince_};
     if (test.startedMsAgo_ >= 0)
         service.startedAt_ = Now - milliseconds(test.startedMsAgo_);
     BOOST_TEST(maxUtilisation({}, test.present_, test.rank_, service, Now) == test.limit_);
