--- a/src/policy/internal/outputsize.cpp
+++ b/src/policy/internal/outputsize.cpp
@@ -96,9 +96,9 @@
 Tokens expectedOutput(const OutputSizes &sizes, const OutputKey &key, std::optional<Tokens> hint,
                       Tokens limit, Tokens typical)
 {
-    static const RouteOutputs Unknown;
+    const RouteOutputs unknown;
     const auto found = sizes.routes_.find(key.route_);
-    const RouteOutputs &route = found == sizes.routes_.end() ? Unknown : found->second;
+    const RouteOutputs &route = found == sizes.routes_.end() ? unknown : found->second;
     if (!hint && typical.value_ <= 0 && route.length_.count_ == 0)
         return limit;
     const double factor = detail::blend(route.meanFactor_, 1, detail::RoutePrior);
