Operators see slow endpoints and expected lengths

Cause: the log and the metrics didn't say which endpoints paths avoid, nor what is reserved for a response; the events endpoint-slow, endpoint-recovered and speed-dropped weren't documented. Ruled out: a metric for each endpoint (thousands of series on the smallest gateways).

--- a/src/app/internal/gatewayprocess.cpp
+++ b/src/app/internal/gatewayprocess.cpp
@@ -85,6 +85,7 @@
     auto &age = metrics_.gauge("config_age_ms", "Time since the state in force was confirmed");
     auto &listAge = metrics_.gauge("endpoint_list_age_ms", "Time since the list was confirmed");
     auto &lease = metrics_.gauge("placement_lease", "1 while this process places layers");
+    auto &slow = metrics_.gauge("endpoints_slow", "Endpoints that count as slower than their kind");
     metrics_.setReady([this] { return !stopping_ && control_.isReady(); });
     metrics_.setRefresh([&, this] {
         const TimePoint now = monotonicNow();
@@ -105,6 +106,7 @@
         age.Set(toMilliseconds(desiredStateAge(routes, now).value_or(Duration())));
         const auto listedAt = control_.state().endpoints_.confirmedAt_;
         listAge.Set(listedAt ? toMilliseconds(now - *listedAt) : 0);
+        slow.Set(static_cast<double>(control_.state().speeds_.slow_.size()));
         lease.Set(holdsLease(control_.state().lease_, now) ? 1 : 0);
     });
 }
--- a/src/filters/internal/gatewayfilters.cpp
+++ b/src/filters/internal/gatewayfilters.cpp
@@ -393,6 +393,7 @@
                              .add("cost_ms", context.plan_->cost_)
                              .add("fill", context.plan_->utilisation_)
                              .add("slow", slowdownOfPath(view, state, context.plan_->path_, now))
+                             .add("expected_tokens", context.expectedOutput_)
                              .add("waited_ms", now - context.arrivedAt_)
                              .add("config", view.table_->state_.version_)
                              .add("config_age_ms", now - view.stateConfirmedAt_.value_or(now))
--- a/src/gateway/internal/traffic.cpp
+++ b/src/gateway/internal/traffic.cpp
@@ -262,7 +262,8 @@
     addEndpointConnection(line, context);
     if (context.streamStarted_)
         line.add("first_event_ms", context.firstEventAt_ - context.arrivedAt_)
-                .add("longest_pause_ms", context.longestPause_);
+                .add("longest_pause_ms", context.longestPause_)
+                .add("events", context.eventCount_);
     emit(state, logEvent(LogLevel::Info, line));
 }
 
--- a/src/gateway/tests/tst_slowendpoints.cpp
+++ b/src/gateway/tests/tst_slowendpoints.cpp
@@ -327,7 +327,8 @@
     }
 }
 
-void every(Fleet &fleet, TimePoint from, Duration interval, std::function<void(TimePoint)> action)
+void every(Fleet &fleet, TimePoint from, Duration interval,
+           const std::function<void(TimePoint)> &action)
 {
     fleet.events_.emplace(from, [&fleet, interval, action](TimePoint now) {
         action(now);
