--- a/lab/tests/tst_clients.cpp
+++ b/lab/tests/tst_clients.cpp
@@ -67,7 +67,7 @@
 const std::string HalfBody = head("POST /look/x", "Content-Length: 4000000\r\n\r\n");
 const std::string Look = head("GET /look/x", "\r\n");
 const std::string Quote
-        = head("POST /quote/x", "X-Token-Count: 100,20\r\nContent-Length: 0\r\n\r\n");
+        = head("POST /quote/x", "Content-Length: 0\r\nX-Token-Count: 100,20\r\n\r\n");
 
 const CallerCase CallerCases[] = {
         {"endless-trailers", 4, Chunked + "1\r\na\r\n0\r\n", "X-More: y\r\n", 64 * Megabyte},
