--- a/src/filters/internal/gatewayfilters.cpp
+++ b/src/filters/internal/gatewayfilters.cpp
@@ -5,20 +5,17 @@
 #include <utility>
 
 #include "core/hash.h"
+#include "dispatching.h"
 #include "filters/expectedoutput.h"
 #include "filters/pathspeed.h"
 #include "filters/rankdemand.h"
-#include "policy/leastload.h"
+#include "pathchoice.h"
 
 namespace gypsumcroft {
 
 namespace detail {
 namespace {
 
-//! Added to the path cost of an endpoint for each of its recent consecutive failures.
-constexpr Duration AvoidedPenalty = std::chrono::milliseconds(400);
-//! Added to the path cost of an endpoint that already failed this request.
-constexpr Duration FailedPenalty = std::chrono::milliseconds(5000);
 //! Keeps traits of prompt parts apart from those of whole requests.
 constexpr std::uint64_t PromptPartSeed = 0x70617274;
 //! Requests that may wait at a plain service in addition to those in its slots.
@@ -209,149 +206,6 @@
     return {FilterAction::Done, {}};
 }
 
-const EngineSpec *engineOf(const GatewayContext &context, const GatewayView &view)
-{
-    const TargetSpec *target = findTarget(*view.table_, context.target_);
-    return target == nullptr || !target->engine_ ? nullptr : &*target->engine_;
-}
-
-Duration penaltyOf(const GatewayContext &context, const EndpointId &id, const EndpointUsage &usage,
-                   TimePoint now)
-{
-    if (context.failedEndpoints_.contains(id))
-        return FailedPenalty;
-    return isCoolingDown(usage.health_, now) ? AvoidedPenalty * usage.health_.consecutiveFailures_
-                                             : Duration();
-}
-
-EndpointLoad peerLoad(const GatewayView &view, const EndpointId &endpoint)
-{
-    const auto found = view.peerLoads_->find(endpoint);
-    return found == view.peerLoads_->end() ? EndpointLoad {} : found->second;
-}
-
-//! Estimated load that the other gateways added since their last report. Each is assumed to have
-//! added as much as this gateway did, because all see the same free capacity at the same time.
-EndpointLoad estimatedPeerGrowth(const GatewayView &view, const EndpointId &endpoint,
-                                 const EndpointLoad &own)
-{
-    const auto reported = view.lastDigestLoads_->find(endpoint);
-    const EndpointLoad before
-            = reported == view.lastDigestLoads_->end() ? EndpointLoad {} : reported->second;
-    EndpointLoad growth;
-    growth.kvUsed_ = std::max(0.0, own.kvUsed_ - before.kvUsed_) * view.peerCount_;
-    growth.begun_ = (std::max(own.begun_, before.begun_) - before.begun_) * view.peerCount_;
-    return growth;
-}
-
-bool hasAskedForPause(const GatewayView &view, const EndpointUsage &usage,
-                      const ListedEndpoint &listed, TimePoint now)
-{
-    if (usage.pausedIncarnation_ == listed.incarnation_ && now < usage.pausedUntil_)
-        return true;
-    const auto paused = view.pausedUntil_.find(listed.id_);
-    return paused != view.pausedUntil_.end() && now < paused->second;
-}
-
-//! True if the endpoint list has the endpoint as ready, it answers probes, and it has not said that
-//! it is leaving or wants no requests for now.
-bool isUsable(const GatewayView &view, const EndpointUsage &usage, const ListedEndpoint &listed,
-              TimePoint now)
-{
-    return listed.state_ == ListedState::Ready && !view.downEndpoints_.contains(listed.id_)
-           && usage.leavingIncarnation_ != listed.incarnation_
-           && !hasAskedForPause(view, usage, listed, now);
-}
-
-std::vector<PathNode> pathNodes(const GatewayContext &context, const GatewayView &view,
-                                const EngineSpec &engine, GatewayTraffic &state, TimePoint now)
-{
-    std::vector<PathNode> nodes;
-    const auto found = view.endpoints_->byTarget_.find(context.target_);
-    if (found == view.endpoints_->byTarget_.end())
-        return nodes;
-    for (const std::size_t index : found->second) {
-        const ListedEndpoint &listed = view.endpoints_->endpoints_[index];
-        const auto kind = engine.accelerators_.find(listed.accelerator_);
-        const EndpointUsage &usage = state.endpointUsage_[listed.id_];
-        if (!isUsable(view, usage, listed, now) || !listed.layers_
-            || kind == engine.accelerators_.end())
-            continue;
-        PathNode node {listed.id_, listed.address_, listed.domain_, *listed.layers_};
-        const double slowdown = slowdownOf(view, state, listed, now);
-        node.decodeFactor_ = kind->second.decodeFactor_ * slowdown;
-        node.prefillFactor_ = kind->second.prefillFactor_ * slowdown;
-        const EndpointLoad peers = peerLoad(view, listed.id_);
-        node.pendingPrefill_ = usage.load_.pendingPrefill_ + peers.pendingPrefill_;
-        node.streams_ = usage.load_.streams_ + peers.streams_;
-        node.kvCapacity_ = kvCapacity(engine, kind->second,
-                                      listed.layers_->end_.value_ - listed.layers_->first_.value_);
-        const EndpointLoad growth = estimatedPeerGrowth(view, listed.id_, usage.load_);
-        node.kvUsed_ = usage.load_.kvUsed_ + peers.kvUsed_ + growth.kvUsed_;
-        node.slots_ = engine.slots_;
-        node.begun_ = usage.load_.begun_ + peers.begun_ + growth.begun_;
-        node.penalty_ = penaltyOf(context, listed.id_, usage, now);
-        nodes.push_back(std::move(node));
-    }
-    return nodes;
-}
-
-//! Highest utilisation of a path to which the request may raise it.
-double maxUtilisationOf(const GatewayContext &context, const GatewayView &view,
-                        const GatewayTraffic &state, TimePoint now)
-{
-    const Rank rank = rankOf(context.priority_);
-    RankService service;
-    const auto found = state.queues_.find(context.target_);
-    if (found != state.queues_.end()) {
-        const TargetQueues &queues = found->second;
-        service.belowMinShare_
-                = isBelowMinShare(context.overdue_ ? queues.overdue_ : queues.onTime_, rank);
-        service.work_ = workOf(context);
-        service.startedSince_ = queues.startedSince_.at(static_cast<std::size_t>(rank));
-        service.startedAt_ = queues.startedAt_.at(static_cast<std::size_t>(rank));
-    }
-    return maxUtilisation(state.limits_.rankRoom_, ranksOfTarget(*view.table_, context.target_),
-                          rank, service, now);
-}
-
-std::optional<PlannedPath> planFor(const GatewayContext &context, const GatewayView &view,
-                                   const EngineSpec &engine, GatewayTraffic &state, TimePoint now)
-{
-    // The KV cache of a response grows token by token, so that it takes half of its final size on
-    // average. The callers' estimates are below the mean of what they get; reserving the learned
-    // mean, which is higher, left capacity unused in floods and served fewer.
-    const PathDemand demand {view.domain_,
-                             context.request_.promptTokens_,
-                             {context.request_.expectedOutput_.value_ / 2},
-                             hasCrossDomainBudget(state.crossDomainBudgets_[context.target_],
-                                                  engine, view.gatewayCount_, now),
-                             maxUtilisationOf(context, view, state, now)};
-    return planPath(engine, pathNodes(context, view, engine, state, now), demand);
-}
-
-std::optional<ServiceChoice> chooseService(const GatewayContext &context, const GatewayView &view,
-                                           GatewayTraffic &state, TimePoint now)
-{
-    const auto found = view.endpoints_->byTarget_.find(context.target_);
-    if (found == view.endpoints_->byTarget_.end())
-        return std::nullopt;
-    std::vector<ServiceNode> nodes;
-    for (const std::size_t index : found->second) {
-        const ListedEndpoint &listed = view.endpoints_->endpoints_[index];
-        const EndpointUsage &usage = state.endpointUsage_[listed.id_];
-        if (!isUsable(view, usage, listed, now))
-            continue;
-        const bool isRecent = now - usage.reportedAt_ < state.limits_.maxReportedLoadAge_;
-        const std::uint32_t calls = usage.load_.calls_ + peerLoad(view, listed.id_).calls_;
-        const std::uint32_t load = std::max(calls, isRecent ? usage.requestsAtEndpoint_ : 0);
-        nodes.push_back({index, load, std::max(1U, listed.slots_), listed.domain_ == view.domain_,
-                         context.failedEndpoints_.contains(listed.id_)
-                                 || isCoolingDown(usage.health_, now)});
-    }
-    return chooseLeastLoaded(nodes);
-}
-
 GatewayFilterResult choosePath(GatewayContext &context, const GatewayView &view,
                                GatewayTraffic &state, TimePoint now)
 {
@@ -368,136 +222,6 @@
     return proceedGateway();
 }
 
-//! Adds (sign 1) or removes (sign -1) the load of a dispatch at its endpoints.
-void addEndpointLoad(const ActiveDispatch &active, GatewayTraffic &state, int sign)
-{
-    if (active.path_.size() == 1 && active.path_.front().layers_.end_.value_ == 0) {
-        state.endpointUsage_[active.endpoint_].load_.calls_ += static_cast<std::uint32_t>(sign);
-        return;
-    }
-    for (const PathSegment &part : active.path_) {
-        EndpointLoad &usage = state.endpointUsage_[part.endpoint_].load_;
-        const auto count
-                = static_cast<double>(part.layers_.end_.value_ - part.layers_.first_.value_);
-        usage.kvUsed_ += sign * count * static_cast<double>(active.reservedTokens_.value_);
-        usage.streams_ += static_cast<std::uint32_t>(sign);
-    }
-    state.endpointUsage_[active.endpoint_].load_.begun_ += static_cast<std::uint32_t>(sign);
-}
-
-//! Adds the prefill time of the prompt to the pending prefill of each endpoint of the path.
-void addPendingPrefill(const GatewayContext &context, ActiveDispatch &active,
-                       const GatewayView &view, const EngineSpec &engine, GatewayTraffic &state)
-{
-    for (const PathSegment &part : active.path_) {
-        const ListedEndpoint &listed
-                = view.endpoints_->endpoints_[view.endpoints_->byId_.at(part.endpoint_)];
-        const std::uint32_t count = part.layers_.end_.value_ - part.layers_.first_.value_;
-        active.prefillTimes_.push_back(
-                prefillTime(engine, engine.accelerators_.at(listed.accelerator_).prefillFactor_,
-                            count, context.request_.promptTokens_));
-        state.endpointUsage_[part.endpoint_].load_.pendingPrefill_ += active.prefillTimes_.back();
-    }
-}
-
-std::string pathText(const LayerPath &path)
-{
-    std::string text;
-    for (const PathSegment &part : path) {
-        text += (text.empty() ? "" : ",") + part.endpoint_.value_;
-        if (part.layers_.end_.value_ > 0)
-            text += "=" + std::to_string(part.layers_.first_.value_) + "-"
-                    + std::to_string(part.layers_.end_.value_);
-    }
-    return text;
-}
-
-std::string promptPartsText(const std::vector<PromptPartId> &parts)
-{
-    constexpr std::size_t MaxLoggedParts = 8;
-    std::string text;
-    for (std::size_t i = 0; i < std::min(parts.size(), MaxLoggedParts); ++i)
-        text += (text.empty() ? "" : ",") + parts[i].value_;
-    return text.empty() ? "-" : text;
-}
-
-void logRouted(const GatewayContext &context, const GatewayView &view, GatewayTraffic &state,
-               TimePoint now)
-{
-    state.effects_.push_back(
-            logEvent(LogLevel::Info,
-                     LogLine("routed")
-                             .add("request", context.request_.id_)
-                             .add("connection", context.request_.connection_)
-                             .add("ordinal", context.request_.ordinal_)
-                             .add("route", context.route_.name_)
-                             .add("target", context.target_)
-                             .add("organisation",
-                                  context.organisation_ ? context.organisation_->value_ : "-")
-                             .add("content", context.request_.content_)
-                             .add("parts", promptPartsText(context.request_.promptParts_))
-                             .add("attempt", std::uint64_t {context.dispatchCount_})
-                             .add("path", pathText(context.plan_->path_))
-                             .add("cost_ms", context.plan_->cost_)
-                             .add("fill", context.plan_->utilisation_)
-                             .add("slow", slowdownOfPath(view, state, context.plan_->path_, now))
-                             .add("expected_tokens", context.expectedOutput_)
-                             .add("waited_ms", now - context.arrivedAt_)
-                             .add("config", view.table_->state_.version_)
-                             .add("config_age_ms", now - view.stateConfirmedAt_.value_or(now))
-                             .add("list_age_ms", now - view.listConfirmedAt_.value_or(now))));
-}
-
-std::uint64_t incarnationOf(const GatewayView &view, const EndpointId &endpoint)
-{
-    return view.endpoints_->endpoints_[view.endpoints_->byId_.at(endpoint)].incarnation_;
-}
-
-GatewayFilterResult dispatch(GatewayContext &context, const GatewayView &view,
-                             GatewayTraffic &state, TimePoint now)
-{
-    const EngineSpec *engine = engineOf(context, view);
-    ActiveDispatch active;
-    active.id_ = {state.nextDispatch_++};
-    active.endpoint_ = context.plan_->path_.front().endpoint_;
-    active.incarnation_ = incarnationOf(view, active.endpoint_);
-    active.path_ = context.plan_->path_;
-    active.sentAt_ = active.lastProgressAt_ = now;
-    active.reservedTokens_
-            = {context.request_.promptTokens_.value_ + context.request_.expectedOutput_.value_ / 2};
-    addEndpointLoad(active, state, 1);
-    noteDispatched(state.traitHistory_, context.traits_);
-    if (engine != nullptr) {
-        addPendingPrefill(context, active, view, *engine, state);
-        if (context.route_.isStream_)
-            active.parts_ = pathParts(view, state, *engine, active.path_);
-        chargeCrossDomainHops(
-                state.crossDomainBudgets_[context.target_], *engine,
-                context.plan_->crossDomainHops_,
-                {context.request_.promptTokens_.value_ + context.expectedOutput_.value_});
-    }
-    ++context.dispatchCount_;
-    ++state.counters_.dispatches_;
-    state.exchangesByDispatch_[active.id_] = context.request_.exchange_;
-    logRouted(context, view, state, now);
-    DispatchRequest effect;
-    effect.exchange_ = context.request_.exchange_;
-    effect.dispatch_ = active.id_;
-    effect.endpoint_ = active.endpoint_;
-    effect.address_ = active.path_.front().address_;
-    if (engine != nullptr)
-        effect.path_ = active.path_;
-    effect.timeout_ = context.deadline_ - now;
-    effect.organisation_ = context.organisation_;
-    effect.priority_ = context.priority_;
-    effect.resumeAfter_ = context.lastEvent_ ? context.lastEvent_ : context.request_.resumeAfter_;
-    effect.newConnection_ = context.route_.rerunPolicy_ == RerunPolicy::Never;
-    effect.stream_ = context.route_.isStream_;
-    state.effects_.push_back(std::move(effect));
-    context.dispatch_ = std::move(active);
-    return {FilterAction::Done, {}};
-}
-
 constexpr std::array<GatewayFilter, 9> Chain = {{
         {"state", checkState},
         {"route", identifyRoute},
@@ -511,21 +235,6 @@
 }};
 constexpr std::size_t EndpointFilter = 7;
 
-//! True if the planned path has capacity free for the request's rank and its pending prefill is
-//! within the limit of that rank.
-bool hasCapacityOnPath(const GatewayContext &context, const GatewayLimits &limits,
-                       double maxUtilisation)
-{
-    const double part
-            = limits.maxPendingPrefill_.at(static_cast<std::size_t>(rankOf(context.priority_)));
-    const double maxPrefill = part * static_cast<double>(context.route_.latencyTarget_.count());
-    // A request that alone exceeds its rank's limit may have an empty path, or it would never run.
-    const double alone
-            = std::min(context.plan_->ownUtilisation_, limits.rankRoom_.maxUtilisation_.front());
-    return context.plan_->utilisation_ <= std::max(maxUtilisation, alone)
-           && static_cast<double>(context.plan_->pendingPrefill_.count()) <= maxPrefill;
-}
-
 FairQueue &queueOf(const GatewayContext &context, GatewayTraffic &state)
 {
     const auto [queues, isNew] = state.queues_.try_emplace(context.target_);
