Entry, agent and operator's port bound their read buffer and the time of sending

Ruled out: read-ahead while a request is in progress (it only waits for the close) and unsent events (bounded to 8 MB a connection). Endless small chunks end at the body limit before, too. Change: the read buffer holds the header limit and 64 KB, beyond it 431; a response, or a piece of a stream, has sendTimeout_ (60 s) to be received. Not done: an account and a bound on connections there.

--- a/src/http/internal/server.cpp
+++ b/src/http/internal/server.cpp
@@ -66,6 +66,7 @@
     bool headRequest_ = false;
     //! Number of the current exchange. Calls on an Exchange with another number are ignored.
     std::uint64_t exchangeNumber_ = 0;
+    std::chrono::milliseconds sendTimeout_ {};
 };
 
 std::string decodePercent(std::string_view text)
@@ -143,6 +144,7 @@
 
 asio::awaitable<bool> writeText(Connection &connection, std::string text)
 {
+    connection.stream_.expires_after(connection.sendTimeout_);
     boost::system::error_code error;
     co_await asio::async_write(connection.stream_, asio::buffer(text),
                                asio::redirect_error(asio::use_awaitable, error));
@@ -219,6 +221,9 @@
 } // namespace detail
 
 constexpr std::size_t FirstReadBytes = 4096;
+//! Bytes that are read ahead of the parser in addition to a header section of the largest size.
+//! Without a limit, a chunk's extensions or trailers without end would fill the memory.
+constexpr std::size_t ReadAheadBytes = 64UL * 1024;
 
 struct Server::Impl : std::enable_shared_from_this<Server::Impl>
 {
@@ -294,7 +299,8 @@
         if (error == beast::http::error::body_limit) {
             response.status_ = 413;
             code = "too-large";
-        } else if (error == beast::http::error::header_limit) {
+        } else if (error == beast::http::error::header_limit
+                   || error == beast::http::error::buffer_overflow) {
             response.status_ = 431;
             code = "too-large";
         } else if (error == beast::error::timeout) {
@@ -316,7 +322,7 @@
     {
         boost::system::error_code ignored;
         connection->stream_.socket().set_option(tcp::no_delay(true), ignored);
-        beast::flat_buffer buffer;
+        beast::flat_buffer buffer(self->options_.maxHeaderBytes_ + ReadAheadBytes);
         bool open = true;
         while (open && !connection->disconnected_) {
             detail::Parser parser;
@@ -334,6 +340,8 @@
                 co_await detail::waitForChange(*connection);
             if (connection->disconnected_)
                 break;
+            connection->sendTimeout_ = self->options_.sendTimeout_;
+            connection->stream_.expires_after(connection->sendTimeout_);
             if (connection->state_ == detail::ResponseState::Complete)
                 open = co_await detail::writeResponse(*connection, keepAlive) && keepAlive;
             else
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -50,6 +50,8 @@
     std::chrono::milliseconds readTimeout_ {10000};
     //! Longest time without a request before the connection is closed.
     std::chrono::milliseconds idleTimeout_ {60000};
+    //! Longest time for a caller to receive a response, or one piece of a stream of events.
+    std::chrono::milliseconds sendTimeout_ {60000};
 };
 
 class Server
--- a/src/http/tests/tst_serverend.cpp
+++ b/src/http/tests/tst_serverend.cpp
@@ -240,3 +240,82 @@
     });
     BOOST_TEST(spent.count() < 100);
 }
+
+namespace {
+
+//! What a caller sends, or does not read.
+struct HostileCase
+{
+    const char *name_;
+    std::string begin_;
+    std::string repeated_;
+    std::size_t responseBytes_;
+};
+
+std::ostream &operator<<(std::ostream &out, const HostileCase &test)
+{
+    return out << test.name_;
+}
+
+const std::string ChunkedPost = "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n";
+constexpr std::size_t HostileBytes = 16UL * 1024 * 1024;
+
+const HostileCase HostileCases[] = {
+        {"endless chunk extension", ChunkedPost + "1;", "x", 0},
+        {"endless trailers", ChunkedPost + "0\r\n", "X-More: y\r\n", 0},
+        {"endless small chunks", ChunkedPost, "1\r\nx\r\n", 0},
+        {"a response that is not read", "GET / HTTP/1.1\r\nHost: x\r\n\r\n", "", HostileBytes},
+};
+
+//! Bytes that the caller could send or, without any to send, receive after a pause.
+std::size_t bytesOfHostileCaller(const HostileCase &test, const Address &server)
+{
+    constexpr std::size_t BlockBytes = 64UL * 1024;
+    asio::io_context context;
+    tcp::socket socket(context);
+    socket.connect({asio::ip::make_address(server.host_), server.port_});
+    boost::system::error_code error;
+    asio::write(socket, asio::buffer(test.begin_), error);
+    std::string block;
+    if (test.repeated_.empty()) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(500));
+        return asio::read(socket, asio::dynamic_buffer(block), asio::transfer_exactly(HostileBytes),
+                          error);
+    }
+    while (block.size() < BlockBytes)
+        block += test.repeated_;
+    std::size_t sent = 0;
+    while (!error && sent < HostileBytes)
+        sent += asio::write(socket, asio::buffer(block), error);
+    return sent;
+}
+
+} // namespace
+
+// Guards against a process that buffers a chunk's extensions or trailers without end, or holds a
+// response for a caller that never reads it.
+BOOST_DATA_TEST_CASE(connectionsOfHostileCallersAreClosed, HostileCases, test)
+{
+    asio::io_context context;
+    http::ServerOptions options;
+    options.sendTimeout_ = std::chrono::milliseconds(200);
+    http::Server server(
+            {&context},
+            [&](const http::HttpRequest &, const std::shared_ptr<http::Exchange> &exchange) {
+                http::HttpResponse response;
+                response.body_ = std::string(test.responseBytes_, 'x');
+                exchange->respond(std::move(response));
+            },
+            options);
+    const auto address = server.listen({"127.0.0.1", 0});
+    BOOST_REQUIRE(address);
+    std::size_t bytes = 0;
+    {
+        const std::jthread caller([&] {
+            bytes = bytesOfHostileCaller(test, *address);
+            asio::post(context, [&context] { context.stop(); });
+        });
+        context.run_for(std::chrono::seconds(30));
+    }
+    BOOST_TEST(bytes < HostileBytes);
+}
