Plans of large fleets cost less, and a long list is read on where a page failed

Change: copies are counted by kind, an endpoint's capacity is looked up once a plan; a page after the first is asked for up to four times. Measured: tst_chains and tst_placement unchanged, tst_endpointclient (refusedPagesAreAskedForAgain).

--- a/src/controllers/storerelay.h
+++ b/src/controllers/storerelay.h
@@ -41,7 +41,7 @@
     Duration minInterval_ = std::chrono::milliseconds(300);
     double minIntervalPart_ = 0.25;
     //! Time after which a read without any end is given up; longer than all its timeouts.
-    Duration lostAfter_ = std::chrono::seconds(5);
+    Duration lostAfter_ = std::chrono::seconds(20);
     //! Time for which a gateway that can't derive a newer list waits for other news before it reads
     //! the list itself: two readers tell of the same change from different lists.
     Duration listBehindWait_ = std::chrono::milliseconds(500);
--- a/src/platform/internal/storeclient.cpp
+++ b/src/platform/internal/storeclient.cpp
@@ -19,6 +19,9 @@
 constexpr std::uint64_t MaxResponseBytes = 4UL * 1024 * 1024;
 //! Bounds of one read of the latest records. Reading fails beyond them.
 constexpr std::size_t MaxPages = 64;
+//! Attempts at a page after the first one. Where all gateways read a list of many pages at once,
+//! reading it from the start again after each timeout would never come to an end.
+constexpr std::size_t MaxPageAttempts = 4;
 constexpr std::size_t MaxTopicBytes = 16UL * 1024 * 1024;
 constexpr std::uint16_t StatusOk = 200;
 constexpr std::uint16_t StatusGone = 410;
@@ -216,32 +219,40 @@
 void StoreClient::readLatest(const std::string &topic,
                              std::function<void(Result<CompactedTopic>)> callback)
 {
-    readLatestPage(topic, {}, {}, 1, std::move(callback));
+    readLatestPage(topic, {}, {{}, 1, 1}, std::move(callback));
 }
 
 void StoreClient::readLatestPage(const std::string &topic, CompactedTopic gathered,
-                                 const std::string &after, std::size_t page,
+                                 const Page &page,
                                  std::function<void(Result<CompactedTopic>)> callback)
 {
     http::HttpRequest request;
     request.path_ = "/log-newest";
     request.query_ = {{"Topic", topic}, {"part", "0"}};
-    if (!after.empty())
-        request.query_["After"] = after;
+    if (!page.after_.empty())
+        request.query_["After"] = page.after_;
     client_.send(
             store_, std::move(request), {detail::ResponseTimeout, false, detail::MaxResponseBytes},
-            [this, topic, after, page, gathered = std::move(gathered),
+            [this, topic, page, gathered = std::move(gathered),
              callback = std::move(callback)](const http::ClientResult &result) mutable {
-                if (!result.response_ || result.response_->status_ != detail::StatusOk)
+                const bool failed
+                        = !result.response_ || result.response_->status_ != detail::StatusOk;
+                if (failed && page.number_ > 1 && page.attempt_ < detail::MaxPageAttempts)
+                    return readLatestPage(topic, std::move(gathered),
+                                          {page.after_, page.number_, page.attempt_ + 1},
+                                          std::move(callback));
+                if (failed)
                     return callback(failure<CompactedTopic>(detail::failureReason(result)));
                 const auto next = detail::addPage(result.response_->body_, gathered);
                 if (!next)
                     return callback(failure<CompactedTopic>("malformed response to /log-newest"));
                 if (next->empty())
                     return callback(success(std::move(gathered)));
-                if (const char *reason = detail::reasonToStop(gathered, page, after, *next))
+                if (const char *reason
+                    = detail::reasonToStop(gathered, page.number_, page.after_, *next))
                     return callback(failure<CompactedTopic>(reason));
-                readLatestPage(topic, std::move(gathered), *next, page + 1, std::move(callback));
+                readLatestPage(topic, std::move(gathered), {*next, page.number_ + 1, 1},
+                               std::move(callback));
             });
 }
 
--- a/src/platform/storeclient.h
+++ b/src/platform/storeclient.h
@@ -86,8 +86,16 @@
                      std::function<void(Result<std::vector<std::string>>)> callback);
 
 private:
-    void readLatestPage(const std::string &topic, CompactedTopic gathered, const std::string &after,
-                        std::size_t page, std::function<void(Result<CompactedTopic>)> callback);
+    //! A page of a read of the latest records.
+    struct Page
+    {
+        //! Key that the page goes on after; empty for the first page.
+        std::string after_;
+        std::size_t number_ = 1;
+        std::size_t attempt_ = 1;
+    };
+    void readLatestPage(const std::string &topic, CompactedTopic gathered, const Page &page,
+                        std::function<void(Result<CompactedTopic>)> callback);
 
     Address store_;
     http::Client client_;
--- a/src/platform/tests/tst_endpointclient.cpp
+++ b/src/platform/tests/tst_endpointclient.cpp
@@ -360,6 +360,67 @@
 
 namespace {
 
+//! A page that the store refuses some times.
+struct RefusedPageCase
+{
+    const char *name_;
+    std::size_t refusedPage_;
+    std::size_t refusals_;
+    const char *result_;
+    std::size_t requests_;
+};
+
+std::ostream &operator<<(std::ostream &out, const RefusedPageCase &test)
+{
+    return out << test.name_;
+}
+
+const RefusedPageCase RefusedPageCases[] = {
+        {"no refusal", 0, 0, "3 records", 3},
+        {"the first page once", 1, 1, "HTTP status 503", 1},
+        {"the second page three times", 2, 3, "3 records", 6},
+        {"the last page once", 3, 1, "3 records", 4},
+        {"the second page four times", 2, 4, "HTTP status 503", 5},
+};
+
+} // namespace
+
+// A list of many pages was read from the start again whenever one page failed: after a restart of
+// 300 gateways before 3,000 endpoints the store was busy with first pages for half a minute.
+BOOST_DATA_TEST_CASE(refusedPagesAreAskedForAgain, RefusedPageCases, test)
+{
+    asio::io_context context;
+    std::size_t requests = 0;
+    std::size_t refusals = 0;
+    http::Server server({&context}, [&](const http::HttpRequest &request,
+                                        const std::shared_ptr<http::Exchange> &exchange) {
+        ++requests;
+        const auto after = request.query_.find("After");
+        const std::size_t page = after == request.query_.end() ? 1 : std::stoul(after->second) + 1;
+        http::HttpResponse response;
+        response.status_ = 503;
+        if (page != test.refusedPage_ || refusals++ >= test.refusals_) {
+            response.status_ = 200;
+            response.body_ = R"({"Items":[{"Key":")" + std::to_string(page)
+                             + R"(","Value":"eA=="}],"HasMore":)" + (page < 3 ? "true" : "false")
+                             + R"(,"EndOffset":9})";
+        }
+        exchange->respond(response);
+    });
+    const auto address = server.listen({"127.0.0.1", 0});
+    BOOST_REQUIRE(address);
+    platform::StoreClient client(context, *address);
+    std::optional<std::string> result;
+    client.readLatest("keyed.any", [&](const Result<platform::CompactedTopic> &topic) {
+        result = topic ? std::to_string(topic->records_.size()) + " records" : topic.lastReason_;
+    });
+    BOOST_REQUIRE(runUntil(context, std::chrono::seconds(4), [&] { return result.has_value(); }));
+    BOOST_TEST(*result == test.result_);
+    BOOST_TEST(requests == test.requests_);
+}
+
+namespace {
+
 struct TenantsCase
 {
     const char *json_;
--- a/src/policy/internal/chains.cpp
+++ b/src/policy/internal/chains.cpp
@@ -1,6 +1,7 @@
 #include "policy/chains.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "policy/placement.h"
 
@@ -34,22 +35,26 @@
 std::uint32_t completeChains(const EngineSpec &engine, const std::vector<KindCount> &kinds,
                              Tokens kvTokens)
 {
-    std::vector<std::uint32_t> capacities;
-    for (const KindCount &kind : kinds)
-        capacities.insert(capacities.end(), kind.endpoints_,
-                          layersThatFit(engine, kind.kind_, kvTokens));
+    std::vector<std::pair<std::uint32_t, std::uint32_t>> capacities;
+    for (const KindCount &kind : kinds) {
+        if (const std::uint32_t capacity = layersThatFit(engine, kind.kind_, kvTokens))
+            capacities.emplace_back(capacity, kind.endpoints_);
+    }
     // Large ones first, so that little of the last endpoint of a copy is left over.
     std::sort(capacities.rbegin(), capacities.rend());
     std::uint32_t chains = 0;
     std::uint32_t layers = 0;
-    for (const std::uint32_t capacity : capacities) {
-        layers += capacity;
-        if (layers < engine.layers_)
-            continue;
-        ++chains;
-        layers = 0;
+    for (auto [capacity, endpoints] : capacities) {
+        while (endpoints > 0) {
+            const std::uint32_t missing = engine.layers_ - layers;
+            const std::uint32_t needed = (missing + capacity - 1) / capacity;
+            const bool completes = needed <= endpoints;
+            layers = completes ? 0 : layers + endpoints * capacity;
+            endpoints -= std::min(needed, endpoints);
+            chains += completes ? 1 : 0;
+        }
     }
-    return engine.layers_ == 0 ? 0 : chains;
+    return chains;
 }
 
 std::optional<ChainPlan> planChains(const EngineSpec &engine, const std::vector<KindCount> &kinds,
--- a/src/policy/internal/placement.cpp
+++ b/src/policy/internal/placement.cpp
@@ -31,12 +31,18 @@
 //! Number of copies of each layer.
 using Coverage = std::vector<std::uint32_t>;
 
+//! An endpoint with what its kind means for the plan.
+struct PlannedNode : PlacementNode
+{
+    //! Layers that it may load by the plan of its domain; 0 for an unknown kind.
+    std::uint32_t capacity_ = 0;
+    double decodeFactor_ = 0;
+};
+
 struct PlanningState
 {
     const EngineSpec &engine_;
-    std::vector<PlacementNode> nodes_;
-    //! KV capacity that endpoints keep, in domains without a chain plan.
-    Tokens reservedTokens_;
+    std::vector<PlannedNode> nodes_;
     //! Domains whose endpoints load complete copies of the model.
     std::map<FailureDomainId, ChainPlan> chains_;
     std::map<FailureDomainId, Coverage> byDomain_;
@@ -58,13 +64,22 @@
     return kind == nullptr ? 0 : layersThatFit(engine, *kind, kvTokens);
 }
 
-//! Number of layers that an endpoint may load by the plan of its domain.
-std::uint32_t capacityOf(const PlanningState &state, const PlacementNode &node)
+//! The endpoints with what they may load by the plan of their domain.
+std::vector<PlannedNode> plannedNodes(const EngineSpec &engine, std::vector<PlacementNode> nodes,
+                                      const std::map<FailureDomainId, ChainPlan> &chains,
+                                      Tokens reservedTokens)
 {
-    const auto chains = state.chains_.find(node.domain_);
-    return capacityOf(state.engine_, node,
-                      chains == state.chains_.end() ? state.reservedTokens_
-                                                    : chains->second.kvTokens_);
+    std::vector<PlannedNode> planned;
+    planned.reserve(nodes.size());
+    for (PlacementNode &node : nodes) {
+        const auto plan = chains.find(node.domain_);
+        const Tokens kvTokens = plan == chains.end() ? reservedTokens : plan->second.kvTokens_;
+        const AcceleratorSpec *kind = acceleratorOf(engine, node);
+        planned.push_back({std::move(node),
+                           kind == nullptr ? 0 : layersThatFit(engine, *kind, kvTokens),
+                           kind == nullptr ? 0 : kind->decodeFactor_});
+    }
+    return planned;
 }
 
 Tokens tokensOf(double count)
@@ -115,12 +130,12 @@
 
 //! Utilisation of the busiest layer of a domain. A request takes a slot at its first endpoint only,
 //! so the slots count for the first layer.
-double busiestLayer(const EngineSpec &engine, const std::vector<PlacementNode> &nodes,
+double busiestLayer(const EngineSpec &engine, const std::vector<PlannedNode> &nodes,
                     const FailureDomainId &domain)
 {
     std::vector<LayerUse> layers(engine.layers_);
     LayerUse slots;
-    for (const PlacementNode &node : nodes) {
+    for (const PlannedNode &node : nodes) {
         const AcceleratorSpec *kind = acceleratorOf(engine, node);
         if (node.domain_ != domain || !node.layers_ || !node.available_ || kind == nullptr)
             continue;
@@ -189,13 +204,10 @@
 }
 
 //! Orders fast endpoints first, and endpoints of equal speed by name.
-bool precedes(const PlanningState &state, const PlacementNode &left, const PlacementNode &right)
+bool precedes(const PlannedNode &left, const PlannedNode &right)
 {
-    const auto speed = [&](const PlacementNode &node) {
-        const AcceleratorSpec *kind = acceleratorOf(state.engine_, node);
-        return kind == nullptr ? 0.0 : kind->decodeFactor_;
-    };
-    return std::tuple(speed(left), left.endpoint_) < std::tuple(speed(right), right.endpoint_);
+    return std::tie(left.decodeFactor_, left.endpoint_)
+           < std::tie(right.decodeFactor_, right.endpoint_);
 }
 
 //! Layers from the first one with the fewest copies up to the next one with more.
@@ -215,45 +227,44 @@
 
 //! Orders the endpoints for a range that is to be filled: the smallest that can load all of it
 //! first, then the largest. So little capacity is left over where a copy ends.
-bool fitsBetter(const PlanningState &state, const PlacementNode &left, const PlacementNode &right,
+bool fitsBetter(const PlanningState &state, const PlannedNode &left, const PlannedNode &right,
                 std::uint32_t size)
 {
-    const auto place = [&](const PlacementNode &node) {
-        const std::uint32_t capacity = capacityOf(state, node);
-        const bool fills = capacity >= size;
-        return std::pair(!fills, fills ? capacity : state.engine_.layers_ - capacity);
+    const auto place = [&](const PlannedNode &node) {
+        const bool fills = node.capacity_ >= size;
+        return std::pair(!fills, fills ? node.capacity_ : state.engine_.layers_ - node.capacity_);
     };
     const auto leftPlace = place(left);
     const auto rightPlace = place(right);
-    return leftPlace != rightPlace ? leftPlace < rightPlace : precedes(state, left, right);
+    return leftPlace != rightPlace ? leftPlace < rightPlace : precedes(left, right);
 }
 
 //! Returns the empty endpoint to load next, or null.
-PlacementNode *emptyNode(PlanningState &state, const FailureDomainId &domain)
+PlannedNode *emptyNode(PlanningState &state, const FailureDomainId &domain)
 {
     const bool inChains = state.chains_.contains(domain);
     const std::uint32_t size = sizeOf(thinnestRange(state.byDomain_.at(domain)));
-    PlacementNode *best = nullptr;
-    for (PlacementNode &node : state.nodes_) {
+    PlannedNode *best = nullptr;
+    for (PlannedNode &node : state.nodes_) {
         if (node.domain_ != domain || node.layers_ || !node.available_ || !node.assignable_
-            || capacityOf(state, node) == 0)
+            || node.capacity_ == 0)
             continue;
         if (best == nullptr
-            || (inChains ? fitsBetter(state, node, *best, size) : precedes(state, node, *best)))
+            || (inChains ? fitsBetter(state, node, *best, size) : precedes(node, *best)))
             best = &node;
     }
     return best;
 }
 
 //! Returns an endpoint whose layers all have another copy in its domain, the slowest first.
-PlacementNode *redundantNode(PlanningState &state, const FailureDomainId &domain)
+PlannedNode *redundantNode(PlanningState &state, const FailureDomainId &domain)
 {
-    PlacementNode *best = nullptr;
-    for (PlacementNode &node : state.nodes_) {
+    PlannedNode *best = nullptr;
+    for (PlannedNode &node : state.nodes_) {
         if (node.domain_ != domain || !node.layers_ || !node.available_ || !node.assignable_
-            || capacityOf(state, node) == 0 || !isRedundant(state, node))
+            || node.capacity_ == 0 || !isRedundant(state, node))
             continue;
-        if (best == nullptr || precedes(state, *best, node))
+        if (best == nullptr || precedes(*best, node))
             best = &node;
     }
     return best;
@@ -266,17 +277,17 @@
 
 //! Layers that the endpoint should load next. In a domain with complete copies it fills the first
 //! range with the fewest copies and goes no further, so that copies end where others do.
-LayerRange rangeFor(const PlanningState &state, const PlacementNode &node)
+LayerRange rangeFor(const PlanningState &state, const PlannedNode &node)
 {
     const Coverage &domain = state.byDomain_.at(node.domain_);
-    const std::uint32_t size = std::min(capacityOf(state, node), state.engine_.layers_);
+    const std::uint32_t size = std::min(node.capacity_, state.engine_.layers_);
     if (!state.chains_.contains(node.domain_))
         return bestRange(state, domain, size);
     const LayerRange thinnest = thinnestRange(domain);
     return {thinnest.first_, {thinnest.first_.value_ + std::min(size, sizeOf(thinnest))}};
 }
 
-PlacementMove move(PlanningState &state, PlacementNode &node, const char *reason)
+PlacementMove move(PlanningState &state, PlannedNode &node, const char *reason)
 {
     countCopies(state, node, -1);
     node.layers_ = rangeFor(state, node);
@@ -319,11 +330,11 @@
     const bool gap = hasMissingLayer(state.byDomain_.at(domain));
     if (!gap && !mayLoadCopy(state, domain))
         return std::nullopt;
-    if (PlacementNode *node = emptyNode(state, domain))
+    if (PlannedNode *node = emptyNode(state, domain))
         return move(state, *node, gap ? "gap" : "copy");
     if (!gap)
         return std::nullopt;
-    PlacementNode *node = redundantNode(state, domain);
+    PlannedNode *node = redundantNode(state, domain);
     if (node == nullptr)
         return std::nullopt;
     return move(state, *node, "gap-by-copy");
@@ -367,17 +378,22 @@
 std::vector<PlacementMove> planPlacement(const EngineSpec &engine, std::vector<PlacementNode> nodes,
                                          std::size_t limit, CopyRule copies)
 {
+    const auto chains = detail::planChainsByDomain(engine, nodes);
     const Tokens kvTokens = kvTokensToReserve(engine, nodes);
-    detail::PlanningState state {
-            engine, std::move(nodes), kvTokens, {}, {}, detail::Coverage(engine.layers_), copies,
-            {}};
-    state.chains_ = detail::planChainsByDomain(engine, state.nodes_);
-    for (const PlacementNode &node : state.nodes_)
+    detail::PlanningState state {engine,
+                                 detail::plannedNodes(engine, std::move(nodes), chains, kvTokens),
+                                 chains,
+                                 {},
+                                 detail::Coverage(engine.layers_),
+                                 copies,
+                                 {}};
+    for (const detail::PlannedNode &node : state.nodes_)
         state.byDomain_.try_emplace(node.domain_, engine.layers_);
-    for (const PlacementNode &node : state.nodes_)
+    for (const detail::PlannedNode &node : state.nodes_)
         detail::countCopies(state, node, 1);
     for (const auto &[domain, coverage] : state.byDomain_) {
-        if (detail::busiestLayer(engine, state.nodes_, domain) > detail::BusyUtilisation)
+        if (copies == CopyRule::WhenNeeded
+            && detail::busiestLayer(engine, state.nodes_, domain) > detail::BusyUtilisation)
             state.busyDomains_.insert(domain);
     }
     std::vector<PlacementMove> moves;
