--- a/src/controllers/internal/storerelay.cpp
+++ b/src/controllers/internal/storerelay.cpp
@@ -109,7 +109,8 @@
     return true;
 }
 
-//! The changes of the list that digests carry now: none if they have too many entries.
+//! The newest changes of the list, as many as digests carry now. A gateway that has the list before
+//! the last change needs no more.
 std::vector<EndpointListChanges> changesToCarry(const StoreRelayState &state,
                                                 std::size_t maxEntries, TimePoint now)
 {
@@ -118,16 +119,15 @@
     if (changes.empty() || changes.back().changes_.toHash_ != state.listHash_)
         return carried;
     std::size_t entries = 0;
-    for (const ListChange &change : changes) {
-        const std::size_t size = sizeOf(change.changes_);
-        const bool lasts = &change == &changes.back() && size <= state.limits_.maxLastingChanges_;
-        if (!lasts && now - change.readAt_ > state.limits_.changesFor_)
-            continue;
+    for (auto change = changes.rbegin(); change != changes.rend(); ++change) {
+        const std::size_t size = sizeOf(change->changes_);
+        const bool lasts = change == changes.rbegin() && size <= state.limits_.maxLastingChanges_;
         entries += size;
-        carried.push_back(change.changes_);
+        if (entries > maxEntries || (!lasts && now - change->readAt_ > state.limits_.changesFor_))
+            break;
+        carried.push_back(change->changes_);
     }
-    if (entries > maxEntries)
-        carried.clear();
+    std::reverse(carried.begin(), carried.end());
     return carried;
 }
 
--- a/src/controllers/storerelay.h
+++ b/src/controllers/storerelay.h
@@ -149,8 +149,8 @@
 //! digest took to arrive and be handled than the fastest one of its sender.
 Duration noteClock(StoreRelayState &state, const GatewayDigestMessage &digest, TimePoint now);
 
-//! What this process has read lately, or nothing. Changes of the list are left out if they have
-//! more entries than the given number.
+//! What this process has read lately, or nothing. Of the changes of the list it has the newest
+//! ones, with at most the given number of entries.
 std::optional<StoreNews> storeNews(const StoreRelayState &state, ConfigVersion version,
                                    std::size_t maxChanges, TimePoint now);
 
--- a/src/gateway/tests/tst_roles.cpp
+++ b/src/gateway/tests/tst_roles.cpp
@@ -184,3 +184,46 @@
     BOOST_REQUIRE(news.has_value());
     BOOST_TEST(!news->listChanges_.empty() == test.carried_);
 }
+
+namespace {
+
+struct SuccessionCase
+{
+    const char *name_;
+    std::size_t changes_;
+    std::size_t maxEntries_;
+    std::size_t carried_;
+};
+
+std::ostream &operator<<(std::ostream &out, const SuccessionCase &test)
+{
+    return out << test.name_;
+}
+
+const SuccessionCase SuccessionCases[] = {
+        {"all fit", 3, 13, 3},
+        {"the newest fit", 5, 13, 3},
+        {"not even one", 5, 3, 0},
+};
+
+} // namespace
+
+// While layers are loaded each read changes some entries. When all changes of two seconds were left
+// out because they didn't fit together, 300 gateways read the whole list again and again.
+BOOST_DATA_TEST_CASE(theNewestChangesAreCarried, SuccessionCases, test)
+{
+    constexpr std::size_t EntriesOfChange = 4;
+    StoreRelayState reader;
+    std::vector<ListedEndpoint> listed;
+    for (std::size_t change = 0; change < test.changes_; ++change) {
+        for (std::size_t i = 0; i < EntriesOfChange; ++i)
+            listed.emplace_back().id_ = {std::to_string(change) + "-" + std::to_string(i)};
+        BOOST_REQUIRE(noteListRead(reader, listed, {change + 1}, at(0)));
+    }
+    onReadAnswered(reader.list_, reader.limits_, at(1), Duration(), at(1));
+    const auto news = storeNews(reader, {1}, test.maxEntries_, at(2));
+    BOOST_REQUIRE(news.has_value());
+    BOOST_REQUIRE(news->listChanges_.size() == test.carried_);
+    if (test.carried_ > 0)
+        BOOST_TEST(news->listChanges_.back().toHash_ == news->listHash_);
+}
