--- a/src/gateway/internal/storereads.cpp
+++ b/src/gateway/internal/storereads.cpp
@@ -77,7 +77,7 @@
     const StoreRelayLimits &limits = state.relay_.limits_;
     const ReaderRole role = readerRole(state, now);
     if (role.rank_ > 0 && now >= read.readOnUntil_)
-        return minReadInterval(limits, state.bounds_.freshness_.maxListAge_);
+        return limits.minInterval_;
     return role.hasListeners_ ? limits.sharedInterval_ : limits.ownInterval_;
 }
 
