--- a/src/controllers/storerelay.h
+++ b/src/controllers/storerelay.h
@@ -35,9 +35,9 @@
     Duration ownConfigWait_ = std::chrono::milliseconds(1400);
     //! Time that a read may take without shortening the pause after it.
     Duration quickRead_ = std::chrono::milliseconds(100);
-    //! Least interval of reads by a gateway that lacks something in the news of others, and the
-    //! same as a part of the time within which news has to take effect: of changes in quick
-    //! succession each gateway reads some only.
+    //! Least interval of reads by a gateway that lacks something in the news of others, and, for the
+    //! desired state, the same as a part of the time within which it has to take effect: of states
+    //! in quick succession each gateway reads some only. A list is needed before each dispatch.
     Duration minInterval_ = std::chrono::milliseconds(300);
     double minIntervalPart_ = 0.25;
     //! Time after which a read without any end is given up; longer than all its timeouts.
@@ -138,7 +138,7 @@
 void onReadFailed(StoreRead &read, const StoreRelayLimits &limits, const ReaderRole &role,
                   TimePoint now);
 
-//! Least interval of reads of what has to take effect within the given time.
+//! Least interval of reads of a state that has to take effect within the given time.
 Duration minReadInterval(const StoreRelayLimits &limits, Duration inForceWithin);
 
 //! Notes a list that this process read. Returns false if a newer one is known.
