--- a/src/controllers/storerelay.h
+++ b/src/controllers/storerelay.h
@@ -35,9 +35,10 @@
     Duration ownConfigWait_ = std::chrono::milliseconds(1400);
     //! Time that a read may take without shortening the pause after it.
     Duration quickRead_ = std::chrono::milliseconds(100);
-    //! Least interval of reads by a gateway that lacks something in the news of others, and, for the
-    //! desired state, the same as a part of the time within which it has to take effect: of states
-    //! in quick succession each gateway reads some only. A list is needed before each dispatch.
+    //! Least interval of reads by a gateway that lacks something in the news of others, and, for
+    //! the desired state, the same as a part of the time within which it has to take effect: of
+    //! states in quick succession each gateway reads some only. A list is needed before each
+    //! dispatch.
     Duration minInterval_ = std::chrono::milliseconds(300);
     double minIntervalPart_ = 0.25;
     //! Time after which a read without any end is given up; longer than all its timeouts.
