--- a/src/documents/tests/tst_documents.cpp
+++ b/src/documents/tests/tst_documents.cpp
@@ -154,7 +154,7 @@
         {"127.0.0.1:4\"", "127.0.0.1:9\"", "", "metrics"},
         {"127.0.0.1:5\"", "127.0.0.1:9\"", "", "store/address"},
         {"\"memoryMb\":112", "\"memoryMb\":512", "", "limits/memoryMb"},
-        {"\"memoryMb\":112", "", "", "limits/memoryMb"},
+        {",\"memoryMb\":112", "", "", "limits/memoryMb"},
 };
 
 std::string joined(const std::vector<std::string> &names)
