Metrics of refusals on arrival no longer refer to a local array

Cause: the refresh handler of the metrics kept a reference to the array of gauges in setUpMetrics(), which had ended; /metrics was empty (processes-gateway, metricsAreServed, every run), and worse was possible. Ruled out: the read buffer of the operators' port. Change: the array is copied into the handler. Measured: metricsAreServed failed before and passes now (test_gatewayprocess on the new program).

--- a/src/app/internal/gatewayprocess.cpp
+++ b/src/app/internal/gatewayprocess.cpp
@@ -106,7 +106,7 @@
     auto &lease = metrics_.gauge("placement_lease", "1 while this process places layers");
     auto &slow = metrics_.gauge("endpoints_slow", "Endpoints that count as slower than their kind");
     metrics_.setReady([this] { return !stopping_ && control_.isReady(); });
-    metrics_.setRefresh([&, this] {
+    metrics_.setRefresh([&, this, onArrival] {
         const TimePoint now = monotonicNow();
         const auto counters = traffic_.counters();
         received.Set(static_cast<double>(counters->received_));
