The queue counts learned response lengths again; two comments and three figures are right

The size of a typical request stood in two files and stands in one. Ruled out: a change of decisions elsewhere; chains and placement only share the function. Conclusion: a check now ties the queue's work to the learned length.

--- a/src/controllers/storerelay.h
+++ b/src/controllers/storerelay.h
@@ -46,8 +46,8 @@
     //! Time for which a gateway that can't derive a newer list waits for other news before it reads
     //! the list itself: two readers tell of the same change from different lists.
     Duration listBehindWait_ = std::chrono::milliseconds(500);
-    //! Pause after a failed read. It doubles with each failure up to a bound, which is high for the
-    //! gateways that others read for: the store is asked by a few until it answers.
+    //! Pause after a failed read. It doubles with each failure up to a bound, which is low for the
+    //! gateways that read for others: while the store fails, these few go on asking.
     Duration retryDelay_ = std::chrono::milliseconds(150);
     Duration maxReaderRetryDelay_ = std::chrono::milliseconds(300);
     Duration maxRetryDelay_ = std::chrono::milliseconds(2400);
--- a/src/filters/internal/rankdemand.cpp
+++ b/src/filters/internal/rankdemand.cpp
@@ -31,7 +31,7 @@
 Tokens workOf(const GatewayContext &context)
 {
     return {std::max<std::int64_t>(1, context.request_.promptTokens_.value_
-                                              + context.request_.expectedOutput_.value_)};
+                                              + context.expectedOutput_.value_)};
 }
 
 void countArrived(const GatewayContext &context, GatewayTraffic &state, TimePoint now)
--- a/src/gateway/tests/tst_outputsizes.cpp
+++ b/src/gateway/tests/tst_outputsizes.cpp
@@ -4,6 +4,7 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include "filters/rankdemand.h"
 #include "gateway/traffic.h"
 
 using namespace gypsumcroft;
@@ -158,8 +159,8 @@
 
 BOOST_AUTO_TEST_SUITE(outputSizes)
 
-// Guards against shares of the queue's work that follow a wrong hint, and against reservations that
-// are not released whole when the estimate has changed meanwhile.
+// Guards against shares of the queue's work that follow a wrong hint instead of what was learned,
+// and against reservations that are not released whole when the estimate has changed meanwhile.
 BOOST_DATA_TEST_CASE(expectedLengthsFollowResponses, boost::unit_test::data::make(LengthCases),
                      test)
 {
@@ -170,6 +171,7 @@
     const GatewayContext &context = state.requests_.at({1});
     BOOST_TEST(context.expectedOutput_.value_ >= test.least_);
     BOOST_TEST(context.expectedOutput_.value_ <= test.most_);
+    BOOST_TEST(workOf(context).value_ == Prompt + context.expectedOutput_.value_);
     const ActiveDispatch &dispatch = context.dispatch_.value();
     BOOST_TEST(dispatch.reservedTokens_.value_
                == Prompt + context.request_.expectedOutput_.value_ / 2);
--- a/src/gateway/tests/tst_storerelay.cpp
+++ b/src/gateway/tests/tst_storerelay.cpp
@@ -446,7 +446,7 @@
     BOOST_TEST(verdict.falseConfirmations_ == 0);
     BOOST_TEST(verdict.wentBack_ == 0);
     BOOST_TEST(verdict.late_ == 0);
-    // Two readers a domain ask 3.4 times a second each for the state and for the list; the other
+    // Two readers a domain ask 3.3 times a second each for the state and for the list; the other
     // gateways ask less and less often.
     const double troubleSeconds = (HealAtMs - TroubleAtMs) / 1000.0;
     const double mostCalls
--- a/src/policy/chains.h
+++ b/src/policy/chains.h
@@ -33,6 +33,9 @@
 std::optional<ChainPlan> planChains(const EngineSpec &engine, const std::vector<KindCount> &kinds,
                                     Tokens minTokens);
 
+//! Tokens of a request of typical size, at least 1.
+double typicalRequestTokens(const EngineSpec &engine);
+
 //! Complete copies that the endpoints can load if each keeps so much KV capacity.
 std::uint32_t completeChains(const EngineSpec &engine, const std::vector<KindCount> &kinds,
                              Tokens kvTokens);
--- a/src/policy/internal/chains.cpp
+++ b/src/policy/internal/chains.cpp
@@ -13,17 +13,11 @@
 //! Factor between two successive candidate sizes of the KV capacity.
 constexpr double TokensStep = 1.03;
 
-double typicalRequest(const EngineSpec &engine)
-{
-    return static_cast<double>(
-            std::max<std::int64_t>(1, engine.typicalPrompt_.value_ + engine.typicalOutput_.value_));
-}
-
 //! Tokens per second of all copies, in units of the endpoints' speed: each runs as many requests at
 //! once as its KV capacity and slots allow, and a step takes longer the more there are.
 double throughputOf(const EngineSpec &engine, std::uint32_t chains, double kvTokens)
 {
-    const double batch = std::min<double>(engine.slots_, kvTokens / typicalRequest(engine));
+    const double batch = std::min<double>(engine.slots_, kvTokens / typicalRequestTokens(engine));
     const double step = toMilliseconds(engine.decodeStepTime_)
                         + toMilliseconds(engine.decodeStepTimePerSequence_) * batch;
     return step <= 0 ? 0 : chains * batch / step;
@@ -32,6 +26,12 @@
 } // namespace
 } // namespace detail
 
+double typicalRequestTokens(const EngineSpec &engine)
+{
+    return static_cast<double>(
+            std::max<std::int64_t>(1, engine.typicalPrompt_.value_ + engine.typicalOutput_.value_));
+}
+
 std::uint32_t completeChains(const EngineSpec &engine, const std::vector<KindCount> &kinds,
                              Tokens kvTokens)
 {
@@ -63,7 +63,7 @@
     const auto least = static_cast<double>(minTokens.value_);
     std::optional<ChainPlan> best;
     double bestThroughput = 0;
-    for (double tokens = std::max(least, engine.slots_ * detail::typicalRequest(engine));
+    for (double tokens = std::max(least, engine.slots_ * typicalRequestTokens(engine));
          tokens >= least; tokens /= detail::TokensStep) {
         const Tokens kvTokens {static_cast<std::int64_t>(tokens)};
         const std::uint32_t chains = completeChains(engine, kinds, kvTokens);
--- a/src/policy/internal/placement.cpp
+++ b/src/policy/internal/placement.cpp
@@ -87,16 +87,10 @@
     return {static_cast<std::int64_t>(count)};
 }
 
-double typicalRequest(const EngineSpec &engine)
-{
-    return static_cast<double>(
-            std::max<std::int64_t>(1, engine.typicalPrompt_.value_ + engine.typicalOutput_.value_));
-}
-
 //! Least KV capacity that an endpoint reserves.
 Tokens minTokens(const EngineSpec &engine)
 {
-    return tokensOf(MinRequests * typicalRequest(engine));
+    return tokensOf(MinRequests * typicalRequestTokens(engine));
 }
 
 //! Total number of layers that the endpoints of each domain can load.
@@ -358,7 +352,7 @@
 
 Tokens kvTokensToReserve(const EngineSpec &engine, const std::vector<PlacementNode> &nodes)
 {
-    const double request = detail::typicalRequest(engine);
+    const double request = typicalRequestTokens(engine);
     const double least = detail::MinRequests * request;
     double kvTokens = std::max(least, engine.slots_ * request);
     const auto possible = detail::layersByDomain(engine, nodes, detail::tokensOf(least));
--- a/src/wire/internal/codec.cpp
+++ b/src/wire/internal/codec.cpp
@@ -153,8 +153,8 @@
     archive(suspect.fingerprint_, suspect.deaths_, suspect.remainingTime_, suspect.lifted_);
 }
 
-//! Loads are most of a digest, so they are packed: an id is short, and a millionth of a part is
-//! exact enough for a load.
+//! Loads are most of a digest, so they are packed: ids are short, and the precision of a float is
+//! enough for a sum of tokens.
 template <typename Archive>
 void save(Archive &archive, const EndpointLoad &load)
 {
