A state that may be outdated no longer routes requests

Callers of a gateway that was behind were sent by routes that an accepted change had moved or taken away more than the platform's bound before: a request whose route is found was checked for the age of the state only by way of its key, whose bound is longer (5 s against 2 or 3 s), and without a key not at all.

Such a request now waits, as one with an unknown route does, while the platform tells this gateway its state, and for half a second at most. Where the platform is silent it is served as before. A gateway on a full link whose reads fail is told apart from one without the platform by its neighbours: while they read a newer state, the platform tells it.

Ruled out: refusing by age alone, which would refuse all requests while the store is away.

The row "a fresh state" held a state of 4.5 s for fresh; it stands now at the bound of the state itself, 1.8 s, and the row with the longer bound of keys is kept for a platform that is silent.

--- a/src/controllers/internal/storerelay.cpp
+++ b/src/controllers/internal/storerelay.cpp
@@ -166,6 +166,7 @@
     read.inFlight_ = false;
     read.failures_ = 0;
     read.behindUntil_.reset();
+    read.newerToldAt_.reset();
     // What is known ages during this read and, presumably as long, during the next one.
     const Duration slowness = std::max(Duration(), now - requestedAt - limits.quickRead_);
     read.nextAt_ = now + std::max(Duration(), interval - 2 * slowness);
@@ -251,9 +252,12 @@
     RelayedNews relayed;
     const auto configAsked = detail::askedAt(news, news.configAge_, self);
     const auto listAsked = detail::askedAt(news, news.listAge_, self);
-    if (news.configAge_ && (!version || news.configVersion_ > *version))
+    if (news.configAge_ && (!version || news.configVersion_ > *version)) {
         state.config_.behindUntil_ = now;
-    else if (version && news.configVersion_ == *version)
+        if (configAsked)
+            state.config_.newerToldAt_
+                    = std::max(state.config_.newerToldAt_.value_or(*configAsked), *configAsked);
+    } else if (version && news.configVersion_ == *version)
         relayed.configConfirmedAt_ = configAsked;
     if (!listAsked)
         return relayed;
@@ -271,6 +275,11 @@
     return relayed;
 }
 
+bool isToldElsewhere(const StoreRead &read, const StoreRelayLimits &limits, TimePoint now)
+{
+    return read.newerToldAt_ && now - *read.newerToldAt_ < limits.takeOverAfter_;
+}
+
 std::uint64_t listHash(const std::map<EndpointId, ListedEndpoint> &listed)
 {
     std::uint64_t hash = 0;
--- a/src/controllers/storerelay.h
+++ b/src/controllers/storerelay.h
@@ -83,6 +83,8 @@
     //! Another gateway has newer content than this process, which reads it at that time unless
     //! news brings it before.
     std::optional<TimePoint> behindUntil_;
+    //! Latest time at which the platform told another gateway the newer content.
+    std::optional<TimePoint> newerToldAt_;
     //! Until then this process reads because it took over.
     TimePoint readOnUntil_;
 };
@@ -169,6 +171,10 @@
 RelayedNews applyStoreNews(StoreRelayState &state, const StoreNews &news, const Address &self,
                            std::optional<ConfigVersion> version, TimePoint now);
 
+//! True if another gateway has lately read newer content from the store than this process has: the
+//! store tells it, whatever became of this process's own reads.
+bool isToldElsewhere(const StoreRead &read, const StoreRelayLimits &limits, TimePoint now);
+
 std::uint64_t listHash(const std::map<EndpointId, ListedEndpoint> &listed);
 
 } // namespace gypsumcroft
--- a/src/filters/internal/gatewayfilters.cpp
+++ b/src/filters/internal/gatewayfilters.cpp
@@ -60,6 +60,9 @@
             = findRoute(*view.table_, context.request_.host_, context.request_.path_);
     if (route == nullptr)
         return refuseIfFresh(view, GatewayRefusal::UnknownRoute, now);
+    // A newer state may have moved the route or taken it away.
+    if (!stateIsFresh(view, now) && view.stateAvailable_)
+        return awaitState(view);
     context.route_ = *route;
     context.priority_ = route->priority_;
     const Duration timeout = context.request_.timeout_.value_or(GatewayLimits().defaultTimeout_);
--- a/src/gateway/internal/control.cpp
+++ b/src/gateway/internal/control.cpp
@@ -453,7 +453,9 @@
             view.pausedUntil_[endpoint] = known.pausedUntil_;
     }
     view.stateConfirmedAt_ = state.routes_.confirmedAt_;
-    view.stateAvailable_ = !detail::isUnavailable(state, state.relay_.config_, now);
+    // Where the platform tells others a newer state, only this process is behind.
+    view.stateAvailable_ = !detail::isUnavailable(state, state.relay_.config_, now)
+                           || isToldElsewhere(state.relay_.config_, state.relay_.limits_, now);
     view.listConfirmedAt_ = state.endpoints_.confirmedAt_;
     view.listUnavailable_ = detail::isUnavailable(state, state.relay_.list_, now);
     view.freshness_ = state.bounds_.freshness_;
--- a/src/gateway/tests/tst_stateavailable.cpp
+++ b/src/gateway/tests/tst_stateavailable.cpp
@@ -24,6 +24,10 @@
     Failed,
     //! It failed, and another gateway's news confirms the state afterwards.
     FailedThenConfirmed,
+    //! It failed, and another gateway has just read a newer state.
+    FailedThenNewerElsewhere,
+    //! It failed, and another gateway read a newer state two seconds before.
+    FailedThenNewerLongAgo,
 };
 
 struct AvailabilityCase
@@ -58,10 +62,36 @@
         {"failed while the process was held up", 0, 2000, 2100, ReadEnd::Failed, 2100, true},
         {"failed, held up, the first event since", 0, 0, 100, ReadEnd::Failed, 2100, true},
         {"refused, but a neighbour reads it", 0, 0, 10, ReadEnd::FailedThenConfirmed, 10, true},
+        {"failed on a full link, a neighbour has read a newer one", 0, 0, 900,
+         ReadEnd::FailedThenNewerElsewhere, 900, true},
+        {"failed, a neighbour read a newer one before the store fell silent", 0, 0, 900,
+         ReadEnd::FailedThenNewerLongAgo, 900, false},
 };
 
+//! A neighbour's digest: it read state 2 from the store that long ago.
+void hearNews(GatewayControl &control, Duration age, int ms)
+{
+    const Address self {"10.0.0.1", 1};
+    control.members_.self_ = self;
+    control.members_.domain_ = {"a"};
+    GatewayDigestMessage digest;
+    digest.instance_ = {"neighbour"};
+    digest.domain_ = {"a"};
+    digest.gateway_ = {"10.0.0.2", 1};
+    digest.incarnation_ = {1};
+    digest.sequence_ = 1;
+    digest.sentAt_ = at(ms).time_since_epoch();
+    digest.storeNews_.emplace();
+    digest.storeNews_->configVersion_ = {2};
+    digest.storeNews_->configAge_ = age;
+    digest.storeNews_->echoes_ = {{self, at(ms).time_since_epoch(), Duration()}};
+    onGatewayDigest(control, digest, at(ms));
+}
+
 } // namespace
 
+// A link that is full makes reads fail that the store would have answered: requests were then
+// served by a state that others knew to be replaced.
 BOOST_DATA_TEST_CASE(stateIsAvailableWhileThePlatformTellsIt, AvailabilityCases, test)
 {
     GatewayControl control;
@@ -74,9 +104,13 @@
     read.wait_ = milliseconds(test.waitMs_);
     control.loopDelay_.last_ = milliseconds(test.lateMs_);
     control.loopDelay_.nextDueAt_ = at(test.tickDueMs_);
-    if (test.end_ == ReadEnd::Failed || test.end_ == ReadEnd::FailedThenConfirmed)
+    if (test.end_ != ReadEnd::None && test.end_ != ReadEnd::Answered)
         onDesiredStateReadFailed(control, "test", at(test.endMs_));
     if (test.end_ == ReadEnd::Answered || test.end_ == ReadEnd::FailedThenConfirmed)
         onDesiredStateConfirmed(control, at(0), at(test.endMs_));
+    if (test.end_ == ReadEnd::FailedThenNewerElsewhere)
+        hearNews(control, milliseconds(20), test.endMs_);
+    if (test.end_ == ReadEnd::FailedThenNewerLongAgo)
+        hearNews(control, seconds(2), test.endMs_);
     BOOST_TEST(gatewayViewOf(control, at(test.endMs_)).stateAvailable_ == test.isAvailable_);
 }
--- a/src/gateway/tests/tst_traffic.cpp
+++ b/src/gateway/tests/tst_traffic.cpp
@@ -871,6 +871,8 @@
     KeyRevoked,
     //! A newer state, in which the request's route is new.
     RouteAdded,
+    //! A newer state without the request's route.
+    RouteRemoved,
     //! The platform doesn't tell the state any more.
     Unavailable,
     CallerLeft,
@@ -914,7 +916,19 @@
         {"the caller leaves", "/book/x", -4501, true, "", 20, StateNews::CallerLeft, "", false},
         {"the process ends", "/book/x", -4501, true, "", 20, StateNews::ProcessEnds,
          "refuse stopping", false},
-        {"a fresh state", "/book/x", -4500, true, "send d1 fresh", 20, StateNews::None, "", true},
+        {"a fresh state", "/book/x", -1800, true, "send d1 fresh", 20, StateNews::None, "", true},
+        {"the route may be an old one", "/book/x", -1801, true, "", 20, StateNews::Confirmed,
+         "send d1 fresh", true},
+        {"the route may be an old one, without a key", "/open/x", -1801, true, "", 20,
+         StateNews::Confirmed, "send d1", true},
+        {"the route was taken away", "/open/x", -1801, true, "", 20, StateNews::RouteRemoved,
+         "refuse unknown-route", false},
+        {"the route may be an old one, no news in time", "/open/x", -1801, true, "", 501,
+         StateNews::None, "refuse unready", false},
+        {"the route may be an old one, the platform falls silent", "/book/x", -1801, true, "", 20,
+         StateNews::Unavailable, "send d1 fresh", true},
+        {"the route may be an old one, the platform is silent", "/book/x", -4500, false,
+         "send d1 fresh", 20, StateNews::None, "", true},
 };
 
 void applyNews(GatewayTraffic &state, GatewayView &view, StateNews news, int ms)
@@ -925,10 +939,13 @@
         newer.organisations_ = {{{"firm"}, {"other"}, {}}};
     if (news == StateNews::RouteAdded)
         newer.routes_.push_back(route("/new/", "desk", RerunPolicy::FromStart, false));
-    if (news == StateNews::KeyRevoked || news == StateNews::RouteAdded)
+    if (news == StateNews::RouteRemoved)
+        std::erase_if(newer.routes_, [](const auto &known) { return known.allowAnonymous_; });
+    const bool isNewer = news == StateNews::KeyRevoked || news == StateNews::RouteAdded
+                         || news == StateNews::RouteRemoved;
+    if (isNewer)
         view.table_ = buildRouteTable(newer);
-    if (news == StateNews::KeyRevoked || news == StateNews::RouteAdded
-        || news == StateNews::Confirmed)
+    if (isNewer || news == StateNews::Confirmed)
         view.stateConfirmedAt_ = at(ms);
     view.stateAvailable_ = view.stateAvailable_ && news != StateNews::Unavailable;
     if (news == StateNews::CallerLeft)
@@ -940,8 +957,9 @@
 
 } // namespace
 
-// A process that was held up has a stale state for the moment that its question to the platform
-// takes. Its requests must be neither refused nor served by the old state meanwhile.
+// A process that was held up, or that reads slowly, has a stale state for the moment that its
+// question to the platform takes. Its requests must be neither refused nor served by the old state
+// meanwhile: requests were sent by routes that a state confirmed long before had taken away.
 BOOST_DATA_TEST_CASE(requestsAwaitAStateThatCanBeHad, StaleStateCases, test)
 {
     GatewayTraffic state;
