Responses on slow links are read while their bytes arrive

A gateway on a link of 14 Mbit/s that streams share reads a large desired state for longer than the store client's 0.7 s, which held for the whole response: the read failed and was begun again from its start. The client can now be told that its timeout holds for each part of a response, and the whole exchange for a longer time.

Before: the client had no such limit. slowResponsesAreReadToTheEnd is new; its first row shows the old behaviour.

--- a/src/http/client.h
+++ b/src/http/client.h
@@ -32,12 +32,16 @@
 
 struct ClientOptions
 {
+    //! Limit of the whole exchange.
     std::chrono::milliseconds timeout_ {10000};
     //! Opens a connection for this request alone. On a reused connection a failed request may still
     //! have been sent, and the response may belong to another request.
     bool newConnection_ = false;
     //! Largest response body that is accepted, in bytes.
     std::uint64_t maxResponseBytes_ = DefaultMaxResponseBytes;
+    //! Set: each part of the response may take timeout_, and the whole exchange this long. For
+    //! large responses on slow links.
+    std::optional<std::chrono::milliseconds> maxTotalTime_ {};
 };
 
 //! Not thread-safe: call it on the thread of its io_context only. Callbacks run on the same thread,
--- a/src/http/internal/client.cpp
+++ b/src/http/internal/client.cpp
@@ -145,18 +145,36 @@
         co_return result;
     }
 
+    //! Reads one response; where the options say so, each part of it may take the timeout.
+    static asio::awaitable<boost::system::error_code> readMessage(beast::tcp_stream &stream,
+                                                                  beast::flat_buffer &buffer,
+                                                                  detail::ResponseParser &parser,
+                                                                  const ClientOptions &options,
+                                                                  detail::Clock::time_point end)
+    {
+        boost::system::error_code error;
+        parser.eager(true);
+        while (!error && !parser.is_done()) {
+            co_await beast::http::async_read_some(stream, buffer, parser,
+                                                  asio::redirect_error(asio::use_awaitable, error));
+            if (options.maxTotalTime_)
+                stream.expires_at(std::min(end, detail::Clock::now() + options.timeout_));
+        }
+        co_return error;
+    }
+
     //! Reads the final response; interim responses (1xx) are skipped.
     static asio::awaitable<boost::system::error_code>
     readResponse(beast::tcp_stream &stream, beast::flat_buffer &buffer,
-                 std::optional<detail::ResponseParser> &parser, std::uint64_t maxBytes)
+                 std::optional<detail::ResponseParser> &parser, const ClientOptions &options,
+                 detail::Clock::time_point end)
     {
         for (int interim = 0; interim <= detail::MaxInterimResponses; ++interim) {
             parser.emplace();
             parser->header_limit(detail::MaxHeaderBytes);
-            parser->body_limit(maxBytes);
-            boost::system::error_code error;
-            co_await beast::http::async_read(stream, buffer, *parser,
-                                             asio::redirect_error(asio::use_awaitable, error));
+            parser->body_limit(options.maxResponseBytes_);
+            const boost::system::error_code error
+                    = co_await readMessage(stream, buffer, *parser, options, end);
             const unsigned status = parser->get().result_int();
             if (error || status / detail::StatusClassSize != detail::InformationalClass)
                 co_return error;
@@ -172,6 +190,7 @@
         if (opensConnection)
             stream = std::make_unique<beast::tcp_stream>(self->context_);
         stream->expires_after(options.timeout_);
+        const auto end = detail::Clock::now() + options.maxTotalTime_.value_or(options.timeout_);
         if (opensConnection) {
             ClientResult connected = co_await connect(*stream, to);
             if (!connected.reason_.empty())
@@ -184,7 +203,7 @@
         beast::flat_buffer buffer(detail::MaxBufferedBytes);
         std::optional<detail::ResponseParser> parser;
         if (!error)
-            error = co_await readResponse(*stream, buffer, parser, options.maxResponseBytes_);
+            error = co_await readResponse(*stream, buffer, parser, options, end);
         ClientResult result;
         if (error) {
             result.connectionLost_ = detail::isConnectionLost(error);
--- a/src/http/tests/tst_client.cpp
+++ b/src/http/tests/tst_client.cpp
@@ -153,3 +153,84 @@
     BOOST_TEST(seen == test.seen_);
     BOOST_TEST(server.connections() == test.connections_);
 }
+
+namespace {
+
+//! Sends a response in pieces of one byte, one every PieceGap, and stops after some of them.
+class SlowServer
+{
+public:
+    SlowServer(asio::io_context &context, std::size_t pieces)
+        : acceptor_(context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)),
+          socket_(context), timer_(context), left_(pieces)
+    {
+        acceptor_.async_accept(socket_, [this](boost::system::error_code error) {
+            if (!error)
+                write("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n");
+        });
+    }
+    Address address() const { return {"127.0.0.1", acceptor_.local_endpoint().port()}; }
+
+private:
+    static constexpr std::chrono::milliseconds PieceGap {300};
+
+    void write(const std::string &bytes)
+    {
+        boost::system::error_code ignored;
+        asio::write(socket_, asio::buffer(bytes), ignored);
+        timer_.expires_after(PieceGap);
+        timer_.async_wait([this](boost::system::error_code error) {
+            if (!error && left_-- > 0)
+                write("y");
+        });
+    }
+
+    tcp::acceptor acceptor_;
+    tcp::socket socket_;
+    asio::steady_timer timer_;
+    std::size_t left_;
+};
+
+//! Response of five bytes that takes 1.5 s, and the limits of the request.
+struct SlowCase
+{
+    const char *name_;
+    std::size_t pieces_;
+    int timeoutMs_;
+    std::optional<int> maxTotalMs_;
+    const char *seen_;
+};
+
+std::ostream &operator<<(std::ostream &out, const SlowCase &test)
+{
+    return out << test.name_;
+}
+
+const SlowCase SlowCases[] = {
+        {"the timeout holds for the whole response", 5, 1000, std::nullopt, "none"},
+        {"it holds for each part", 5, 1000, 8000, "200 yyyyy"},
+        {"a response that stops", 3, 1000, 8000, "none"},
+        {"a response that takes too long in all", 5, 1000, 800, "none"},
+};
+
+} // namespace
+
+// Reads of large states failed on a full link although their bytes kept arriving, and were begun
+// again from the start.
+BOOST_DATA_TEST_CASE(slowResponsesAreReadToTheEnd, SlowCases, test)
+{
+    asio::io_context context;
+    SlowServer server(context, test.pieces_);
+    http::Client client(context);
+    http::ClientOptions options;
+    options.timeout_ = std::chrono::milliseconds(test.timeoutMs_);
+    if (test.maxTotalMs_)
+        options.maxTotalTime_ = std::chrono::milliseconds(*test.maxTotalMs_);
+    std::optional<http::ClientResult> result;
+    http::HttpRequest request;
+    request.path_ = "/";
+    client.send(server.address(), std::move(request), options,
+                [&](http::ClientResult got) { result = std::move(got); });
+    BOOST_REQUIRE(runUntil(context, [&] { return result.has_value(); }));
+    BOOST_TEST(textOf(*result) == test.seen_);
+}
