A part of the newest states is not taken for all of them

The store returns a megabyte of records at once. Of five large states in one interval a gateway took the last returned one for the newest and confirmed it, to itself and to its neighbours. The end of the log, which each response names, now tells; a gateway with a part reads the newest state instead. Reads of the store have three seconds in all, and 0.7 s until each next part of a response, instead of 0.7 s for the whole.

Found by reading; recordsLeftAtTheStoreAreTold is new and its last row shows the fault.

--- a/src/app/internal/gatewaycontrol.cpp
+++ b/src/app/internal/gatewaycontrol.cpp
@@ -152,7 +152,8 @@
                     const TimePoint now = monotonicNow();
                     if (!span)
                         return configFailed(span.lastReason_);
-                    if (span->expired_)
+                    // Of many states the newest one counts, and only its read confirms it.
+                    if (span->expired_ || span->hasMore_)
                         return readNewestConfig();
                     configNext_ = span->nextOffset_;
                     // Nothing came for the whole wait, so nothing was newer at its end.
--- a/src/platform/internal/storeclient.cpp
+++ b/src/platform/internal/storeclient.cpp
@@ -12,8 +12,11 @@
 namespace detail {
 namespace {
 
-//! Response timeout; a long poll adds the wait that it requests.
+//! Time until a response begins, and for each part of it; a long poll adds the wait that it
+//! requests.
 constexpr std::chrono::milliseconds ResponseTimeout {700};
+//! Time for a whole response: a full page takes as long on a link of 8 Mbit/s that streams share.
+constexpr std::chrono::milliseconds MaxReadTime {3000};
 //! Size limit of a response body: enough for a megabyte of records in base64, with their keys and
 //! framing.
 constexpr std::uint64_t MaxResponseBytes = 4UL * 1024 * 1024;
@@ -128,15 +131,17 @@
     return hasMore ? last : std::string();
 }
 
-//! Decodes the body of /log-read: two offsets that are not used here, then for each record a
-//! big-endian length and the record, which is one byte of key length, the key and the value. A
-//! record without a value deletes its key; one that is too short for its key is skipped.
+//! Decodes the body of /log-read: the end of the log, the first offset that it still has, which is
+//! not used here, then for each record a big-endian length and the record, which is one byte of key
+//! length, the key and the value. A record without a value deletes its key; one that is too short
+//! for its key is skipped.
 std::optional<RecordRange> decodeRange(std::string_view bytes, std::uint64_t from)
 {
     if (bytes.size() < 2 * OffsetBytes)
         return std::nullopt;
     RecordRange span;
     span.nextOffset_ = from;
+    const std::uint64_t end = bigEndian(bytes.substr(0, OffsetBytes));
     bytes.remove_prefix(2 * OffsetBytes);
     while (bytes.size() >= LengthBytes) {
         const std::uint64_t length = bigEndian(bytes.substr(0, LengthBytes));
@@ -154,6 +159,7 @@
             keyed.value_ = std::string(record.substr(1 + keySize));
         span.records_.push_back(std::move(keyed));
     }
+    span.hasMore_ = span.nextOffset_ < end;
     return span;
 }
 
@@ -231,29 +237,30 @@
     request.query_ = {{"Topic", topic}, {"part", "0"}};
     if (!page.after_.empty())
         request.query_["After"] = page.after_;
-    client_.send(
-            store_, std::move(request), {detail::ResponseTimeout, false, detail::MaxResponseBytes},
-            [this, topic, page, gathered = std::move(gathered),
-             callback = std::move(callback)](const http::ClientResult &result) mutable {
-                const bool failed
-                        = !result.response_ || result.response_->status_ != detail::StatusOk;
-                if (failed && page.number_ > 1 && page.attempt_ < detail::MaxPageAttempts)
-                    return readLatestPage(topic, std::move(gathered),
-                                          {page.after_, page.number_, page.attempt_ + 1},
-                                          std::move(callback));
-                if (failed)
-                    return callback(failure<CompactedTopic>(detail::failureReason(result)));
-                const auto next = detail::addPage(result.response_->body_, gathered);
-                if (!next)
-                    return callback(failure<CompactedTopic>("malformed response to /log-newest"));
-                if (next->empty())
-                    return callback(success(std::move(gathered)));
-                if (const char *reason
-                    = detail::reasonToStop(gathered, page.number_, page.after_, *next))
-                    return callback(failure<CompactedTopic>(reason));
-                readLatestPage(topic, std::move(gathered), {*next, page.number_ + 1, 1},
-                               std::move(callback));
-            });
+    client_.send(store_, std::move(request),
+                 {detail::ResponseTimeout, false, detail::MaxResponseBytes, detail::MaxReadTime},
+                 [this, topic, page, gathered = std::move(gathered),
+                  callback = std::move(callback)](const http::ClientResult &result) mutable {
+                     const bool failed
+                             = !result.response_ || result.response_->status_ != detail::StatusOk;
+                     if (failed && page.number_ > 1 && page.attempt_ < detail::MaxPageAttempts)
+                         return readLatestPage(topic, std::move(gathered),
+                                               {page.after_, page.number_, page.attempt_ + 1},
+                                               std::move(callback));
+                     if (failed)
+                         return callback(failure<CompactedTopic>(detail::failureReason(result)));
+                     const auto next = detail::addPage(result.response_->body_, gathered);
+                     if (!next)
+                         return callback(
+                                 failure<CompactedTopic>("malformed response to /log-newest"));
+                     if (next->empty())
+                         return callback(success(std::move(gathered)));
+                     if (const char *reason
+                         = detail::reasonToStop(gathered, page.number_, page.after_, *next))
+                         return callback(failure<CompactedTopic>(reason));
+                     readLatestPage(topic, std::move(gathered), {*next, page.number_ + 1, 1},
+                                    std::move(callback));
+                 });
 }
 
 void StoreClient::read(const std::string &topic, std::uint64_t from, Duration wait,
@@ -267,7 +274,8 @@
                       {"From", std::to_string(from)},
                       {"WaitMs", std::to_string(waitMs.count())}};
     client_.send(store_, std::move(request),
-                 {waitMs + detail::ResponseTimeout, false, detail::MaxResponseBytes},
+                 {waitMs + detail::ResponseTimeout, false, detail::MaxResponseBytes,
+                  waitMs + detail::MaxReadTime},
                  [from, callback = std::move(callback)](const http::ClientResult &result) {
                      if (result.response_ && result.response_->status_ == detail::StatusGone)
                          return callback(success(RecordRange {{}, from, true}));
--- a/src/platform/storeclient.h
+++ b/src/platform/storeclient.h
@@ -41,6 +41,8 @@
     std::vector<CompactedRecord> records_;
     //! Offset of the record after the last one.
     std::uint64_t nextOffset_ = 0;
+    //! The store had more records than it returned at once.
+    bool hasMore_ = false;
     //! The store no longer has the requested offset: read the latest record of every key instead.
     bool expired_ = false;
 };
@@ -72,7 +74,7 @@
     //! Reads the latest record of every key.
     void readLatest(const std::string &topic, std::function<void(Result<CompactedTopic>)> callback);
     //! Long poll: the callback runs as soon as there are records from offset from on, or without
-    //! any after wait.
+    //! any after wait. Of many records only the first ones are returned.
     void read(const std::string &topic, std::uint64_t from, Duration wait,
               std::function<void(Result<RecordRange>)> callback);
     void joinGroup(const GroupJoinRequest &request,
--- a/src/platform/tests/tst_endpointclient.cpp
+++ b/src/platform/tests/tst_endpointclient.cpp
@@ -449,3 +449,55 @@
     BOOST_REQUIRE_MESSAGE(state, state.lastReason_);
     BOOST_TEST(state->keysRequired_ == test.keysRequired_);
 }
+
+namespace {
+
+//! A read of records from offset 5 on, the end of the log, and what was returned.
+struct RangeCase
+{
+    const char *name_;
+    char end_;
+    const char *keys_;
+    std::uint64_t nextOffset_;
+    bool hasMore_;
+};
+
+std::ostream &operator<<(std::ostream &out, const RangeCase &test)
+{
+    return out << test.name_;
+}
+
+const RangeCase RangeCases[] = {
+        {"nothing new", 5, "", 5, false},
+        {"all records", 7, "ab", 7, false},
+        {"the first ones of many records", 9, "ab", 7, true},
+};
+
+//! Body of a response of /log-read with one record for each key.
+std::string rangeOf(char end, const std::string &keys)
+{
+    const std::string zeros(7, '\0');
+    std::string body = zeros + end + zeros + '\0';
+    for (const char key : keys)
+        body += std::string("\0\0\0\3\1", 5) + key + 'v';
+    return body;
+}
+
+} // namespace
+
+// The store returns at most a megabyte at once. Where large states follow each other quickly, the
+// last one returned was taken for the newest, and confirmed as such to other gateways.
+BOOST_DATA_TEST_CASE(recordsLeftAtTheStoreAreTold, RangeCases, test)
+{
+    asio::io_context context;
+    ReplyingServer server(context, {{answerOf(200, rangeOf(test.end_, test.keys_)), ""}});
+    platform::StoreClient client(context, server.address());
+    std::optional<Result<platform::RecordRange>> read;
+    client.read("keyed.any", 5, Duration(),
+                [&](const Result<platform::RecordRange> &range) { read = range; });
+    BOOST_REQUIRE(runUntil(context, std::chrono::seconds(4), [&] { return read.has_value(); }));
+    BOOST_REQUIRE(*read);
+    BOOST_TEST((*read)->records_.size() == std::string(test.keys_).size());
+    BOOST_TEST((*read)->nextOffset_ == test.nextOffset_);
+    BOOST_TEST((*read)->hasMore_ == test.hasMore_);
+}
