Digests carry changed layers in a quarter of an entry, echoes to their recipients

A reader may repeat 13 whole entries of 250 bytes to its 99 neighbours within a tenth of its link; while layers are loaded more entries change between two reads, so that each gateway reads the whole list, a megabyte on a link of 14 Mbit/s.

An endpoint that only loads layers, leaves or restarts is now told by an update of its state, layers, model and incarnation. Each copy of a reader's digest echoes the clocks of at most eight recipients, not of all gateways that it hears: with 100 neighbours echoes were 6 kB of each digest.

changedLayersTakeAPartOfAnEntry and echoesGoToTheirRecipientsOnly are new; the code before had no updates and sent all echoes to all.

--- a/src/controllers/internal/storerelay.cpp
+++ b/src/controllers/internal/storerelay.cpp
@@ -28,13 +28,35 @@
     return text;
 }
 
+ListedEndpointUpdate updateOf(const ListedEndpoint &endpoint)
+{
+    return {endpoint.id_,    endpoint.state_,        endpoint.layers_,
+            endpoint.model_, endpoint.modelVersion_, endpoint.incarnation_};
+}
+
+ListedEndpoint updated(ListedEndpoint endpoint, const ListedEndpointUpdate &update)
+{
+    endpoint.state_ = update.state_;
+    endpoint.layers_ = update.layers_;
+    endpoint.model_ = update.model_;
+    endpoint.modelVersion_ = update.modelVersion_;
+    endpoint.incarnation_ = update.incarnation_;
+    return endpoint;
+}
+
 EndpointListChanges changesBetween(const std::map<EndpointId, ListedEndpoint> &before,
                                    const std::map<EndpointId, ListedEndpoint> &after)
 {
     EndpointListChanges changes;
     for (const auto &[id, endpoint] : after) {
         const auto earlier = before.find(id);
-        if (earlier == before.end() || textOf(earlier->second) != textOf(endpoint))
+        const std::string text = textOf(endpoint);
+        if (earlier != before.end() && textOf(earlier->second) == text)
+            continue;
+        const ListedEndpointUpdate update = updateOf(endpoint);
+        if (earlier != before.end() && textOf(updated(earlier->second, update)) == text)
+            changes.updated_.push_back(update);
+        else
             changes.changed_.push_back(endpoint);
     }
     for (const auto &[id, endpoint] : before) {
@@ -58,11 +80,6 @@
     return TimePoint(echo->sentAt_ + echo->heldFor_ - *age);
 }
 
-std::size_t sizeOf(const EndpointListChanges &changes)
-{
-    return changes.changed_.size() + changes.removed_.size();
-}
-
 //! Adds a change to those that digests carry.
 void addChange(StoreRelayState &state, EndpointListChanges changes, TimePoint now)
 {
@@ -72,12 +89,12 @@
     known.push_back({std::move(changes), now});
     std::size_t entries = 0;
     for (const ListChange &change : known)
-        entries += sizeOf(change.changes_);
+        entries += entriesOf(change.changes_);
     const auto isOld = [&](const ListChange &change) {
         return now - change.readAt_ > state.limits_.changesFor_;
     };
     while (known.size() > 1 && (entries > state.limits_.maxChanges_ || isOld(known.front()))) {
-        entries -= sizeOf(known.front().changes_);
+        entries -= entriesOf(known.front().changes_);
         known.erase(known.begin());
     }
     if (entries > state.limits_.maxChanges_)
@@ -97,6 +114,11 @@
     for (auto changes = first; changes != news.listChanges_.end(); ++changes) {
         for (const ListedEndpoint &endpoint : changes->changed_)
             listed[endpoint.id_] = endpoint;
+        for (const ListedEndpointUpdate &update : changes->updated_) {
+            const auto known = listed.find(update.endpoint_);
+            if (known != listed.end())
+                known->second = updated(std::move(known->second), update);
+        }
         for (const EndpointId &endpoint : changes->removed_)
             listed.erase(endpoint);
     }
@@ -120,7 +142,7 @@
         return carried;
     std::size_t entries = 0;
     for (auto change = changes.rbegin(); change != changes.rend(); ++change) {
-        const std::size_t size = sizeOf(change->changes_);
+        const std::size_t size = entriesOf(change->changes_);
         const bool lasts = change == changes.rbegin() && size <= state.limits_.maxLastingChanges_;
         entries += size;
         if (entries > maxEntries || (!lasts && now - change->readAt_ > state.limits_.changesFor_))
@@ -200,7 +222,7 @@
     for (const ListedEndpoint &endpoint : listed)
         after[endpoint.id_] = endpoint;
     EndpointListChanges changes = detail::changesBetween(state.listed_, after);
-    if (changes.changed_.empty() && changes.removed_.empty())
+    if (changes.changed_.empty() && changes.updated_.empty() && changes.removed_.empty())
         return true;
     changes.fromHash_ = state.listHash_;
     state.listed_ = std::move(after);
@@ -280,6 +302,14 @@
     return read.newerToldAt_ && now - *read.newerToldAt_ < limits.takeOverAfter_;
 }
 
+std::size_t entriesOf(const EndpointListChanges &changes)
+{
+    // Encoded, an update or a removal takes a quarter of an entry or less.
+    constexpr std::size_t PartsOfEntry = 4;
+    const std::size_t parts = changes.updated_.size() + changes.removed_.size();
+    return changes.changed_.size() + (parts + PartsOfEntry - 1) / PartsOfEntry;
+}
+
 std::uint64_t listHash(const std::map<EndpointId, ListedEndpoint> &listed)
 {
     std::uint64_t hash = 0;
--- a/src/controllers/storerelay.h
+++ b/src/controllers/storerelay.h
@@ -55,7 +55,8 @@
     std::size_t readers_ = 2;
     //! Time for which digests tell what was read.
     Duration newsFor_ = std::chrono::seconds(3);
-    //! Entries in the changes of the list that digests carry; recipients read more for themselves.
+    //! Size of the changes of the list that digests carry, in whole entries; recipients read more
+    //! for themselves.
     std::size_t maxChanges_ = 128;
     //! Time for which digests carry a change of the list. The newest one is carried for as long as
     //! it has few entries: a whole list that all readers repeated filled the links of small
@@ -175,6 +176,9 @@
 //! store tells it, whatever became of this process's own reads.
 bool isToldElsewhere(const StoreRead &read, const StoreRelayLimits &limits, TimePoint now);
 
+//! Size of changes of the list in digests, in whole entries.
+std::size_t entriesOf(const EndpointListChanges &changes);
+
 std::uint64_t listHash(const std::map<EndpointId, ListedEndpoint> &listed);
 
 } // namespace gypsumcroft
--- a/src/core/messages.h
+++ b/src/core/messages.h
@@ -397,12 +397,25 @@
     Duration heldFor_ {};
 };
 
+//! What an endpoint changes of its entry in the list while it runs or restarts.
+struct ListedEndpointUpdate
+{
+    EndpointId endpoint_;
+    ListedState state_ = ListedState::Ready;
+    std::optional<LayerRange> layers_;
+    std::string model_;
+    std::uint64_t modelVersion_ = 0;
+    std::uint64_t incarnation_ = 0;
+};
+
 //! Difference between two endpoint lists, each named by its hash.
 struct EndpointListChanges
 {
     std::uint64_t fromHash_ = 0;
     std::uint64_t toHash_ = 0;
+    //! Entries that are new or differ in more than an update tells.
     std::vector<ListedEndpoint> changed_;
+    std::vector<ListedEndpointUpdate> updated_;
     std::vector<EndpointId> removed_;
 };
 
--- a/src/gateway/internal/digests.cpp
+++ b/src/gateway/internal/digests.cpp
@@ -40,6 +40,8 @@
 constexpr double ReportBytes = 64;
 constexpr double ListEntryBytes = 250;
 constexpr double FixedBytes = 600;
+//! Gateways that get the same copy of a digest with news of the store.
+constexpr std::size_t RecipientsOfCopy = 8;
 
 double timesPerSecond(Duration interval)
 {
@@ -53,16 +55,17 @@
     if (!digest.storeNews_)
         return entries;
     for (const EndpointListChanges &changes : digest.storeNews_->listChanges_)
-        entries += changes.changed_.size() + changes.removed_.size();
+        entries += entriesOf(changes);
     return entries;
 }
 
 double sizeOf(const GatewayDigestMessage &digest)
 {
+    const std::size_t echoes = digest.storeNews_ ? digest.storeNews_->echoes_.size() : 0;
     const std::size_t reports = digest.loadedLayers_.size() + digest.layerMoves_.size()
                                 + digest.members_.size() + digest.traits_.size()
                                 + digest.speeds_.size() + digest.demand_.size()
-                                + (digest.storeNews_ ? digest.storeNews_->echoes_.size() : 0);
+                                + std::min(echoes, RecipientsOfCopy);
     return FixedBytes + LoadBytes * static_cast<double>(digest.loads_.size())
            + ReportBytes * static_cast<double>(reports)
            + ListEntryBytes * static_cast<double>(listEntriesOf(digest));
@@ -124,6 +127,30 @@
 
 namespace {
 
+//! Sends a digest of this domain. Each copy has the echoes for its recipients only: those for all
+//! gateways of a large domain are more than everything else in a digest.
+void sendToNeighbours(GatewayControl &state, const std::vector<Address> &recipients,
+                      GatewayDigestMessage digest)
+{
+    if (!digest.storeNews_)
+        return sendTo(state, recipients, std::move(digest));
+    std::map<Address, DigestEcho> echoes;
+    for (const DigestEcho &echo : std::exchange(digest.storeNews_->echoes_, {}))
+        echoes[echo.to_] = echo;
+    for (std::size_t first = 0; first < recipients.size(); first += RecipientsOfCopy) {
+        const auto begin = recipients.begin() + static_cast<std::ptrdiff_t>(first);
+        const auto end = begin
+                         + static_cast<std::ptrdiff_t>(
+                                 std::min(RecipientsOfCopy, recipients.size() - first));
+        GatewayDigestMessage copy = digest;
+        for (const Address &recipient : std::vector<Address>(begin, end)) {
+            if (const auto echo = echoes.find(recipient); echo != echoes.end())
+                copy.storeNews_->echoes_.push_back(echo->second);
+        }
+        sendTo(state, {begin, end}, std::move(copy));
+    }
+}
+
 //! Sends the sum over this domain to the other domains, if this process speaks for it.
 void sendDomainDigest(GatewayControl &state, const GatewayDigestMessage &own, TimePoint now)
 {
@@ -165,14 +192,14 @@
     sendTo(state, searchRecipients(state.members_, digest.sequence_, now), membersOnly(digest));
     auto recipients = digestRecipients(state.members_, digest.sequence_, now);
     state.digestPause_ = pauseAfter(state, sizeOf(digest) * static_cast<double>(recipients.size()));
-    sendTo(state, std::move(recipients), std::move(digest));
+    sendToNeighbours(state, recipients, std::move(digest));
 }
 
 void sendStoreNews(GatewayControl &state, TimePoint now)
 {
     if (!state.readsStore_)
         return;
-    sendTo(state, relayRecipients(state.members_, now), makeDigest(state, now));
+    sendToNeighbours(state, relayRecipients(state.members_, now), makeDigest(state, now));
 }
 
 void sendCrashNews(GatewayControl &state, const std::vector<RequestTrait> &traits, TimePoint now)
--- a/src/gateway/tests/tst_roles.cpp
+++ b/src/gateway/tests/tst_roles.cpp
@@ -227,3 +227,117 @@
     if (test.carried_ > 0)
         BOOST_TEST(news->listChanges_.back().toHash_ == news->listHash_);
 }
+
+namespace {
+
+struct LayerChangeCase
+{
+    const char *name_;
+    std::size_t endpoints_;
+    //! Their address is another one, too.
+    bool moved_;
+    std::size_t entries_;
+};
+
+std::ostream &operator<<(std::ostream &out, const LayerChangeCase &test)
+{
+    return out << test.name_;
+}
+
+const LayerChangeCase LayerChangeCases[] = {
+        {"one endpoint", 1, false, 1},
+        {"forty endpoints", 40, false, 10},
+        {"one of them elsewhere", 1, true, 1},
+        {"all of them elsewhere", 40, true, 40},
+};
+
+} // namespace
+
+// While layers are loaded each read of the list changes some entries. Carried whole, they exceeded
+// a tenth of the reader's link before 1,000 endpoints, and each gateway read the list for itself.
+BOOST_DATA_TEST_CASE(changedLayersTakeAPartOfAnEntry, LayerChangeCases, test)
+{
+    const Address self = addressOf(0);
+    std::vector<ListedEndpoint> listed(50);
+    for (std::size_t i = 0; i < listed.size(); ++i)
+        listed[i].id_ = {"i-" + std::to_string(i)};
+    StoreRelayState reader;
+    StoreRelayState recipient;
+    for (StoreRelayState *state : {&reader, &recipient})
+        BOOST_REQUIRE(noteListRead(*state, listed, {1}, at(0)));
+    for (std::size_t i = 0; i < test.endpoints_; ++i) {
+        listed[i].layers_ = LayerRange {{0}, {40}};
+        listed[i].model_ = "m";
+        listed[i].modelVersion_ = 1;
+        listed[i].incarnation_ = 7;
+        listed[i].state_ = ListedState::Draining;
+        if (test.moved_)
+            listed[i].address_ = addressOf(i);
+    }
+    BOOST_REQUIRE(noteListRead(reader, listed, {2}, at(10)));
+    BOOST_TEST(entriesOf(reader.listChanges_.back().changes_) == test.entries_);
+    onReadAnswered(reader.list_, reader.limits_, at(10), Duration(), at(10));
+    GatewayDigestMessage heard = digestOf(0, Small);
+    heard.sentAt_ = at(10).time_since_epoch();
+    noteClock(reader, heard, at(10));
+    const auto news = storeNews(reader, {1}, 128, at(20));
+    BOOST_REQUIRE(news.has_value());
+    const RelayedNews relayed = applyStoreNews(recipient, *news, self, std::nullopt, at(20));
+    BOOST_TEST(relayed.listConfirmedAt_.has_value());
+    BOOST_TEST(recipient.listHash_ == reader.listHash_);
+}
+
+namespace {
+
+struct EchoCase
+{
+    std::size_t neighbours_;
+    std::size_t mostEchoes_;
+};
+
+std::ostream &operator<<(std::ostream &out, const EchoCase &test)
+{
+    return out << test.neighbours_ << " neighbours";
+}
+
+const EchoCase EchoCases[] = {{1, 1}, {8, 8}, {9, 8}, {99, 8}};
+
+} // namespace
+
+// Each digest of a reader echoed the clocks of all gateways that it heard, to each of them: with
+// 100 gateways in a domain that was the largest part of it.
+BOOST_DATA_TEST_CASE(echoesGoToTheirRecipientsOnly, EchoCases, test)
+{
+    GatewayControl gateway;
+    gateway.self_ = {"self"};
+    gateway.members_.self_ = {"10.9.9.9", 7000};
+    gateway.members_.domain_ = {"a"};
+    gateway.members_.capacity_ = Large;
+    for (std::size_t i = 0; i < test.neighbours_; ++i) {
+        GatewayDigestMessage digest = digestOf(i, Small);
+        digest.sentAt_ = at(0).time_since_epoch();
+        onGatewayDigest(gateway, digest, at(0));
+    }
+    onGatewayControlTick(gateway, at(10));
+    gateway.effects_.clear();
+    DesiredState desired;
+    desired.version_ = {1};
+    onDesiredState(gateway, desired, at(10), at(20));
+    onDesiredStateRead(gateway, at(10), at(20));
+    std::map<Address, std::size_t> echoed;
+    for (const GatewayControlEffect &effect : gateway.effects_) {
+        const auto *digest = std::get_if<SendDigest>(&effect);
+        if (digest == nullptr || !digest->digest_.storeNews_)
+            continue;
+        const std::vector<DigestEcho> &echoes = digest->digest_.storeNews_->echoes_;
+        BOOST_TEST(echoes.size() <= test.mostEchoes_);
+        for (const DigestEcho &echo : echoes) {
+            const bool isRecipient = std::find(digest->to_.begin(), digest->to_.end(), echo.to_)
+                                     != digest->to_.end();
+            echoed[echo.to_] += isRecipient ? 1 : 0;
+        }
+    }
+    BOOST_TEST(echoed.size() == test.neighbours_);
+    for (const auto &[to, times] : echoed)
+        BOOST_TEST(times == 1U);
+}
--- a/src/wire/internal/codec.cpp
+++ b/src/wire/internal/codec.cpp
@@ -236,10 +236,18 @@
             endpoint.modelVersion_, endpoint.incarnation_);
 }
 
+template <typename Archive>
+void serialize(Archive &archive, ListedEndpointUpdate &update)
+{
+    archive(update.endpoint_, update.state_, update.layers_, update.model_, update.modelVersion_,
+            update.incarnation_);
+}
+
 template <typename Archive>
 void serialize(Archive &archive, EndpointListChanges &changes)
 {
-    archive(changes.fromHash_, changes.toHash_, changes.changed_, changes.removed_);
+    archive(changes.fromHash_, changes.toHash_, changes.changed_, changes.updated_,
+            changes.removed_);
 }
 
 template <typename Archive>
