--- a/lab/tests/tst_gatewayprocess.cpp
+++ b/lab/tests/tst_gatewayprocess.cpp
@@ -1,7 +1,12 @@
 //! Two gateways as processes before the platform's stand-in.
+#include <fstream>
+#include <iterator>
 #include <mutex>
 
+#include <sys/wait.h>
+
 #include "gatewayfixture.h"
+#include "processfleet.h"
 
 using namespace gypsumcroft;
 using lab::Answer;
@@ -172,8 +177,11 @@
 BOOST_FIXTURE_TEST_CASE(metricsAreServed, Fixture)
 {
     const std::string metrics = ask(gateways_[0]->metrics_, "GET", "/metrics", "", "").text_;
-    for (const char *name : {"gypsumcroft_requests_received", "gypsumcroft_requests_answered",
-                             "gypsumcroft_retries", "gypsumcroft_config_age_ms"})
+    for (const char *name :
+         {"gypsumcroft_requests_received", "gypsumcroft_requests_answered", "gypsumcroft_retries",
+          "gypsumcroft_config_age_ms", "gypsumcroft_caller_connections",
+          "gypsumcroft_caller_held_bytes", "gypsumcroft_caller_held_bytes_limit",
+          "gypsumcroft_requests_refused_for_memory", "gypsumcroft_connections_closed_for_memory"})
         BOOST_TEST(metrics.find(name) != std::string::npos, name);
 }
 
@@ -462,3 +470,117 @@
     BOOST_TEST(load.servedPart(reference, end)
                >= load.servedPart(begin, begin + SoundOnly * Pause) / 2);
 }
+
+namespace {
+
+constexpr const char *Token = "operators-token";
+
+struct FixtureWithOperators : Fixture
+{
+    FixtureWithOperators() : Fixture(1, 3, R"("operatorToken":"operators-token")") { }
+
+    //! Runs `gypsumcroft route --explain` and returns its exit code and output.
+    std::pair<int, std::string> explain(const std::vector<std::string> &flags, const char *token)
+    {
+        const std::string file = folder_ + "/explained.txt";
+        std::filesystem::remove(file);
+        const Address &to = gateways_[0]->metrics_;
+        std::vector<std::string> words = {boost::unit_test::framework::master_test_suite().argv[1],
+                                          "route",
+                                          "--explain",
+                                          "--address=" + to.host_ + ":" + std::to_string(to.port_),
+                                          std::string("--token=") + token,
+                                          "--host=desk"};
+        words.insert(words.end(), flags.begin(), flags.end());
+        const auto pid = lab::startProgram(words, file);
+        int status = -1;
+        BOOST_REQUIRE(pid.has_value());
+        BOOST_REQUIRE(waitpid(*pid, &status, 0) == *pid);
+        std::ifstream text(file);
+        return {WIFEXITED(status) ? WEXITSTATUS(status) : -1,
+                std::string(std::istreambuf_iterator<char>(text), {})};
+    }
+};
+
+//! A question to a running gateway, and what its answer says.
+struct ExplainCase
+{
+    const char *name_;
+    std::vector<std::string> flags_;
+    const char *token_;
+    int exitCode_;
+    const char *says_;
+};
+
+const ExplainCase ExplainCases[] = {
+        {"a stream",
+         {"--path=/quote/x", "--key=a-secret-key", "--prompt_tokens=100"},
+         Token,
+         0,
+         "event=path "},
+        {"a stream of an organisation",
+         {"--path=/quote/x", "--organisation=firm"},
+         Token,
+         0,
+         "outcome=dispatched"},
+        {"a booking", {"--path=/book/x", "--key=a-secret-key"}, Token, 0, "event=candidate "},
+        {"in JSON",
+         {"--path=/quote/x", "--key=a-secret-key", "--json"},
+         Token,
+         0,
+         "\"outcome\":\"dispatched\""},
+        {"an unknown key",
+         {"--path=/quote/x", "--key=a-wrong-key"},
+         Token,
+         0,
+         "refusal=unauthorised"},
+        {"no such route",
+         {"--path=/none/x", "--key=a-secret-key"},
+         Token,
+         0,
+         "refusal=unknown-route"},
+        {"a wrong token", {"--path=/quote/x"}, "another-token", 1, "token is missing or wrong"},
+        {"no path", {}, Token, 2, "usage:"},
+};
+
+} // namespace
+
+// An operator asks where a request would go: nothing is run or counted, and no key is shown.
+BOOST_FIXTURE_TEST_CASE(routesAreExplainedWithoutSending, FixtureWithOperators)
+{
+    platform_.putConfig(2, {"a-secret-key"}, true);
+    BOOST_REQUIRE(waitFor([&] {
+        return ask(gateways_[0]->callers_, "GET", "/look/x", "new", "a-secret-key").status_
+               == "HTTP/1.1 200";
+    }));
+    const auto received = [&] {
+        const std::string text = ask(gateways_[0]->metrics_, "GET", "/metrics", "", "").text_;
+        const std::string name = "\ngypsumcroft_requests_received ";
+        const std::size_t at = text.find(name);
+        return at == std::string::npos ? std::string()
+                                       : text.substr(at, text.find('\n', at + 1) - at);
+    };
+    const std::size_t runs = platform_.runs().size();
+    // The counters of the metrics are brought up to date with the process's ticks.
+    std::string before;
+    BOOST_REQUIRE(waitFor([&] {
+        const std::string last = std::exchange(before, received());
+        std::this_thread::sleep_for(std::chrono::milliseconds(100));
+        return !before.empty() && before == last;
+    }));
+    for (const ExplainCase &test : ExplainCases) {
+        const auto [exitCode, text] = explain(test.flags_, test.token_);
+        BOOST_TEST(exitCode == test.exitCode_, test.name_);
+        BOOST_TEST(text.find(test.says_) != std::string::npos, test.name_ << ": " << text);
+        BOOST_TEST(text.find("secret") == std::string::npos, test.name_);
+    }
+    BOOST_TEST(platform_.runs().size() == runs);
+    BOOST_TEST(received() == before);
+    BOOST_TEST(gateways_[0]->log().find("secret") == std::string::npos);
+}
+
+// Without a token in the settings nobody may ask.
+BOOST_FIXTURE_TEST_CASE(routesAreExplainedToOperatorsOnly, Fixture)
+{
+    BOOST_TEST(ask(gateways_[0]->metrics_, "POST", "/v1/route", "", "").status_ == "HTTP/1.1 404");
+}
--- a/src/app/commands.h
+++ b/src/app/commands.h
@@ -27,6 +27,6 @@
 
 //! Asks a process's operators' address and prints the answer.
 int runOperatorRequest(const Address &address, const std::string &method, const std::string &path,
-                       const std::string &token);
+                       const std::string &token, const std::string &body = {});
 
 } // namespace gypsumcroft
--- a/src/app/internal/commands.cpp
+++ b/src/app/internal/commands.cpp
@@ -213,7 +213,7 @@
 }
 
 int runOperatorRequest(const Address &address, const std::string &method, const std::string &path,
-                       const std::string &token)
+                       const std::string &token, const std::string &body)
 {
     detail::asio::io_context context(1);
     http::Client client(context);
@@ -227,6 +227,7 @@
         request.query_[pair.substr(0, equals)] = pair.substr(equals + 1);
     }
     request.headers_["Authorization"] = "Bearer " + token;
+    request.body_ = body;
     int exitCode = detail::ExitFindings;
     client.send(address, std::move(request), {detail::RequestTimeout, true},
                 [&](const http::ClientResult &result) {
--- a/src/app/internal/gatewayprocess.cpp
+++ b/src/app/internal/gatewayprocess.cpp
@@ -3,6 +3,7 @@
 #include <sys/resource.h>
 
 #include "app/log.h"
+#include "documents/routedocuments.h"
 #include "gatewaycontrol.h"
 #include "gatewaytraffic.h"
 #include "http/server.h"
@@ -34,6 +35,9 @@
 
 private:
     void setUpMetrics();
+    void setUpOperatorRoutes();
+    void explainRoute(const http::HttpRequest &request,
+                      const std::shared_ptr<http::Exchange> &exchange);
     void waitForSignal();
     void reload();
     void requestStop();
@@ -61,7 +65,9 @@
               std::chrono::system_clock::now().time_since_epoch().count())),
       mailbox_(runtime_.control(), [this](TrafficNote note) { control_.note(std::move(note)); }),
       traffic_(*runtime_.traffic().front(), incarnation_,
-               callerBounds(settings.limits_.memoryMb_, descriptorLimit()),
+               {callerBounds(settings.limits_.memoryMb_, descriptorLimit(),
+                             settings.limits_.callers_),
+                settings.limits_.bodyTimeout_, settings.limits_.sendTimeout_},
                [this](TrafficNote note) { mailbox_.push(std::move(note)); }),
       control_(runtime_.control(), settings, incarnation_,
                [this](std::shared_ptr<const GatewayView> view) {
@@ -73,9 +79,41 @@
                  exchange->respond(ready ? plainAnswer(200, "ready\n")
                                          : plainAnswer(503, "not ready\n"));
              }),
-      metrics_(runtime_.control(), ""), signals_(runtime_.control(), SIGTERM, SIGINT, SIGHUP)
+      metrics_(runtime_.control(), settings.operatorToken_.value_or("")),
+      signals_(runtime_.control(), SIGTERM, SIGINT, SIGHUP)
 {
     setUpMetrics();
+    setUpOperatorRoutes();
+}
+
+void GatewayProcess::setUpOperatorRoutes()
+{
+    if (!settings_.operatorToken_)
+        return;
+    metrics_.routeLate("POST /v1/route", [this](const http::HttpRequest &request,
+                                                const std::shared_ptr<http::Exchange> &exchange) {
+        explainRoute(request, exchange);
+    });
+}
+
+void GatewayProcess::explainRoute(const http::HttpRequest &request,
+                                  const std::shared_ptr<http::Exchange> &exchange)
+{
+    Findings findings;
+    auto question = decodeRouteQuestion(request.body_, findings);
+    if (!question) {
+        std::string text;
+        for (const Finding &finding : findings)
+            text += finding.place_ + ": " + finding.message_ + "\n";
+        return exchange->respond(plainAnswer(400, text));
+    }
+    const auto format = request.query_.find("format");
+    const bool asText = format != request.query_.end() && format->second == "text";
+    onTraffic(Duration(), [this, asText, exchange, question = std::move(*question)]() mutable {
+        const RouteExplanation explanation = traffic_.explain(std::move(question));
+        exchange->respond(asText ? plainAnswer(200, formatRouteExplanation(explanation))
+                                 : jsonText(encodeRouteExplanation(explanation)));
+    });
 }
 
 void GatewayProcess::setUpMetrics()
@@ -99,6 +137,13 @@
     auto &foreign = metrics_.gauge("foreign_answers", "Successes without the endpoint's stamp");
     auto &unreadable = metrics_.gauge("unreadable_entries", "Entries that name no endpoint");
     auto &idle = metrics_.gauge("idle_connections", "Connections to endpoints kept for reuse");
+    auto &connections = metrics_.gauge("caller_connections", "Connections of callers");
+    auto &held = metrics_.gauge("caller_held_bytes", "Bytes held for callers");
+    auto &heldLimit = metrics_.gauge("caller_held_bytes_limit", "Limit of these bytes");
+    auto &memoryRefusals = metrics_.gauge("requests_refused_for_memory",
+                                          "Refused as callers held too many bytes");
+    auto &memoryCloses = metrics_.gauge("connections_closed_for_memory",
+                                        "Closed as unsent responses took too many bytes");
     auto &repeated = metrics_.gauge("repeated_ids", "Requests whose id was in hand already");
     auto &version = metrics_.gauge("config_version", "Version of the desired state in force");
     auto &age = metrics_.gauge("config_age_ms", "Time since the state in force was confirmed");
@@ -124,6 +169,11 @@
         foreign.Set(static_cast<double>(counters->foreignResponses_));
         unreadable.Set(static_cast<double>(control_.unreadableEntries()));
         idle.Set(static_cast<double>(counters->idleConnections_));
+        connections.Set(static_cast<double>(counters->callerConnections_));
+        held.Set(static_cast<double>(counters->callerHeldBytes_));
+        heldLimit.Set(static_cast<double>(counters->callerHeldBytesLimit_));
+        memoryRefusals.Set(static_cast<double>(counters->refusedForMemory_));
+        memoryCloses.Set(static_cast<double>(counters->closedForMemory_));
         repeated.Set(static_cast<double>(counters->repeatedIds_));
         const RouteTableState &routes = control_.state().routes_;
         version.Set(routes.table_ ? static_cast<double>(routes.table_->state_.version_.value_) : 0);
--- a/src/app/internal/gatewaytraffic.cpp
+++ b/src/app/internal/gatewaytraffic.cpp
@@ -42,12 +42,12 @@
 } // namespace
 
 GatewayTrafficLoop::GatewayTrafficLoop(asio::io_context &context, std::uint64_t seed,
-                                       const CallerBounds &bounds, Note note)
+                                       const CallerServerLimits &limits, Note note)
     : context_(context), note_(std::move(note)), view_(std::make_shared<const GatewayView>()),
-      bounds_(bounds),
-      callerBytes_(std::make_shared<ByteBudget>(ByteBudget {bounds.heldBytes_, 0, nullptr})),
-      responseBytes_(
-              std::make_shared<ByteBudget>(ByteBudget {bounds.responseBytes_, 0, callerBytes_})),
+      limits_(limits), callerBytes_(std::make_shared<ByteBudget>(
+                               ByteBudget {limits.bounds_.heldBytes_, 0, nullptr})),
+      responseBytes_(std::make_shared<ByteBudget>(
+              ByteBudget {limits.bounds_.responseBytes_, 0, callerBytes_})),
       counters_(std::make_shared<const GatewayCounters>()), client_(context),
       server_(
               context,
@@ -89,11 +89,22 @@
     return inHand;
 }
 
+RouteExplanation GatewayTrafficLoop::explain(RouteQuestion question) const
+{
+    return explainRoute(traffic_, *view_.load(), std::move(question), monotonicNow());
+}
+
 Duration GatewayTrafficLoop::tick()
 {
     takeLimits(*view_.load());
     traffic_.counters_.unmatchedResponses_ = client_.unmatchedResponses();
     traffic_.counters_.idleConnections_ = client_.idleConnections();
+    traffic_.counters_.callerConnections_ = server_.connectionCount();
+    traffic_.counters_.callerHeldBytes_ = callerBytes_->used_;
+    traffic_.counters_.callerHeldBytesLimit_ = callerBytes_->limit_;
+    traffic_.counters_.refusedForMemory_
+            = server_.counters().refusedForMemory_ + completeRefusedForMemory_;
+    traffic_.counters_.closedForMemory_ = server_.counters().closedForMemory_;
     counters_ = std::make_shared<const GatewayCounters>(traffic_.counters_);
     const TimePoint now = monotonicNow();
     tellShares(now);
@@ -160,10 +171,13 @@
 
 void GatewayTrafficLoop::applyLimits(const CallerLimits &limits)
 {
+    const CallerBounds &bounds = limits_.bounds_;
     http::RelayServerLimits taken;
-    taken.maxConnections_ = bounds_.connections_;
-    taken.maxUnsentBytes_ = bounds_.unsentBytes_;
-    taken.maxIncompleteRequestBytes_ = std::max(bounds_.heldBytes_ / 2, bounds_.unsentBytes_);
+    taken.maxConnections_ = bounds.connections_;
+    taken.maxUnsentBytes_ = bounds.unsentBytes_;
+    taken.maxIncompleteRequestBytes_ = std::max(bounds.heldBytes_ / 2, bounds.unsentBytes_);
+    taken.bodyTimeout_ = limits_.bodyTimeout_;
+    taken.sendTimeout_ = limits_.sendTimeout_;
     taken.maxHeaderBytes_ = limits.maxHeaderBytes_;
     taken.maxBodyBytes_ = limits.maxBodyBytes_;
     taken.headerTimeout_ = limits.headerTimeout_;
@@ -237,6 +251,7 @@
 {
     ++traffic_.counters_.received_;
     ++traffic_.counters_.refused_;
+    ++completeRefusedForMemory_;
     memoryLog_.warn(LogLine("refused-for-memory")
                             .add("request", open.decoded_.id_)
                             .add("bytes", std::uint64_t {http::memoryOf(open.request_)})
--- a/src/app/internal/gatewaytraffic.h
+++ b/src/app/internal/gatewaytraffic.h
@@ -8,6 +8,7 @@
 
 #include "controllers/gatewayview.h"
 #include "core/heldbytes.h"
+#include "gateway/explanation.h"
 #include "gateway/traffic.h"
 #include "http/eventsplitter.h"
 #include "http/relayclient.h"
@@ -22,13 +23,21 @@
 using TrafficNote = std::variant<std::monostate, RequestProbe, OwnEndpointLoads, EndpointNoticeSeen,
                                  DispatchLost, TraitAnswered>;
 
+//! What callers may take of the process, and how slow they may be.
+struct CallerServerLimits
+{
+    CallerBounds bounds_;
+    Duration bodyTimeout_ {};
+    Duration sendTimeout_ {};
+};
+
 //! Everything but publish() and counters() is used on the traffic thread.
 class GatewayTrafficLoop
 {
 public:
     using Note = std::function<void(TrafficNote)>;
-    GatewayTrafficLoop(asio::io_context &context, std::uint64_t seed, const CallerBounds &bounds,
-                       Note note);
+    GatewayTrafficLoop(asio::io_context &context, std::uint64_t seed,
+                       const CallerServerLimits &limits, Note note);
 
     Result<Address> listen(const Address &callers);
     //! Replaces the view; safe from any thread.
@@ -45,6 +54,8 @@
     }
     //! Ends the requests that are still in hand; their number.
     std::size_t cutRequests();
+    //! Where a request would go now. Nothing is sent or counted.
+    RouteExplanation explain(RouteQuestion question) const;
     //! Counters as of the last tick; safe from any thread.
     std::shared_ptr<const GatewayCounters> counters() const { return counters_.load(); }
 
@@ -106,7 +117,9 @@
     GatewayTraffic traffic_;
     std::atomic<std::shared_ptr<const GatewayView>> view_;
     std::shared_ptr<const RouteTable> limitsOf_;
-    CallerBounds bounds_;
+    CallerServerLimits limits_;
+    //! Complete requests that were refused because callers held too many bytes.
+    std::uint64_t completeRefusedForMemory_ = 0;
     //! Bytes held for all callers.
     std::shared_ptr<ByteBudget> callerBytes_;
     //! Of them, those of responses that are held back.
--- a/src/app/internal/main.cpp
+++ b/src/app/internal/main.cpp
@@ -10,12 +10,24 @@
 #include "app/commands.h"
 #include "app/log.h"
 #include "app/processes.h"
+#include "documents/routedocuments.h"
 #include "documents/settings.h"
 
 DEFINE_string(settings, "", "settings file of the process (entry, agent, gateway)");
 DEFINE_string(log, "", "address of the platform's log, HOST:PORT (publish)");
-DEFINE_string(address, "", "operators' address of a process, HOST:PORT (show, drain, quarantine)");
-DEFINE_string(token, "", "operators' token (show, drain, quarantine)");
+DEFINE_string(address, "",
+              "operators' address of a process, HOST:PORT (show, drain, quarantine, route)");
+DEFINE_string(token, "", "operators' token (show, drain, quarantine, route)");
+DEFINE_bool(explain, false, "say where a request would go, without sending it (route)");
+DEFINE_string(host, "", "host of the request (route)");
+DEFINE_string(path, "", "path of the request (route)");
+DEFINE_string(key, "", "API key of the request (route)");
+DEFINE_string(organisation, "", "organisation, instead of a key (route)");
+DEFINE_int64(prompt_tokens, 0, "tokens of the prompt (route)");
+DEFINE_int64(output_tokens, 0, "limit of the response's tokens (route)");
+DEFINE_int64(length_hint, 0, "the caller's estimate of the response's tokens; 0 for none (route)");
+DEFINE_string(prompt_parts, "", "ids of the prompt's parts, separated by commas (route)");
+DEFINE_bool(json, false, "print JSON instead of text (route)");
 DEFINE_string(lift, "", "fingerprint to clear (quarantine)");
 DEFINE_string(level, "info", "least level of log lines: debug, info, warning or error");
 DEFINE_int32(timeout_ms, 30000, "how long to wait for the log's verdict (publish)");
@@ -143,14 +155,15 @@
     return runPublish(options);
 }
 
-int operatorRequest(const std::string &method, const std::string &path)
+int operatorRequest(const std::string &method, const std::string &path,
+                    const std::string &body = {})
 {
     const auto address = parseAddress(FLAGS_address);
     if (!address) {
         std::cerr << "--address must be the operators' address, HOST:PORT\n";
         return ExitUsage;
     }
-    return runOperatorRequest(*address, method, path, FLAGS_token);
+    return runOperatorRequest(*address, method, path, FLAGS_token, body);
 }
 
 int show(const Arguments &arguments)
@@ -175,6 +188,38 @@
     return operatorRequest("POST", "/v1/quarantine/lift?fingerprint=" + FLAGS_lift);
 }
 
+RouteQuestion routeQuestion()
+{
+    RouteQuestion question;
+    question.request_.host_ = FLAGS_host;
+    question.request_.path_ = FLAGS_path;
+    if (!FLAGS_key.empty())
+        question.request_.apiKey_ = FLAGS_key;
+    if (!FLAGS_organisation.empty())
+        question.organisation_ = OrganisationId {FLAGS_organisation};
+    question.request_.promptTokens_ = {FLAGS_prompt_tokens};
+    question.request_.outputLimit_ = {FLAGS_output_tokens};
+    if (FLAGS_length_hint > 0)
+        question.request_.lengthHint_ = Tokens {FLAGS_length_hint};
+    std::istringstream parts(FLAGS_prompt_parts);
+    for (std::string part; std::getline(parts, part, ',');)
+        question.request_.promptParts_.push_back({part});
+    return question;
+}
+
+int route(const Arguments &)
+{
+    if (!FLAGS_explain || FLAGS_host.empty() || FLAGS_path.empty()) {
+        std::cerr << "usage: gypsumcroft route --explain --address HOST:PORT --token T --host HOST "
+                     "--path PATH\n"
+                     "  [--key K | --organisation O] [--prompt_tokens N] [--output_tokens N]\n"
+                     "  [--length_hint N] [--prompt_parts ID,...] [--json]\n";
+        return ExitUsage;
+    }
+    return operatorRequest("POST", FLAGS_json ? "/v1/route" : "/v1/route?format=text",
+                           encodeRouteQuestion(routeQuestion()));
+}
+
 int hashKey(const Arguments &arguments)
 {
     if (arguments.size() != 1) {
@@ -196,6 +241,10 @@
         {"drain", drain, "stop a process gracefully: --address HOST:PORT --token T"},
         {"quarantine", quarantine,
          "list suspects, or clear one: --address HOST:PORT --token T [--lift F]"},
+        {"route", route,
+         "where a request would go now, without sending it: --explain --address HOST:PORT --token "
+         "T "
+         "--host HOST --path PATH"},
         {"hash-key", hashKey, "hash of an API key for a parameter set: KEY"},
 };
 
--- a/src/app/internal/operators.cpp
+++ b/src/app/internal/operators.cpp
@@ -6,10 +6,9 @@
 
 OperatorServer::OperatorServer(asio::io_context &context, std::string token)
     : token_(std::move(token)), registry_(std::make_shared<prometheus::Registry>()),
-      server_({&context}, [this](const http::HttpRequest &request,
-                                 const std::shared_ptr<http::Exchange> &exchange) {
-          exchange->respond(handle(request));
-      })
+      server_({&context},
+              [this](const http::HttpRequest &request,
+                     const std::shared_ptr<http::Exchange> &exchange) { serve(request, exchange); })
 { }
 
 void OperatorServer::route(const std::string &key, OperatorRoute handler)
@@ -17,6 +16,11 @@
     routes_[key] = std::move(handler);
 }
 
+void OperatorServer::routeLate(const std::string &key, LateOperatorRoute handler)
+{
+    lateRoutes_[key] = std::move(handler);
+}
+
 prometheus::Gauge &OperatorServer::gauge(const std::string &name, const std::string &help)
 {
     return prometheus::BuildGauge()
@@ -41,6 +45,20 @@
     return response;
 }
 
+void OperatorServer::serve(const http::HttpRequest &request,
+                           const std::shared_ptr<http::Exchange> &exchange)
+{
+    const auto late = lateRoutes_.find(request.method_ + " " + request.path_);
+    if (late == lateRoutes_.end() || !isAuthorised(request))
+        return exchange->respond(handle(request));
+    late->second(request, exchange);
+}
+
+bool OperatorServer::isAuthorised(const http::HttpRequest &request) const
+{
+    return http::headerValue(request, "authorization") == "Bearer " + token_;
+}
+
 http::HttpResponse OperatorServer::handle(const http::HttpRequest &request)
 {
     if (request.path_ == "/healthz")
@@ -49,10 +67,11 @@
         return ready_ && ready_() ? plainAnswer(200, "ready\n") : plainAnswer(503, "not ready\n");
     if (request.path_ == "/metrics")
         return metrics();
-    const auto found = routes_.find(request.method_ + " " + request.path_);
-    if (found == routes_.end())
+    const std::string key = request.method_ + " " + request.path_;
+    const auto found = routes_.find(key);
+    if (found == routes_.end() && !lateRoutes_.contains(key))
         return plainAnswer(404, "no such path\n");
-    if (http::headerValue(request, "authorization") != "Bearer " + token_)
+    if (!isAuthorised(request))
         return plainAnswer(401, "the operators' token is missing or wrong\n");
     return found->second(request);
 }
--- a/src/documents/gatewaysettings.h
+++ b/src/documents/gatewaysettings.h
@@ -10,6 +10,7 @@
 #include "core/findings.h"
 #include "core/ids.h"
 #include "gateway/control.h"
+#include "policy/callermemory.h"
 
 namespace gypsumcroft {
 
@@ -18,6 +19,11 @@
 {
     //! Memory in MB of 10^6 bytes; absent if the platform names none.
     std::optional<std::uint32_t> memoryMb_;
+    //! Limits on callers; by default derived from the memory and the descriptors.
+    CallerBoundSettings callers_;
+    //! Longest time for a caller to send a body, and without receiving any byte of a response.
+    Duration bodyTimeout_ = std::chrono::seconds(10);
+    Duration sendTimeout_ = std::chrono::seconds(10);
 };
 
 struct GatewaySettings
@@ -31,6 +37,9 @@
     //! HTTP address where the load balancer checks whether the process accepts requests.
     Address readinessAddress_;
     std::optional<Address> metricsAddress_;
+    //! Token that operators' requests at the metrics address must carry; without one there are only
+    //! metrics and health.
+    std::optional<std::string> operatorToken_;
     Address storeAddress_;
     GatewayBounds bounds_;
     InstanceLimits limits_;
--- a/src/documents/internal/gatewaysettings.cpp
+++ b/src/documents/internal/gatewaysettings.cpp
@@ -76,6 +76,31 @@
         instance.memoryMb_ = static_cast<std::uint32_t>(*memory);
 }
 
+//! Less does not hold a few requests of the largest size.
+constexpr std::int64_t MinCallerHeldMb = 16;
+constexpr std::int64_t MinCallerConnections = 16;
+constexpr std::int64_t MaxCallerConnections = 1'000'000;
+//! Callers on slow links need some time for each part of a body or a response.
+constexpr std::int64_t MinCallerTimeoutMs = 1000;
+
+Duration readCallerTimeout(ObjectReader &limits, std::string_view name, Duration fallback)
+{
+    const auto value = limits.integer(name, false, MinCallerTimeoutMs, MaxDurationMs);
+    return value ? Duration(std::chrono::milliseconds(*value)) : fallback;
+}
+
+void readCallerLimits(ObjectReader &limits, InstanceLimits &instance)
+{
+    constexpr std::size_t BytesPerMegabyte = 1'000'000;
+    if (const auto held = limits.integer("callerHeldMb", false, MinCallerHeldMb, MaxMemoryMb))
+        instance.callers_.heldBytes_ = static_cast<std::size_t>(*held) * BytesPerMegabyte;
+    if (const auto connections
+        = limits.integer("callerConnections", false, MinCallerConnections, MaxCallerConnections))
+        instance.callers_.connections_ = static_cast<std::size_t>(*connections);
+    instance.bodyTimeout_ = readCallerTimeout(limits, "bodyTimeoutMs", instance.bodyTimeout_);
+    instance.sendTimeout_ = readCallerTimeout(limits, "sendTimeoutMs", instance.sendTimeout_);
+}
+
 void readStore(ObjectReader &reader, GatewaySettings &settings, Findings &findings)
 {
     const boost::json::value *value = reader.member("store", true);
@@ -116,9 +141,24 @@
     ObjectReader limits(*value, reader.placeOf("limits"), findings);
     readMemory(limits, settings.limits_);
     readCapacity(limits, settings);
+    readCallerLimits(limits, settings.limits_);
     limits.reportUnknownMembers();
 }
 
+//! A shorter token can be guessed.
+constexpr std::size_t MinTokenLength = 8;
+
+void readOperatorToken(ObjectReader &reader, GatewaySettings &settings)
+{
+    settings.operatorToken_ = reader.text("operatorToken", false);
+    if (!settings.operatorToken_)
+        return;
+    if (settings.operatorToken_->size() < MinTokenLength)
+        reader.reportError("operatorToken", "must have at least 8 characters");
+    if (!settings.metricsAddress_)
+        reader.reportError("operatorToken", "needs the setting 'metrics'");
+}
+
 } // namespace
 } // namespace detail
 
@@ -140,6 +180,7 @@
     settings.callerAddress_ = detail::readAddress(reader, "callers", true).value_or(Address {});
     settings.readinessAddress_ = detail::readAddress(reader, "ready", true).value_or(Address {});
     settings.metricsAddress_ = detail::readAddress(reader, "metrics", false);
+    detail::readOperatorToken(reader, settings);
     detail::readStore(reader, settings, findings);
     detail::readBounds(reader, settings, findings);
     detail::readLimits(reader, settings, findings);
@@ -183,8 +224,17 @@
     compare(changes.needRestart_, "callers", running.callerAddress_, loaded.callerAddress_);
     compare(changes.needRestart_, "ready", running.readinessAddress_, loaded.readinessAddress_);
     compare(changes.needRestart_, "metrics", running.metricsAddress_, loaded.metricsAddress_);
+    compare(changes.needRestart_, "operatorToken", running.operatorToken_, loaded.operatorToken_);
     compare(changes.needRestart_, "limits/memoryMb", running.limits_.memoryMb_,
             loaded.limits_.memoryMb_);
+    compare(changes.needRestart_, "limits/callerHeldMb", running.limits_.callers_.heldBytes_,
+            loaded.limits_.callers_.heldBytes_);
+    compare(changes.needRestart_, "limits/callerConnections", running.limits_.callers_.connections_,
+            loaded.limits_.callers_.connections_);
+    compare(changes.needRestart_, "limits/bodyTimeoutMs", running.limits_.bodyTimeout_,
+            loaded.limits_.bodyTimeout_);
+    compare(changes.needRestart_, "limits/sendTimeoutMs", running.limits_.sendTimeout_,
+            loaded.limits_.sendTimeout_);
     compare(changes.needRestart_, "store/address", running.storeAddress_, loaded.storeAddress_);
     return changes;
 }
--- a/src/documents/tests/tst_documents.cpp
+++ b/src/documents/tests/tst_documents.cpp
@@ -129,7 +129,9 @@
           R"("store":{"address":"127.0.0.1:5","partitions":12,"shortestLifetimeMs":3000},)"
           R"("bounds":{"strictRevoke":true,"revokeMs":5000,"applyMs":2000,"drainMs":2000,)"
           R"("retryRatio":0.2,"retrySlack":100,"retryWindowS":10,"graceS":8},)"
-          R"("limits":{"cpuShare":0.5,"linkMbps":200,"memoryMb":112}})";
+          R"("operatorToken":"a-long-token",)"
+          R"("limits":{"callerConnections":512,"callerHeldMb":28,"bodyTimeoutMs":9000,)"
+          R"("sendTimeoutMs":8000,"cpuShare":0.5,"linkMbps":200,"memoryMb":112}})";
 
 const ReloadCase ReloadCases[] = {
         {"{", "{", "", ""},
@@ -154,6 +156,11 @@
         {"127.0.0.1:4\"", "127.0.0.1:9\"", "", "metrics"},
         {"127.0.0.1:5\"", "127.0.0.1:9\"", "", "store/address"},
         {"\"memoryMb\":112", "\"memoryMb\":512", "", "limits/memoryMb"},
+        {"\"callerHeldMb\":28", "\"callerHeldMb\":16", "", "limits/callerHeldMb"},
+        {"\"callerConnections\":512", "\"callerConnections\":16", "", "limits/callerConnections"},
+        {"\"bodyTimeoutMs\":9000", "\"bodyTimeoutMs\":1000", "", "limits/bodyTimeoutMs"},
+        {"\"sendTimeoutMs\":8000", "\"sendTimeoutMs\":1000", "", "limits/sendTimeoutMs"},
+        {"a-long-token", "another-token", "", "operatorToken"},
         {",\"memoryMb\":112", "", "", "limits/memoryMb"},
 };
 
@@ -182,3 +189,41 @@
     BOOST_TEST(joined(changes.applied_) == test.applied_);
     BOOST_TEST(joined(changes.needRestart_) == test.needRestart_);
 }
+
+namespace {
+
+//! One text replaced in settings that are right, and where the findings are.
+struct BadSettingCase
+{
+    const char *before_;
+    const char *after_;
+    const char *places_;
+};
+
+std::ostream &operator<<(std::ostream &out, const BadSettingCase &test)
+{
+    return out << test.before_ << " -> " << test.after_;
+}
+
+const BadSettingCase BadSettings[] = {
+        {"\"callerHeldMb\":28", "\"callerHeldMb\":15", "s/limits/callerHeldMb"},
+        {"\"callerConnections\":512", "\"callerConnections\":0", "s/limits/callerConnections"},
+        {"\"bodyTimeoutMs\":9000", "\"bodyTimeoutMs\":999", "s/limits/bodyTimeoutMs"},
+        {"\"sendTimeoutMs\":8000", "\"sendTimeoutMs\":\"8 s\"", "s/limits/sendTimeoutMs"},
+        {"a-long-token", "short", "s/operatorToken"},
+        {"\"metrics\":\"127.0.0.1:4\",", "", "s/operatorToken"},
+};
+
+} // namespace
+
+// A limit that refuses every request, or an operators' port that anybody may ask, must not start.
+BOOST_DATA_TEST_CASE(badSettingsAreReported, BadSettings, test)
+{
+    Findings findings;
+    std::string text = RunningSettings;
+    const std::string replaced = test.before_;
+    BOOST_REQUIRE(text.find(replaced) != std::string::npos);
+    text.replace(text.find(replaced), replaced.size(), test.after_);
+    BOOST_TEST(!decodeGatewaySettings(text, "s", findings));
+    BOOST_TEST(placesOf(findings) == test.places_);
+}
--- a/src/filters/gatewaystate.h
+++ b/src/filters/gatewaystate.h
@@ -315,6 +315,14 @@
     std::uint64_t foreignResponses_ = 0;
     //! Connections to endpoints that are kept for reuse at present.
     std::uint64_t idleConnections_ = 0;
+    //! Connections of callers and bytes held for them at present, and the limit of these bytes.
+    std::uint64_t callerConnections_ = 0;
+    std::uint64_t callerHeldBytes_ = 0;
+    std::uint64_t callerHeldBytesLimit_ = 0;
+    //! Requests refused, complete or not, because callers held too many bytes.
+    std::uint64_t refusedForMemory_ = 0;
+    //! Connections closed because unsent responses took too many bytes.
+    std::uint64_t closedForMemory_ = 0;
     //! Requests with the id of a request in progress; callers should use each id once.
     std::uint64_t repeatedIds_ = 0;
 };
--- a/src/filters/internal/pathchoice.cpp
+++ b/src/filters/internal/pathchoice.cpp
@@ -65,16 +65,24 @@
 
 } // namespace
 
+const char *reasonUnusable(const GatewayView &view, const EndpointUsage &usage,
+                           const ListedEndpoint &listed, TimePoint now)
+{
+    if (listed.state_ != ListedState::Ready)
+        return "not ready in the list";
+    if (view.downEndpoints_.contains(listed.id_))
+        return "down";
+    if (usage.leavingIncarnation_ == listed.incarnation_)
+        return "leaving";
+    return hasAskedForPause(view, usage, listed, now) ? "paused" : nullptr;
+}
+
 bool isUsable(const GatewayView &view, const EndpointUsage &usage, const ListedEndpoint &listed,
               TimePoint now)
 {
-    return listed.state_ == ListedState::Ready && !view.downEndpoints_.contains(listed.id_)
-           && usage.leavingIncarnation_ != listed.incarnation_
-           && !hasAskedForPause(view, usage, listed, now);
+    return reasonUnusable(view, usage, listed, now) == nullptr;
 }
 
-namespace {
-
 std::vector<PathNode> pathNodes(const GatewayContext &context, const GatewayView &view,
                                 const EngineSpec &engine, GatewayTraffic &state, TimePoint now)
 {
@@ -108,8 +116,6 @@
     return nodes;
 }
 
-} // namespace
-
 double maxUtilisationOf(const GatewayContext &context, const GatewayView &view,
                         const GatewayTraffic &state, TimePoint now)
 {
--- a/src/filters/internal/pathchoice.h
+++ b/src/filters/internal/pathchoice.h
@@ -12,6 +12,10 @@
 //! Engine of the request's target, or null for a plain service.
 const EngineSpec *engineOf(const GatewayContext &context, const GatewayView &view);
 
+//! Why an endpoint gets no requests now, or null if it may.
+const char *reasonUnusable(const GatewayView &view, const EndpointUsage &usage,
+                           const ListedEndpoint &listed, TimePoint now);
+
 //! True if the endpoint list has the endpoint as ready, it answers probes, and it has not said that
 //! it is leaving or wants no requests for now.
 bool isUsable(const GatewayView &view, const EndpointUsage &usage, const ListedEndpoint &listed,
@@ -25,6 +29,10 @@
 std::optional<PlannedPath> planFor(const GatewayContext &context, const GatewayView &view,
                                    const EngineSpec &engine, GatewayTraffic &state, TimePoint now);
 
+//! The endpoints of a model request's target that are usable now.
+std::vector<PathNode> pathNodes(const GatewayContext &context, const GatewayView &view,
+                                const EngineSpec &engine, GatewayTraffic &state, TimePoint now);
+
 //! Endpoint of a plain service with the least load.
 std::optional<ServiceChoice> chooseService(const GatewayContext &context, const GatewayView &view,
                                            GatewayTraffic &state, TimePoint now);
--- a/src/gateway/internal/requestend.cpp
+++ b/src/gateway/internal/requestend.cpp
@@ -36,7 +36,8 @@
                          state.random_);
 }
 
-//! Delay before a retry that the caller of a refused request is told.
+} // namespace
+
 Duration retryAfter(GatewayTraffic &state, const GatewayContext &context, GatewayRefusal refusal,
                     TimePoint now)
 {
@@ -53,6 +54,8 @@
     }
 }
 
+namespace {
+
 //! Adds the figures by which a request was refused for want of capacity.
 void addExpectedWait(LogLine &line, const GatewayContext &context)
 {
--- a/src/gateway/internal/requestend.h
+++ b/src/gateway/internal/requestend.h
@@ -21,6 +21,10 @@
 void refuse(GatewayTraffic &state, GatewayContext &context, GatewayRefusal refusal,
             const std::string &reason, TimePoint now);
 
+//! Delay before a retry that the caller of a refused request is told.
+Duration retryAfter(GatewayTraffic &state, const GatewayContext &context, GatewayRefusal refusal,
+                    TimePoint now);
+
 void abortResponse(GatewayTraffic &state, GatewayContext &context, const std::string &reason,
                    TimePoint now);
 
--- a/src/policy/callermemory.h
+++ b/src/policy/callermemory.h
@@ -23,9 +23,17 @@
     std::size_t connections_ = 0;
 };
 
+//! Bounds that the settings name; the others are derived.
+struct CallerBoundSettings
+{
+    std::optional<std::size_t> heldBytes_;
+    std::optional<std::size_t> connections_;
+};
+
 //! memoryMb: the instance's memory, if the settings name it. descriptors: number of file
 //! descriptors that the process may open.
-CallerBounds callerBounds(std::optional<std::uint32_t> memoryMb, std::size_t descriptors);
+CallerBounds callerBounds(std::optional<std::uint32_t> memoryMb, std::size_t descriptors,
+                          const CallerBoundSettings &settings = {});
 
 //! A complete request that asks for memory.
 struct MemoryClaim
--- a/src/policy/internal/callermemory.cpp
+++ b/src/policy/internal/callermemory.cpp
@@ -41,7 +41,8 @@
 } // namespace
 } // namespace detail
 
-CallerBounds callerBounds(std::optional<std::uint32_t> memoryMb, std::size_t descriptors)
+CallerBounds callerBounds(std::optional<std::uint32_t> memoryMb, std::size_t descriptors,
+                          const CallerBoundSettings &settings)
 {
     CallerBounds bounds;
     // The rest is for connections to endpoints, the store and other gateways.
@@ -53,6 +54,9 @@
         bounds.connections_ = std::min(bounds.connections_,
                                        memory / detail::ConnectionShare / detail::ConnectionBytes);
     }
+    bounds.heldBytes_ = settings.heldBytes_.value_or(bounds.heldBytes_);
+    bounds.connections_ = std::min(settings.connections_.value_or(bounds.connections_),
+                                   descriptors / 4 * 3);
     bounds.unsentBytes_ = std::max(bounds.heldBytes_ / 2, detail::MinResponseBytes);
     bounds.responseBytes_ = std::min(bounds.unsentBytes_, detail::MaxResponseBytes);
     return bounds;
