--- a/src/policy/internal/callermemory.cpp
+++ b/src/policy/internal/callermemory.cpp
@@ -55,8 +55,8 @@
                                        memory / detail::ConnectionShare / detail::ConnectionBytes);
     }
     bounds.heldBytes_ = settings.heldBytes_.value_or(bounds.heldBytes_);
-    bounds.connections_ = std::min(settings.connections_.value_or(bounds.connections_),
-                                   descriptors / 4 * 3);
+    bounds.connections_
+            = std::min(settings.connections_.value_or(bounds.connections_), descriptors / 4 * 3);
     bounds.unsentBytes_ = std::max(bounds.heldBytes_ / 2, detail::MinResponseBytes);
     bounds.responseBytes_ = std::min(bounds.unsentBytes_, detail::MaxResponseBytes);
     return bounds;
