--- a/src/controllers/internal/storerelay.cpp
+++ b/src/controllers/internal/storerelay.cpp
@@ -279,8 +279,9 @@
         if (configAsked)
             state.config_.newerToldAt_
                     = std::max(state.config_.newerToldAt_.value_or(*configAsked), *configAsked);
-    } else if (version && news.configVersion_ == *version)
+    } else if (version && news.configVersion_ == *version) {
         relayed.configConfirmedAt_ = configAsked;
+    }
     if (!listAsked)
         return relayed;
     const bool isSame = state.listHash_ == news.listHash_;
--- a/src/gateway/internal/storereads.cpp
+++ b/src/gateway/internal/storereads.cpp
@@ -157,8 +157,6 @@
         readStore(state, now);
 }
 
-namespace { } // namespace
-
 } // namespace detail
 
 void onDesiredState(GatewayControl &state, DesiredState desired, TimePoint requestedAt,
