Many changes of the list are told once, right after they were read

A reader leaves out changes of the list whose repetition would take more than a tenth of its link, and each neighbour then reads the whole list. The digest that follows a read may now take three tenths of the link for that moment, up to 128 entries; repetitions keep to a tenth. A neighbour that misses the digest reads the list as before.

manyChangesAreToldOnce: its rows "many entries" of a large domain and "some entries" of a small link fail without the change.

--- a/src/gateway/internal/digests.cpp
+++ b/src/gateway/internal/digests.cpp
@@ -84,9 +84,22 @@
                                     / (perSecond * recipients * ListEntryBytes));
 }
 
-} // namespace
+//! The same for the digest right after a read, which tells of its changes first. It may take more
+//! of the link than the repetitions: a list that each neighbour has to read takes much more of
+//! theirs.
+std::size_t maxListChangesAfterRead(const GatewayControl &state, TimePoint now)
+{
+    constexpr double Burst = 3;
+    const double bytes = Burst * digestBytesPerSecond(state.members_)
+                         / timesPerSecond(state.relay_.limits_.sharedInterval_);
+    const auto recipients = static_cast<double>(
+            std::max<std::size_t>(1, relayRecipients(state.members_, now).size()));
+    const auto entries = static_cast<std::size_t>(bytes / (recipients * ListEntryBytes));
+    return std::max(maxListChanges(state, now),
+                    std::min(entries, state.relay_.limits_.maxChanges_));
+}
 
-GatewayDigestMessage makeDigest(GatewayControl &state, TimePoint now)
+GatewayDigestMessage makeDigest(GatewayControl &state, std::size_t maxListEntries, TimePoint now)
 {
     const auto down = downEndpoints(state.probes_);
     GatewayDigestMessage digest;
@@ -115,10 +128,12 @@
     // What a gateway reads for itself alone is no news to those that have a reader.
     if (state.routes_.table_ && !state.members_.stopping_ && state.readsStore_)
         digest.storeNews_ = storeNews(state.relay_, state.routes_.table_->state_.version_,
-                                      maxListChanges(state, now), now);
+                                      maxListEntries, now);
     return digest;
 }
 
+} // namespace
+
 void sendTo(GatewayControl &state, std::vector<Address> recipients, GatewayDigestMessage digest)
 {
     if (!recipients.empty())
@@ -180,7 +195,7 @@
 
 void sendDigests(GatewayControl &state, TimePoint now)
 {
-    GatewayDigestMessage digest = makeDigest(state, now);
+    GatewayDigestMessage digest = makeDigest(state, maxListChanges(state, now), now);
     auto reported = std::make_shared<EndpointLoads>();
     for (const EndpointLoad &load : state.ownLoads_)
         reported->emplace(load.endpoint_, load);
@@ -199,7 +214,8 @@
 {
     if (!state.readsStore_)
         return;
-    sendToNeighbours(state, relayRecipients(state.members_, now), makeDigest(state, now));
+    sendToNeighbours(state, relayRecipients(state.members_, now),
+                     makeDigest(state, maxListChangesAfterRead(state, now), now));
 }
 
 void sendCrashNews(GatewayControl &state, const std::vector<RequestTrait> &traits, TimePoint now)
--- a/src/gateway/internal/digests.h
+++ b/src/gateway/internal/digests.h
@@ -5,9 +5,6 @@
 
 namespace gypsumcroft::detail {
 
-//! Digest of this gateway, with the next sequence number.
-GatewayDigestMessage makeDigest(GatewayControl &state, TimePoint now);
-
 void sendTo(GatewayControl &state, std::vector<Address> recipients, GatewayDigestMessage digest);
 
 //! Sends the own digest to the gateways of this domain, and every second time the sum over the
--- a/src/gateway/tests/tst_roles.cpp
+++ b/src/gateway/tests/tst_roles.cpp
@@ -341,3 +341,73 @@
     for (const auto &[to, times] : echoed)
         BOOST_TEST(times == 1U);
 }
+
+namespace {
+
+struct BurstCase
+{
+    const char *name_;
+    GatewayCapacity capacity_;
+    std::size_t neighbours_;
+    std::size_t newEntries_;
+    //! Whether the digest right after the read and the later ones carry the change.
+    bool first_;
+    bool repeated_;
+};
+
+std::ostream &operator<<(std::ostream &out, const BurstCase &test)
+{
+    return out << test.name_;
+}
+
+//! Goes before its neighbours, and has hardly more link than they have.
+constexpr GatewayCapacity FirstOfSmall {15, 63};
+
+const BurstCase BurstCases[] = {
+        {"a large domain, few entries", Large, 99, 10, true, true},
+        {"a large domain, many entries", Large, 99, 100, true, false},
+        {"a large domain, more than a digest holds", Large, 99, 200, false, false},
+        {"a small domain, many entries", Large, 9, 100, true, true},
+        {"a small link, many entries", FirstOfSmall, 32, 100, false, false},
+        {"a small link, some entries", FirstOfSmall, 32, 40, true, false},
+};
+
+} // namespace
+
+// Changes of more than a tenth of the reader's link were told to nobody: before 3,000 endpoints
+// each of 100 neighbours read a list of a megabyte instead.
+BOOST_DATA_TEST_CASE(manyChangesAreToldOnce, BurstCases, test)
+{
+    GatewayControl gateway;
+    gateway.self_ = {"self"};
+    gateway.members_.self_ = {"10.9.9.9", 7000};
+    gateway.members_.domain_ = {"a"};
+    gateway.members_.capacity_ = test.capacity_;
+    for (std::size_t i = 0; i < test.neighbours_; ++i)
+        applyMemberDigest(gateway.members_, digestOf(i, Small), at(0));
+    onGatewayControlTick(gateway, at(10));
+    DesiredState desired;
+    desired.version_ = {1};
+    onDesiredState(gateway, desired, at(10), at(20));
+    std::vector<ListedEndpoint> listed(1);
+    onEndpointList(gateway, listed, {1}, at(20), at(30));
+    for (std::size_t i = 0; i < test.newEntries_; ++i)
+        listed.emplace_back().id_ = {"i-" + std::to_string(i)};
+    const auto carries = [&] {
+        bool carried = false;
+        for (const GatewayControlEffect &effect : gateway.effects_) {
+            const auto *digest = std::get_if<SendDigest>(&effect);
+            if (digest != nullptr && digest->digest_.storeNews_)
+                carried = carried || !digest->digest_.storeNews_->listChanges_.empty();
+        }
+        gateway.effects_.clear();
+        return carried;
+    };
+    gateway.effects_.clear();
+    onEndpointList(gateway, listed, {2}, at(900), at(910));
+    BOOST_TEST(carries() == test.first_);
+    for (std::size_t i = 0; i < test.neighbours_; ++i)
+        applyMemberDigest(gateway.members_, digestOf(i, Small), at(1000));
+    onGatewayControlTick(gateway, at(1000));
+    BOOST_TEST(carries() == test.repeated_);
+}
