--- a/src/gateway/internal/digests.cpp
+++ b/src/gateway/internal/digests.cpp
@@ -143,7 +143,7 @@
 namespace {
 
 //! Sends a digest of this domain. Each copy has the echoes for its recipients only: those for all
-//! gateways of a large domain are more than everything else in a digest.
+//! would grow with the square of a domain's gateways.
 void sendToNeighbours(GatewayControl &state, const std::vector<Address> &recipients,
                       GatewayDigestMessage digest)
 {
--- a/src/gateway/tests/tst_roles.cpp
+++ b/src/gateway/tests/tst_roles.cpp
@@ -304,8 +304,8 @@
 
 } // namespace
 
-// Each digest of a reader echoed the clocks of all gateways that it heard, to each of them: with
-// 100 gateways in a domain that was the largest part of it.
+// Each digest of a reader echoed the clocks of all gateways that it heard, to each of them, which
+// grows with the square of a domain's gateways.
 BOOST_DATA_TEST_CASE(echoesGoToTheirRecipientsOnly, EchoCases, test)
 {
     GatewayControl gateway;
--- a/src/gateway/tests/tst_stateavailable.cpp
+++ b/src/gateway/tests/tst_stateavailable.cpp
@@ -90,8 +90,8 @@
 
 } // namespace
 
-// A link that is full makes reads fail that the store would have answered: requests were then
-// served by a state that others knew to be replaced.
+// A link that is full can make reads fail that the store would have answered. Requests must not be
+// served then by a state that others know to be replaced.
 BOOST_DATA_TEST_CASE(stateIsAvailableWhileThePlatformTellsIt, AvailabilityCases, test)
 {
     GatewayControl control;
--- a/src/http/tests/tst_client.cpp
+++ b/src/http/tests/tst_client.cpp
@@ -215,7 +215,7 @@
 
 } // namespace
 
-// Reads of large states failed on a full link although their bytes kept arriving, and were begun
+// A read of a large state on a full link must not fail while its bytes keep arriving, and be begun
 // again from the start.
 BOOST_DATA_TEST_CASE(slowResponsesAreReadToTheEnd, SlowCases, test)
 {
--- a/src/platform/internal/storeclient.cpp
+++ b/src/platform/internal/storeclient.cpp
@@ -15,7 +15,7 @@
 //! Time until a response begins, and for each part of it; a long poll adds the wait that it
 //! requests.
 constexpr std::chrono::milliseconds ResponseTimeout {700};
-//! Time for a whole response: a full page takes as long on a link of 8 Mbit/s that streams share.
+//! Time for a whole response, whose parts may come slowly on a link that streams share.
 constexpr std::chrono::milliseconds MaxReadTime {3000};
 //! Size limit of a response body: enough for a megabyte of records in base64, with their keys and
 //! framing.
