--- a/review/rig-2/rig.cpp
+++ b/review/rig-2/rig.cpp
@@ -379,6 +379,30 @@
     }
 }
 
+void Crowd::keepSending(const std::string &requests, const std::function<bool()> &isOver)
+{
+    constexpr double BytesPerSecond = 1e8;
+    sent_.resize(sockets_.size());
+    const auto begin = Clock::now();
+    double total = 0;
+    while (!isOver()) {
+        for (std::size_t i = 0; i < sockets_.size() && !isOver(); ++i) {
+            const std::size_t at = sent_[i] % requests.size();
+            const ssize_t size
+                    = send(sockets_[i], requests.data() + at, requests.size() - at, MSG_NOSIGNAL);
+            if (size <= 0)
+                continue;
+            sent_[i] += static_cast<std::size_t>(size);
+            total += static_cast<double>(size);
+            std::this_thread::sleep_until(
+                    begin
+                    + std::chrono::duration_cast<Clock::duration>(
+                            std::chrono::duration<double>(total / BytesPerSecond)));
+        }
+        pause(Milliseconds(5));
+    }
+}
+
 Record::Record(const std::string &path) : file_(path) { }
 
 void Record::add(const std::string &line)
--- a/review/rig-2/rig.h
+++ b/review/rig-2/rig.h
@@ -134,9 +134,14 @@
     bool isComplete() const { return isComplete_; }
     //! Sends the same bytes on each connection, as far as it takes them, at less than 1,000 Mbit/s.
     void sendOnAll(const std::string &bytes) const;
+    //! Sends the same requests again and again on each connection, as far as it takes them, at less
+    //! than 1,000 Mbit/s, until it is over.
+    void keepSending(const std::string &requests, const std::function<bool()> &isOver);
 
 private:
     std::vector<int> sockets_;
+    //! Bytes sent by keepSending() on each connection.
+    std::vector<std::size_t> sent_;
     bool isComplete_ = false;
 };
 
