A last chunk that arrives in pieces doesn't end the process

A process of the default build was ended by SIGABRT when a body without content in chunks arrived as "0\r\n", one byte more, and the rest: in a response of an endpoint, or in a request of any caller.

Cause: Beast 1.81 asserts in parse_chunk_header that five bytes are there once it has seen the line of a last chunk, but needs only three to see "0\r\n". With four it fails. It doesn't where NDEBUG is defined, as in the build of deploy/ (read, not run: the code behind the assertion asks for more bytes).

Ruled out: building without assertions, which would hide other faults; waiting for five bytes of every chunk, which would hold back a short event until the next one.

Change: after exactly this line the parser is called again only when five bytes are there. Both clients, RelayServer and Server now call it through one function; Server reads with it instead of Beast's operation.

--- a/src/http/internal/client.cpp
+++ b/src/http/internal/client.cpp
@@ -5,7 +5,7 @@
 #include <boost/beast/http.hpp>
 
 #include "idleconnections.h"
-#include "responsereader.h"
+#include "messagereader.h"
 
 namespace gypsumcroft::http {
 
@@ -33,7 +33,7 @@
 
 using StreamPtr = std::unique_ptr<beast::tcp_stream>;
 using Message = beast::http::request<beast::http::string_body>;
-using ResponseParser = beast::http::response_parser<beast::http::string_body>;
+using ResponseParser = MessageParser<false, beast::http::string_body>;
 
 //! Encodes a name or value in a query: all bytes but the unreserved ones of RFC 3986.
 std::string encodePercent(std::string_view text)
--- a/src/http/internal/relayclient.cpp
+++ b/src/http/internal/relayclient.cpp
@@ -11,7 +11,7 @@
 #include <netinet/tcp.h>
 
 #include "idleconnections.h"
-#include "responsereader.h"
+#include "messagereader.h"
 
 namespace gypsumcroft::http {
 
@@ -22,7 +22,7 @@
 namespace detail {
 
 using Clock = asio::steady_timer::clock_type;
-using ResponseParser = beast::http::response_parser<beast::http::buffer_body>;
+using ResponseParser = MessageParser<false, beast::http::buffer_body>;
 
 constexpr std::size_t ReadBytes = 4096;
 constexpr std::uint32_t MaxHeaderBytes = 64 * 1024;
--- a/src/http/internal/requestreader.cpp
+++ b/src/http/internal/requestreader.cpp
@@ -4,6 +4,8 @@
 
 #include <boost/beast/http.hpp>
 
+#include "messagereader.h"
+
 namespace gypsumcroft::http::detail {
 
 namespace {
@@ -20,7 +22,7 @@
 //! Memory that the parser takes for a header field in addition to its text.
 constexpr std::size_t FieldBytes = 96;
 
-using Parser = beast::http::request_parser<beast::http::string_body>;
+using Parser = MessageParser<true, beast::http::string_body>;
 
 //! A request that is being read.
 struct Reading
@@ -112,7 +114,7 @@
     const bool inHead = !parser.is_header_done();
     const auto bytes = connection.buffer_.cdata();
     boost::system::error_code error;
-    const std::size_t used = parser.put(bytes, error);
+    const std::size_t used = parse(parser, bytes, error);
     if (inHead)
         reading.headBytes_ += headMemoryOf({static_cast<const char *>(bytes.data()), used});
     connection.buffer_.consume(used);
--- a/src/http/internal/server.cpp
+++ b/src/http/internal/server.cpp
@@ -7,6 +7,8 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include "messagereader.h"
+
 namespace gypsumcroft::http {
 
 namespace asio = boost::asio;
@@ -102,7 +104,7 @@
     }
 }
 
-using Parser = beast::http::request_parser<beast::http::string_body>;
+using Parser = MessageParser<true, beast::http::string_body>;
 
 HttpRequest requestOf(Parser &parser)
 {
@@ -275,8 +277,7 @@
             if (!cancelled)
                 self->stream_.socket().cancel(ignored);
         });
-        co_await beast::http::async_read(connection.stream_, buffer, parser,
-                                         asio::redirect_error(asio::use_awaitable, error));
+        error = co_await detail::readMessage(connection.stream_, buffer, parser);
         limit->cancel();
         if (*timedOut)
             error = beast::error::timeout;
--- a/src/http/tests/tst_brokenresponses.cpp
+++ b/src/http/tests/tst_brokenresponses.cpp
@@ -7,7 +7,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "http/client.h"
-#include "http/internal/responsereader.h"
+#include "http/internal/messagereader.h"
 #include "relaycalls.h"
 #include "replyingserver.h"
 
@@ -59,6 +59,9 @@
         {"invalid status of a response to another request",
          "HTTP/1.1 000 Any\r\nX-Id: other\r\nContent-Length: 0\r\n\r\n" + withStatus("200"),
          Refused, NoResponse},
+        {"no body, in chunks",
+         "HTTP/1.1 200 Any\r\nX-Id: me\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", "200 done",
+         "200 "},
 };
 
 std::string textOf(std::uint16_t status, const std::string &body)
@@ -80,7 +83,7 @@
 //! Result of reading a response of which the given numbers of bytes arrive one after the other.
 std::string resultOfParsing(const std::string &bytes, const std::vector<std::size_t> &pieces)
 {
-    using Parser = beast::http::response_parser<beast::http::string_body>;
+    using Parser = http::detail::MessageParser<false, beast::http::string_body>;
     constexpr unsigned FirstFinalStatus = 200;
     beast::flat_buffer buffer;
     std::optional<Parser> parser(std::in_place);
