A response with a folded line fails its attempt

Callers got an endpoint's response as an answer although a line of its head began with a blank or a tab: joined to the value before it, or, where that line named the length or the coding of the body, with a body that was not the server's. A chunked body was passed on with the sizes of its chunks in it, and ended when the server closed.

Cause: Beast's parser accepts folded lines (obs-fold, RFC 9112, 5.2) and joins them before its user sees a field.

Ruled out: a blank or a control byte inside a name or before its colon, which the parser refuses (rows "blank in a name" to "blank in the name of a trailer" passed before); a check of the joined values, which don't tell that they were folded.

Change: the reader looks at the bytes that the parser has just taken as fields: lines of a head, interim responses and responses to other requests included, or the last chunk with the trailers. The body isn't looked at, and the limits of bytes and time stay with the parser and its users. The attempt fails like any with an invalid response; a stream whose events were passed on continues at another endpoint where it may, and is otherwise cut off.

The new rows of endlessInputFailsTheCall passed.

--- a/src/http/internal/messagereader.h
+++ b/src/http/internal/messagereader.h
@@ -49,6 +49,36 @@
     return size;
 }
 
+//! Whether one of the lines begins with a blank or a tab, as the continuation of a folded line does
+//! (obs-fold). A proxy may reject such a response (RFC 9112, 5.2).
+inline bool hasFoldedLine(std::string_view lines)
+{
+    for (std::size_t begin = 0; begin < lines.size();) {
+        if (lines[begin] == ' ' || lines[begin] == '\t')
+            return true;
+        const std::size_t end = lines.find('\n', begin);
+        if (end == std::string_view::npos)
+            return false;
+        begin = end + 1;
+    }
+    return false;
+}
+
+//! Whether a response is invalid although the parser accepts the bytes that it has just parsed.
+template <typename Body>
+boost::system::error_code errorIn(const MessageParser<false, Body> &parser, std::string_view parsed,
+                                  bool headWasDone)
+{
+    // Folded lines are joined by the parser, so that a field in one of them would go unnoticed.
+    const bool areFields = !headWasDone || (parser.chunked() && parser.is_done());
+    if (areFields && hasFoldedLine(parsed))
+        return beast::http::error::bad_field;
+    const unsigned status = parser.get().result_int();
+    if (!headWasDone && parser.is_header_done() && (status < MinStatus || status > MaxStatus))
+        return beast::http::error::bad_status;
+    return {};
+}
+
 //! Parses and removes buffered bytes. Returns an error also if a response is invalid.
 template <bool isRequest, typename Body>
 boost::system::error_code parseBuffered(beast::flat_buffer &buffer,
@@ -56,12 +86,14 @@
 {
     const bool headWasDone = parser.is_header_done();
     boost::system::error_code error;
-    buffer.consume(parse(parser, buffer.cdata(), error));
+    const auto bytes = buffer.cdata();
+    const std::size_t size = parse(parser, bytes, error);
     if constexpr (!isRequest) {
-        const unsigned status = parser.get().result_int();
-        if (!headWasDone && parser.is_header_done() && (status < MinStatus || status > MaxStatus))
-            return beast::http::error::bad_status;
+        const std::string_view parsed(static_cast<const char *>(bytes.data()), size);
+        if (const auto invalid = errorIn(parser, parsed, headWasDone))
+            error = invalid;
     }
+    buffer.consume(size);
     return error;
 }
 
--- a/src/http/tests/tst_relayclient.cpp
+++ b/src/http/tests/tst_relayclient.cpp
@@ -223,6 +223,9 @@
         {"endless header field", OwnHead + "X-Long: ", Long, AtOnce, "protocol-error"},
         {"endless number of header fields", OwnHead, "X-More: " + Long + "\r\n", AtOnce,
          "protocol-error"},
+        {"endless number of folded lines", OwnHead + "X-Long: y\r\n", " " + Long + "\r\n", AtOnce,
+         "protocol-error"},
+        {"slow folded lines", OwnHead + "X-Long: y\r\n", " y\r\n", Slowly, "protocol-error"},
         {"slow header section", OwnHead + "X-Long: ", "y", Slowly, "protocol-error"},
         {"interim responses", "", "HTTP/1.1 100 Continue\r\n\r\n", AtOnce, "protocol-error"},
         {"slow interim responses", "", "HTTP/1.1 102 Processing\r\n\r\n", Slowly, "protocol-error"},
@@ -242,6 +245,8 @@
          "protocol-error"},
         {"endless trailer section", OwnHead + "Transfer-Encoding: chunked\r\n\r\n0\r\n",
          "X-More: " + Long + "\r\n", AtOnce, "protocol-error"},
+        {"endless folded trailer", OwnHead + "Transfer-Encoding: chunked\r\n\r\n0\r\nX-Long: y\r\n",
+         " " + Long + "\r\n", AtOnce, "protocol-error"},
 };
 
 } // namespace
