The lab's callers tell invalid answers from whole ones

The callers of the lab took answers for whole that a client must not take: ask() looked for a length or a last chunk anywhere in the text, and the soak's callers read with Beast's operation, which joins folded lines and takes 000 as a status. A gateway that passes on either would not have been found by them.

The judge shares the product's check, which http-brokenresponses covers by itself.

--- a/lab/gatewayprogram.cpp
+++ b/lab/gatewayprogram.cpp
@@ -8,6 +8,7 @@
 
 #include <boost/asio.hpp>
 
+#include "http/internal/messagereader.h"
 #include "processfleet.h"
 
 namespace gypsumcroft::lab {
@@ -15,6 +16,14 @@
 namespace asio = boost::asio;
 using asio::ip::tcp;
 
+bool isWholeResponse(const std::string &text)
+{
+    boost::beast::flat_buffer buffer;
+    buffer.commit(asio::buffer_copy(buffer.prepare(text.size()), asio::buffer(text)));
+    http::detail::MessageParser<false, boost::beast::http::string_body> parser;
+    return !http::detail::parseMessage(buffer, parser) && buffer.size() == 0;
+}
+
 Answer ask(const Address &to, const std::string &method, const std::string &path,
            const std::string &id, const std::string &key, const std::string &promptParts)
 {
@@ -31,8 +40,7 @@
     Answer answer;
     asio::read(socket, asio::dynamic_buffer(answer.text_), error);
     answer.status_ = answer.text_.substr(0, 12);
-    answer.whole_ = answer.text_.find("Content-Length") != std::string::npos
-                    || answer.text_.ends_with("0\r\n\r\n");
+    answer.whole_ = isWholeResponse(answer.text_);
     return answer;
 }
 
--- a/lab/gatewayprogram.h
+++ b/lab/gatewayprogram.h
@@ -14,10 +14,13 @@
 {
     std::string status_;
     std::string text_;
-    //! The answer's end was seen, so that it can be told from a cut one.
+    //! See isWholeResponse().
     bool whole_ = false;
 };
 
+//! Whether the text is a valid response, complete and with nothing behind it.
+bool isWholeResponse(const std::string &text);
+
 //! Sends one request, with the given parts in its prompt, on a connection of its own and waits for
 //! the answer.
 Answer ask(const Address &to, const std::string &method, const std::string &path,
--- a/lab/soak/callers.cpp
+++ b/lab/soak/callers.cpp
@@ -4,6 +4,8 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include "http/internal/messagereader.h"
+
 namespace gypsumcroft::lab {
 
 namespace asio = boost::asio;
@@ -13,7 +15,7 @@
 namespace detail {
 
 using std::chrono::milliseconds;
-using AnswerParser = beast::http::response_parser<beast::http::string_body>;
+using AnswerParser = http::detail::MessageParser<false, beast::http::string_body>;
 
 constexpr std::size_t MaxAnswerBytes = 256UL * 1024;
 constexpr milliseconds ReconnectGap {30};
@@ -166,8 +168,7 @@
     AnswerParser parser;
     parser.body_limit(MaxAnswerBytes);
     if (!error)
-        co_await beast::http::async_read(caller->socket_, caller->buffer_, parser,
-                                         asio::redirect_error(asio::use_awaitable, error));
+        error = co_await http::detail::readMessage(caller->socket_, caller->buffer_, parser);
     // The timer may have run out already without its handler having been called.
     *answered = true;
     timer.cancel();
--- a/lab/tests/tst_gatewaybehind.cpp
+++ b/lab/tests/tst_gatewaybehind.cpp
@@ -31,7 +31,7 @@
                                    "Authorization: Bearer key\r\nContent-Length: 0\r\n\r\n"));
     }
 
-    //! Status of the next response, which is read to its end.
+    //! Status of the next response, which is read to its end; empty if it is invalid or incomplete.
     std::string status()
     {
         std::string text;
@@ -48,6 +48,8 @@
         } else if (!text.ends_with("0\r\n\r\n")) {
             asio::read_until(socket_, asio::dynamic_buffer(text), "\r\n0\r\n\r\n", error);
         }
+        if (!lab::isWholeResponse(text))
+            return {};
         return text.substr(0, std::string("HTTP/1.1 200").size());
     }
 
