The client's read loop is the message reader's

Client had a second copy of the loop that receives and parses, to extend its timeout after each part. The reader's loop now calls a handler there.

--- a/lab/soak/callers.cpp
+++ b/lab/soak/callers.cpp
@@ -168,7 +168,7 @@
     AnswerParser parser;
     parser.body_limit(MaxAnswerBytes);
     if (!error)
-        error = co_await http::detail::readMessage(caller->socket_, caller->buffer_, parser);
+        error = co_await http::detail::readMessage(caller->socket_, caller->buffer_, parser, [] {});
     // The timer may have run out already without its handler having been called.
     *answered = true;
     timer.cancel();
--- a/src/http/internal/client.cpp
+++ b/src/http/internal/client.cpp
@@ -153,15 +153,11 @@
                                                                   const ClientOptions &options,
                                                                   detail::Clock::time_point end)
     {
-        boost::system::error_code error = detail::parseMessage(buffer, parser);
-        while (error == beast::http::error::need_more) {
-            error = co_await detail::receive(stream, buffer, parser);
+        const auto extendTimeout = [&] {
             if (options.maxTotalTime_)
                 stream.expires_at(std::min(end, detail::Clock::now() + options.timeout_));
-            if (!error)
-                error = detail::parseMessage(buffer, parser);
-        }
-        co_return error;
+        };
+        co_return co_await detail::readMessage(stream, buffer, parser, extendTimeout);
     }
 
     //! Reads the final response; interim responses (1xx) are skipped.
--- a/src/http/internal/messagereader.h
+++ b/src/http/internal/messagereader.h
@@ -23,7 +23,7 @@
 template <bool isRequest, typename Body>
 struct MessageParser : beast::http::parser<isRequest, Body>
 {
-    //! Number of buffered bytes from which the parser may be called.
+    //! The parser must not be called with fewer bytes.
     std::size_t minBytes_ = 1;
 };
 
@@ -64,7 +64,7 @@
     return false;
 }
 
-//! Whether a response is invalid although the parser accepts the bytes that it has just parsed.
+//! What is invalid in a response although the parser accepts the bytes that it has just parsed.
 template <typename Body>
 boost::system::error_code errorIn(const MessageParser<false, Body> &parser, std::string_view parsed,
                                   bool headWasDone)
@@ -147,14 +147,16 @@
     co_return error;
 }
 
-//! Reads a message to its end.
-template <typename Stream, bool isRequest, typename Body>
+//! Reads a message to its end. The handler is called each time after bytes were received.
+template <typename Stream, bool isRequest, typename Body, typename Handler>
 asio::awaitable<boost::system::error_code> readMessage(Stream &stream, beast::flat_buffer &buffer,
-                                                       MessageParser<isRequest, Body> &parser)
+                                                       MessageParser<isRequest, Body> &parser,
+                                                       Handler onReceived)
 {
     boost::system::error_code error = parseMessage(buffer, parser);
     while (error == beast::http::error::need_more) {
         error = co_await receive(stream, buffer, parser);
+        onReceived();
         if (!error)
             error = parseMessage(buffer, parser);
     }
--- a/src/http/internal/server.cpp
+++ b/src/http/internal/server.cpp
@@ -277,7 +277,7 @@
             if (!cancelled)
                 self->stream_.socket().cancel(ignored);
         });
-        error = co_await detail::readMessage(connection.stream_, buffer, parser);
+        error = co_await detail::readMessage(connection.stream_, buffer, parser, [] {});
         limit->cancel();
         if (*timedOut)
             error = beast::error::timeout;
